--- /dev/null
+++ b/bramleybeam/agent/__init__.py
@@ -0,0 +1,5 @@
+"""The process beside each upstream: the only one that talks to it."""
+
+from bramleybeam.agent._daemon import AgentDaemon
+
+__all__ = ['AgentDaemon']
--- /dev/null
+++ b/bramleybeam/agent/_upstream.py
@@ -0,0 +1,333 @@
+"""Speaks to the upstream over HTTP: inference, orders and state."""
+
+import json
+from collections.abc import AsyncIterator
+from typing import Any, Final
+
+import aiohttp
+import attrs
+from expression import Error, Ok, Result
+
+from bramleybeam.links import Dispatch
+from bramleybeam.messages import ArtifactState, Order
+
+CONNECT_TIMEOUT_S: Final = 1.0
+ADMIN_TIMEOUT_S: Final = 3.0
+STREAM_SILENCE_S: Final = 15.0
+MAX_RESPONSE_BYTES: Final = 900_000
+_OK: Final = 200
+_CONFLICT: Final = 409
+_NOT_RUN_STATUSES: Final = frozenset((400, 404, 413, 422, 429, 503))
+
+
+@attrs.frozen
+class Started:
+    """The upstream took the request and answers with this status."""
+
+    status: int
+    content_type: str
+
+
+@attrs.frozen
+class Text:
+    """A piece of the answer: ``count`` tokens from ``offset`` on."""
+
+    offset: int
+    count: int
+    body: bytes
+
+
+@attrs.frozen
+class Finished:
+    """The upstream's finish mark."""
+
+    offset: int
+    reason: str
+    prompt_tokens: int = 0
+    cached_tokens: int = 0
+
+
+@attrs.frozen
+class NotRun:
+    """The upstream was not given the request, or refused to start it."""
+
+    reason: str
+    busy: bool
+
+
+@attrs.frozen
+class Lost:
+    """The upstream was lost after it may have started."""
+
+    reason: str
+    crashed: bool
+
+
+Event = Started | Text | Finished | NotRun | Lost
+
+
+@attrs.frozen
+class UpstreamState:
+    """What the engine says of itself; ``boot`` grows with each restart."""
+
+    boot: int
+    capacity_mb: int
+    highest_epoch: int
+    artifacts: tuple[ArtifactState, ...]
+
+
+class UpstreamClient:
+    """One upstream's HTTP; never repeats a request by itself."""
+
+    def __init__(self, base_url: str) -> None:
+        """Store the address; the session opens with ``start``."""
+        self._base_url = base_url
+        self._session: aiohttp.ClientSession | None = None
+
+    def start(self) -> None:
+        """Open the session inside the running loop."""
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0),
+            auto_decompress=False,
+        )
+
+    async def close(self) -> None:
+        """Close every connection."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def infer(self, dispatch: Dispatch) -> AsyncIterator[Event]:
+        """Give the engine a request and yield what it answers."""
+        body = json.loads(dispatch.body)
+        body.update(
+            model=dispatch.target,
+            stream=True,
+            request_id=dispatch.request_id,
+            resume_from=dispatch.resume_from,
+            priority=dispatch.priority,
+        )
+        headers = {'traceparent': dispatch.traceparent}
+        try:
+            async with self._open().post(
+                f'{self._base_url}{dispatch.path}',
+                json=body,
+                headers=headers,
+                timeout=_stream_timeout(),
+            ) as response:
+                async for event in _read_inference(response, dispatch):
+                    yield event
+        except aiohttp.ClientConnectorError as error:
+            yield NotRun(f'cannot connect: {error}', busy=True)
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            yield Lost(repr(error), crashed=True)
+
+    async def request(self, dispatch: Dispatch) -> AsyncIterator[Event]:
+        """Give a plain service a request and yield its whole answer."""
+        headers = json.loads(dispatch.headers or '{}')
+        headers['traceparent'] = dispatch.traceparent
+        try:
+            async with self._open().request(
+                dispatch.method,
+                f'{self._base_url}{dispatch.path}',
+                data=dispatch.body or None,
+                headers=headers,
+                timeout=_stream_timeout(),
+                allow_redirects=False,
+            ) as response:
+                async for event in _read_plain(response):
+                    yield event
+        except aiohttp.ClientConnectorError as error:
+            yield NotRun(f'cannot connect: {error}', busy=True)
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            yield Lost(repr(error), crashed=False)
+
+    async def cancel(self, request_id: str) -> None:
+        """Tell the engine to stop a request; failures do not matter."""
+        await self._admin('POST', '/admin/cancel', {'request_id': request_id})
+
+    async def order(self, order: Order) -> Result[str, str]:
+        """Give an order; ``Ok`` is its state, ``Error`` a refusal.
+
+        Raises ``ConnectionError`` when the outcome is not known.
+        """
+        status, body = await self._admin(
+            'POST',
+            '/admin/orders',
+            {
+                'order_id': order.order_id,
+                'kind': order.action,
+                'name': order.artifact.name,
+                'artifact': order.artifact.kind,
+                'memory_mb': order.artifact.memory_mb,
+                'model': order.artifact.model,
+                'epoch': order.epoch,
+            },
+        )
+        if status == _OK:
+            return Ok(str(body['state']))
+        if status == _CONFLICT:
+            return Error(str(body.get('error')))
+        raise ConnectionError(f'order outcome unknown: {status} {body}')
+
+    async def state(self) -> UpstreamState | None:
+        """Read the engine's own state; ``None`` when it cannot be read."""
+        status, body = await self._admin('GET', '/admin/state')
+        if status != _OK:
+            return None
+        artifacts = tuple(
+            ArtifactState(
+                name=raw['name'],
+                kind=raw['kind'],
+                memory_mb=raw['memory_mb'],
+                state=raw['state'],
+                model=raw['model'],
+            )
+            for raw in body['artifacts']
+        )
+        return UpstreamState(
+            body['boot'],
+            body['capacity_mb'],
+            body['highest_epoch'],
+            artifacts,
+        )
+
+    async def cache_events(self, after: int) -> list[tuple[int, int]]:
+        """Read prefix cache events after a number: (number, block hash)."""
+        status, body = await self._admin(
+            'GET',
+            f'/admin/cache-events?after={after}',
+        )
+        return body['events'] if status == _OK else []
+
+    async def is_healthy(self) -> bool:
+        """Whether a plain service answers its health check."""
+        status, _body = await self._admin('GET', '/health')
+        return status == _OK
+
+    async def _admin(
+        self,
+        method: str,
+        path: str,
+        body: dict[str, Any] | None = None,
+    ) -> tuple[int, Any]:
+        limit = aiohttp.ClientTimeout(total=ADMIN_TIMEOUT_S)
+        url = f'{self._base_url}{path}'
+        try:
+            async with self._open().request(
+                method, url, json=body, timeout=limit
+            ) as response:
+                return response.status, await response.json()
+        except (
+            aiohttp.ClientError,
+            OSError,
+            TimeoutError,
+            ValueError,
+        ) as error:
+            return 0, {'error': repr(error)}
+
+    def _open(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            raise RuntimeError('call start() before the first request')
+        return self._session
+
+
+def _stream_timeout() -> aiohttp.ClientTimeout:
+    return aiohttp.ClientTimeout(
+        total=None,
+        sock_connect=CONNECT_TIMEOUT_S,
+        sock_read=STREAM_SILENCE_S,
+    )
+
+
+async def _read_inference(
+    response: aiohttp.ClientResponse,
+    dispatch: Dispatch,
+) -> AsyncIterator[Event]:
+    if response.status != _OK:
+        yield await _read_refusal(response)
+        return
+    yield Started(response.status, response.content_type)
+    parser = _EventParser(dispatch.resume_from)
+    async for received in response.content.iter_any():
+        for event in parser.feed(received):
+            yield event
+    if not parser.finished:
+        yield Lost('the engine ended without a finish mark', crashed=True)
+
+
+async def _read_refusal(response: aiohttp.ClientResponse) -> Event:
+    text = (await response.text())[:500]
+    if response.status in _NOT_RUN_STATUSES:
+        busy = response.status in {404, 429, 503}
+        return NotRun(f'HTTP {response.status}: {text}', busy=busy)
+    return Lost(f'HTTP {response.status}: {text}', crashed=False)
+
+
+async def _read_plain(
+    response: aiohttp.ClientResponse,
+) -> AsyncIterator[Event]:
+    yield Started(response.status, response.headers.get('Content-Type', ''))
+    size = 0
+    async for received in response.content.iter_any():
+        yield Text(size, len(received), received)
+        size += len(received)
+        if size > MAX_RESPONSE_BYTES:
+            yield Lost('the answer is over the size limit', crashed=False)
+            return
+    yield Finished(size, 'stop')
+
+
+class _EventParser:
+    """Joins the tokens that arrive together into one piece."""
+
+    def __init__(self, offset: int) -> None:
+        self.finished = False
+        self._offset = offset
+        self._rest = b''
+
+    def feed(self, received: bytes) -> list[Event]:
+        *blocks, self._rest = (self._rest + received).split(b'\n\n')
+        events: list[Event] = []
+        texts: list[str] = []
+        start = self._offset
+        end: Finished | None = None
+        for block in blocks:
+            event = _parse_block(block)
+            if event is None:
+                continue
+            choice = event['choices'][0]
+            text = _text_of(choice)
+            if text:
+                texts.append(text)
+                self._offset = event['offset'] + event['tokens']
+            if choice.get('finish_reason'):
+                end = self._finish(event, choice['finish_reason'])
+        if texts:
+            body = ''.join(texts).encode()
+            events.append(Text(start, self._offset - start, body))
+        if end is not None:
+            events.append(end)
+        return events
+
+    def _finish(self, event: dict[str, Any], reason: str) -> Finished:
+        self.finished = True
+        usage = event.get('usage') or {}
+        return Finished(
+            self._offset,
+            reason,
+            usage.get('prompt_tokens', 0),
+            usage.get('cached_tokens', 0),
+        )
+
+
+def _parse_block(block: bytes) -> dict[str, Any] | None:
+    line = block.removeprefix(b'data: ')
+    if line == b'[DONE]' or not line.startswith(b'{'):
+        return None
+    return json.loads(line)
+
+
+def _text_of(choice: dict[str, Any]) -> str:
+    if 'delta' in choice:
+        return choice['delta'].get('content') or ''
+    return choice.get('text') or ''
--- /dev/null
+++ b/bramleybeam/checks/__init__.py
@@ -0,0 +1,25 @@
+"""Declared constraints of settings and documents, checked in one place."""
+
+from bramleybeam.checks._constraints import (
+    Address,
+    Constraint,
+    Interval,
+    Name,
+    OneOf,
+    Url,
+    parameter,
+)
+from bramleybeam.checks._check import Problem, check_parameters, describe
+
+__all__ = [
+    'Address',
+    'Constraint',
+    'Interval',
+    'Name',
+    'OneOf',
+    'Problem',
+    'Url',
+    'check_parameters',
+    'describe',
+    'parameter',
+]
--- /dev/null
+++ b/bramleybeam/checks/_constraints.py
@@ -0,0 +1,139 @@
+"""Kinds of constraint that a parameter can be declared with."""
+
+import ipaddress
+import re
+from typing import Any, Final
+from urllib.parse import urlsplit
+
+import attrs
+
+CONSTRAINT_KEY: Final = 'constraint'
+MEANING_KEY: Final = 'meaning'
+_NAME_PATTERN: Final = re.compile('[a-zA-Z0-9][a-zA-Z0-9._-]{0,99}')
+_MAX_PORT: Final = 65535
+
+
+@attrs.frozen
+class Interval:
+    """A number from ``low`` to ``high``, both included, in ``unit``."""
+
+    low: float
+    high: float
+    unit: str = ''
+
+    def __str__(self) -> str:
+        """Say what is allowed."""
+        return f'a number from {self.low} to {self.high} {self.unit}'.strip()
+
+
+@attrs.frozen
+class OneOf:
+    """One of a few texts."""
+
+    options: tuple[str, ...]
+
+    def __str__(self) -> str:
+        """Say what is allowed."""
+        return 'one of {0}'.format(', '.join(self.options))
+
+
+@attrs.frozen
+class Name:
+    """A name of letters, digits, dots, dashes and underscores."""
+
+    optional: bool = False
+
+    def __str__(self) -> str:
+        """Say what is allowed."""
+        suffix = ', or empty' if self.optional else ''
+        return f'a name of 1 to 100 letters, digits and ._-{suffix}'
+
+
+@attrs.frozen
+class Address:
+    """An ``IP:PORT`` pair; port 0 lets the system choose."""
+
+    def __str__(self) -> str:
+        """Say what is allowed."""
+        return 'IP:PORT with a numeric IP address'
+
+
+@attrs.frozen
+class Url:
+    """An HTTP address with a numeric host."""
+
+    optional: bool = False
+
+    def __str__(self) -> str:
+        """Say what is allowed."""
+        suffix = ', or empty' if self.optional else ''
+        return f'http://IP:PORT or https://IP:PORT{suffix}'
+
+
+Constraint = Interval | OneOf | Name | Address | Url
+
+
+def parameter(
+    meaning: str,
+    constraint: Constraint | None = None,
+    default: Any = attrs.NOTHING,
+    **extra: Any,
+) -> Any:
+    """Declare an attrs field with its meaning and constraint.
+
+    Example::
+
+        @attrs.frozen
+        class Settings:
+            period: float = parameter('Time between reports.',
+                                      Interval(0.1, 60, 's'), default=1)
+    """
+    metadata = {CONSTRAINT_KEY: constraint, MEANING_KEY: meaning}
+    return attrs.field(default=default, metadata=metadata, **extra)
+
+
+def is_allowed(constraint: Constraint, candidate: Any) -> bool:
+    """Tell whether a value satisfies a constraint."""
+    match constraint:
+        case Interval(low=low, high=high):
+            return _is_number(candidate) and low <= candidate <= high
+        case OneOf(options=options):
+            return candidate in options
+        case Name(optional=optional):
+            return _is_name(candidate, optional=optional)
+        case Address():
+            return isinstance(candidate, str) and _is_address(candidate)
+        case Url(optional=optional):
+            return _is_url(candidate, optional=optional)
+    raise TypeError(f'unknown constraint {constraint!r}; declare it here')
+
+
+def _is_number(candidate: Any) -> bool:
+    is_numeric = isinstance(candidate, int | float)
+    return is_numeric and not isinstance(candidate, bool)
+
+
+def _is_name(candidate: Any, *, optional: bool) -> bool:
+    if not isinstance(candidate, str):
+        return False
+    if not candidate:
+        return optional
+    return _NAME_PATTERN.fullmatch(candidate) is not None
+
+
+def _is_address(candidate: str) -> bool:
+    host, _, port = candidate.rpartition(':')
+    try:
+        ipaddress.ip_address(host.strip('[]'))
+    except ValueError:
+        return False
+    return port.isdecimal() and int(port) <= _MAX_PORT
+
+
+def _is_url(candidate: Any, *, optional: bool) -> bool:
+    if not isinstance(candidate, str):
+        return False
+    if not candidate:
+        return optional
+    parts = urlsplit(candidate)
+    return parts.scheme in {'http', 'https'} and _is_address(parts.netloc)
--- /dev/null
+++ b/bramleybeam/decisions/__init__.py
@@ -0,0 +1,56 @@
+"""Decisions as pure functions of a snapshot, the time and a generator."""
+
+from bramleybeam.decisions._homes import assign_homes, rank_by_hash
+from bramleybeam.decisions._memory import (
+    DRAINING,
+    LOADING,
+    READY,
+    UNLOADING,
+    MemoryLedger,
+)
+from bramleybeam.decisions._placement import (
+    PlacedUpstream,
+    PlacementSnapshot,
+    PlannedOrder,
+    plan_placement,
+)
+from bramleybeam.decisions._retries import (
+    AttemptHistory,
+    AttemptLost,
+    Failure,
+    GiveUp,
+    NeverArrived,
+    RefusedByAgent,
+    TryAgain,
+    decide_retry,
+)
+from bramleybeam.decisions._routing import (
+    Candidate,
+    choose_upstream,
+    estimate_first_token,
+)
+
+__all__ = [
+    'DRAINING',
+    'LOADING',
+    'READY',
+    'UNLOADING',
+    'AttemptHistory',
+    'AttemptLost',
+    'Candidate',
+    'Failure',
+    'GiveUp',
+    'MemoryLedger',
+    'NeverArrived',
+    'PlacedUpstream',
+    'PlacementSnapshot',
+    'PlannedOrder',
+    'RefusedByAgent',
+    'TryAgain',
+    'assign_homes',
+    'choose_upstream',
+    'decide_retry',
+    'estimate_first_token',
+    'plan_placement',
+    'rank_by_hash',
+]
--- /dev/null
+++ b/bramleybeam/decisions/_homes.py
@@ -0,0 +1,82 @@
+"""Assigns each model the availability zones that keep it reachable.
+
+Every planner computes the same assignment from the document and the live
+zones, so that shards need no word with each other. A weighted rendezvous
+hash keeps most models in place when zones come and go.
+"""
+
+import math
+from collections import Counter
+from collections.abc import Iterable, Mapping
+from typing import Final
+
+import xxhash
+
+from bramleybeam.documents import Model
+
+_FULL_SHARE: Final = 0.85
+_HASH_RANGE: Final = float(2**64)
+
+
+def assign_homes(
+    models: Iterable[Model],
+    capacities: Mapping[tuple[str, str], int],
+) -> dict[str, str]:
+    """Return the home zone of each model that fits anywhere.
+
+    ``capacities`` maps (zone, pool) to accelerator memory in MB. Zones are
+    filled to a share of their memory, so that packing stays possible; when
+    none has that much left, the one with the most left is taken.
+    """
+    left = Counter(
+        {
+            place: int(memory * _FULL_SHARE)
+            for place, memory in capacities.items()
+        }
+    )
+    homes = {}
+    for model in sorted(models, key=lambda one: (-one.memory_mb, one.name)):
+        zone = _choose_zone(model, capacities, left)
+        if zone is not None:
+            homes[model.name] = zone
+            left[zone, model.pool] -= model.memory_mb
+    return homes
+
+
+def rank_by_hash(key: str, names: Iterable[str]) -> list[str]:
+    """Rank names for a key by rendezvous hash, best first."""
+    return sorted(names, key=lambda name: _unit_hash(key, name), reverse=True)
+
+
+def _choose_zone(
+    model: Model,
+    capacities: Mapping[tuple[str, str], int],
+    left: Mapping[tuple[str, str], int],
+) -> str | None:
+    zones = [zone for zone, pool in capacities if pool == model.pool]
+    if not zones:
+        return None
+    ranked = sorted(
+        zones,
+        key=lambda zone: _weighted_score(
+            model.name,
+            zone,
+            capacities[zone, model.pool],
+        ),
+        reverse=True,
+    )
+    for zone in ranked:
+        if left[zone, model.pool] >= model.memory_mb:
+            return zone
+    return max(ranked, key=lambda zone: left[zone, model.pool])
+
+
+def _weighted_score(key: str, name: str, weight: float) -> float:
+    if weight <= 0:
+        return 0
+    return -weight / math.log(_unit_hash(key, name))
+
+
+def _unit_hash(key: str, name: str) -> float:
+    digest = xxhash.xxh64(f'{key}\0{name}'.encode()).intdigest()
+    return (digest + 0.5) / _HASH_RANGE
--- /dev/null
+++ b/bramleybeam/decisions/_placement.py
@@ -0,0 +1,282 @@
+"""Plans which models a shard's upstreams hold, one round at a time."""
+
+from collections import Counter
+from collections.abc import Iterable, Mapping
+from typing import Final
+
+import attrs
+
+from bramleybeam.decisions._memory import LOADING, READY
+from bramleybeam.documents import Model
+from bramleybeam.messages import ArtifactState
+
+_BUSY_SHARE: Final = 0.5
+_IDLE_SHARE: Final = 0.1
+
+
+@attrs.frozen
+class PlacedUpstream:
+    """An upstream of the shard, from its last report; memory in MB."""
+
+    name: str
+    pool: str
+    capacity_mb: int
+    limit: int
+    usable: bool
+    holdings: tuple[ArtifactState, ...] = ()
+
+    @property
+    def free_mb(self) -> int:
+        """Memory that is surely free."""
+        return self.capacity_mb - sum(one.memory_mb for one in self.holdings)
+
+    @property
+    def adapters_mb(self) -> int:
+        """Memory of adapters, which make room when a model needs it."""
+        return sum(
+            one.memory_mb for one in self.holdings if one.kind == 'adapter'
+        )
+
+    def holds(self, name: str) -> bool:
+        """Whether it has the artifact in any state."""
+        return any(one.name == name for one in self.holdings)
+
+    def has_ready(self, name: str) -> bool:
+        """Whether the artifact can take requests."""
+        return any(
+            one.name == name and one.state == READY for one in self.holdings
+        )
+
+
+@attrs.frozen
+class PlacementSnapshot:
+    """All that a planning round sees.
+
+    ``demand`` is the mean number of requests in flight for each model in
+    this shard; ``home`` the models that this shard keeps reachable;
+    ``ready_elsewhere`` counts ready copies in other shards. ``loads`` and
+    ``moves`` bound how many loads, and how many of them that are not needed
+    for reachability, may begin now.
+    """
+
+    upstreams: tuple[PlacedUpstream, ...]
+    models: Mapping[str, Model]
+    home: frozenset[str]
+    demand: Mapping[str, float]
+    ready_elsewhere: Mapping[str, int]
+    loads: int
+    moves: int
+
+
+@attrs.frozen
+class PlannedOrder:
+    """An order to give, with the reason shown by ``ctl explain``."""
+
+    upstream: str
+    action: str
+    model: str
+    reason: str
+
+
+def plan_placement(snapshot: PlacementSnapshot) -> list[PlannedOrder]:
+    """Return the orders to give now, most urgent first.
+
+    A home model without a copy is loaded first, with room made from copies
+    that others duplicate. Then models under load get further copies. The
+    last ready copy of a model is never unloaded.
+
+    Example::
+
+        for order in plan_placement(snapshot):
+            give(order)
+    """
+    planner = _Planner(snapshot)
+    planner.restore_home_models()
+    planner.evacuate_unusable()
+    planner.add_busy_copies()
+    return planner.orders
+
+
+class _Planner:
+    """One round: orders given so far and the memory that they take."""
+
+    def __init__(self, snapshot: PlacementSnapshot) -> None:
+        self.orders: list[PlannedOrder] = []
+        self._snapshot = snapshot
+        self._loads = snapshot.loads
+        self._moves = snapshot.moves
+        self._free = {
+            upstream.name: upstream.free_mb + upstream.adapters_mb
+            for upstream in snapshot.upstreams
+        }
+        self._copies = _count_copies(snapshot.upstreams)
+        self._ready = _count_ready(snapshot.upstreams)
+        self._loading = sum(
+            holding.state == LOADING and holding.kind == 'model'
+            for upstream in snapshot.upstreams
+            for holding in upstream.holdings
+        )
+
+    def restore_home_models(self) -> None:
+        """Load each home model that has no copy, largest first."""
+        missing = [
+            self._snapshot.models[name]
+            for name in self._snapshot.home
+            if not self._copies[name]
+        ]
+        missing.sort(
+            key=lambda model: (
+                -self._snapshot.demand.get(model.name, 0),
+                -model.memory_mb,
+                model.name,
+            )
+        )
+        for model in missing:
+            if self._loads <= 0:
+                return
+            self._load_somewhere(model, 'no copy in its home zone')
+
+    def evacuate_unusable(self) -> None:
+        """Give models whose only copy is leaving another copy."""
+        leaving = [
+            upstream
+            for upstream in self._snapshot.upstreams
+            if not upstream.usable
+        ]
+        for upstream in leaving:
+            for holding in upstream.holdings:
+                model = self._snapshot.models.get(holding.name)
+                if model is None or self._has_other_copy(holding.name):
+                    continue
+                if self._loads > 0:
+                    self._load_somewhere(model, 'its only copy is leaving')
+
+    def add_busy_copies(self) -> None:
+        """Load further copies of models whose upstreams are busy."""
+        ranked = sorted(
+            self._snapshot.demand.items(),
+            key=lambda item: (-item[1], item[0]),
+        )
+        for name, demand in ranked:
+            model = self._snapshot.models.get(name)
+            if model is None or self._moves <= 0 or self._loads <= 0:
+                continue
+            if self._is_busy(model, demand):
+                self._moves -= 1
+                self._load_somewhere(model, f'demand {demand:.1f} in flight')
+
+    def _is_busy(self, model: Model, demand: float) -> bool:
+        copies = self._copies[model.name]
+        limits = [
+            upstream.limit
+            for upstream in self._snapshot.upstreams
+            if upstream.holds(model.name)
+        ]
+        if not copies or not limits:
+            return False
+        return demand > _BUSY_SHARE * copies * min(limits)
+
+    def _load_somewhere(self, model: Model, reason: str) -> None:
+        targets = [
+            upstream
+            for upstream in self._snapshot.upstreams
+            if upstream.usable
+            and upstream.pool == model.pool
+            and not upstream.holds(model.name)
+        ]
+        targets.sort(key=lambda one: (-self._free[one.name], one.name))
+        for upstream in targets:
+            if self._free[upstream.name] >= model.memory_mb:
+                self._order(upstream, 'load', model, reason)
+                return
+        for upstream in targets:
+            if self._make_room(upstream, model):
+                return
+
+    def _make_room(self, upstream: PlacedUpstream, model: Model) -> bool:
+        missing = model.memory_mb - self._free[upstream.name]
+        chosen = []
+        for surplus in self._surplus_models(upstream):
+            if missing <= 0:
+                break
+            chosen.append(surplus)
+            missing -= surplus.memory_mb
+        if missing > 0:
+            return False
+        for surplus in chosen:
+            self._ready[surplus.name] -= 1
+            self._order(
+                upstream,
+                'unload',
+                surplus,
+                f'makes room for {model.name}',
+            )
+        return True
+
+    def _surplus_models(self, upstream: PlacedUpstream) -> list[Model]:
+        surplus = [
+            self._snapshot.models[holding.name]
+            for holding in upstream.holdings
+            if holding.state == READY
+            and holding.name in self._snapshot.models
+            and self._may_unload(holding.name)
+        ]
+        surplus.sort(
+            key=lambda model: (
+                self._snapshot.demand.get(model.name, 0),
+                model.name,
+            )
+        )
+        return surplus
+
+    def _may_unload(self, name: str) -> bool:
+        if self._is_unload_planned(name):
+            return False
+        if self._ready[name] > 1:
+            return True
+        elsewhere = self._snapshot.ready_elsewhere.get(name, 0)
+        return name not in self._snapshot.home and elsewhere > 0
+
+    def _is_unload_planned(self, name: str) -> bool:
+        return any(
+            order.action == 'unload' and order.model == name
+            for order in self.orders
+        )
+
+    def _has_other_copy(self, name: str) -> bool:
+        elsewhere = self._snapshot.ready_elsewhere.get(name, 0)
+        return bool(self._copies[name]) or elsewhere > 0
+
+    def _order(
+        self,
+        upstream: PlacedUpstream,
+        action: str,
+        model: Model,
+        reason: str,
+    ) -> None:
+        if action == 'load':
+            self._free[upstream.name] -= model.memory_mb
+            self._copies[model.name] += 1
+            self._loads -= 1
+        self.orders.append(
+            PlannedOrder(upstream.name, action, model.name, reason),
+        )
+
+
+def _count_copies(upstreams: Iterable[PlacedUpstream]) -> Counter[str]:
+    """Count copies that are ready or being loaded on usable upstreams."""
+    return Counter(
+        holding.name
+        for upstream in upstreams
+        for holding in upstream.holdings
+        if upstream.usable and holding.state in {READY, LOADING}
+    )
+
+
+def _count_ready(upstreams: Iterable[PlacedUpstream]) -> Counter[str]:
+    return Counter(
+        holding.name
+        for upstream in upstreams
+        for holding in upstream.holdings
+        if upstream.usable and holding.state == READY
+    )
--- /dev/null
+++ b/bramleybeam/demo/__init__.py
@@ -0,0 +1,6 @@
+"""The embedded default: every role and stand-in in one process."""
+
+from bramleybeam.demo._cluster import DemoCluster, DemoOptions
+from bramleybeam.demo._command import demo
+
+__all__ = ['DemoCluster', 'DemoOptions', 'demo']
--- /dev/null
+++ b/bramleybeam/demo/_cluster.py
@@ -0,0 +1,190 @@
+"""Runs all roles and stand-ins of a deployment on loopback."""
+
+import asyncio
+from typing import Final
+
+import attrs
+
+from bramleybeam.agent import AgentDaemon
+from bramleybeam.documents import Document, Upstream
+from bramleybeam.entry import EntryDaemon
+from bramleybeam.keyvalue import HttpKeyValue
+from bramleybeam.operators import apply_document
+from bramleybeam.settings import AgentSettings, EntrySettings
+from bramleybeam.standins import (
+    EngineSettings,
+    EngineStandIn,
+    HostListStandIn,
+    KeyValueStandIn,
+    LedgerStandIn,
+    WeightStoreStandIn,
+    make_engine_app,
+)
+from bramleybeam.standins import HostRecord
+from bramleybeam.web import HttpServer
+
+_ENTRIES: Final = 2
+_POLL_S: Final = 0.05
+
+
+@attrs.frozen
+class DemoOptions:
+    """How the demo runs; ``time_scale`` under 1 makes the stand-ins faster."""
+
+    region: str = 'demo'
+    zones: tuple[str, ...] = ('zone-a',)
+    listen: str = '127.0.0.1:0'
+    entries: int = _ENTRIES
+    time_scale: float = 1.0
+    readiness_lead_s: float = 0.1
+
+
+class DemoCluster:
+    """Entries, agents and stand-ins of one document, in one event loop.
+
+    Upstreams are spread over the zones in the order of the document. No
+    process is told anything but its settings; models get to their upstreams
+    by the planners' orders.
+    """
+
+    def __init__(self, document: Document, options: DemoOptions) -> None:
+        """Build the stand-ins; ``start`` runs everything."""
+        self.document = document
+        self.options = options
+        self.keyvalue = KeyValueStandIn()
+        self.hosts = HostListStandIn()
+        self.weights = WeightStoreStandIn(
+            document.deployment.loads_per_second,
+            document.deployment.loads_at_once,
+            document.deployment.adapters_in_transit,
+            options.time_scale,
+        )
+        self.engines: dict[str, EngineStandIn] = {}
+        self.ledgers: dict[str, LedgerStandIn] = {}
+        self.agents: dict[str, AgentDaemon] = {}
+        self.entries: list[EntryDaemon] = []
+        self._servers: list[HttpServer] = []
+        self._keyvalue_url = ''
+        self._hosts_url = ''
+
+    @property
+    def urls(self) -> list[str]:
+        """Addresses for callers."""
+        return [entry.url for entry in self.entries]
+
+    async def start(self) -> None:
+        """Start everything and apply the document as revision 1."""
+        self._keyvalue_url = (await self._serve(self.keyvalue.make_app())).url
+        self._hosts_url = (await self._serve(self.hosts.make_app())).url
+        store = HttpKeyValue(self._keyvalue_url)
+        outcome = await apply_document(store, self.document, 0, 'demo')
+        await store.close()
+        if outcome.is_error():
+            raise RuntimeError(str(outcome))
+        for index, upstream in enumerate(self.document.upstreams):
+            zone = self.options.zones[index % len(self.options.zones)]
+            await self.start_upstream(upstream, zone)
+        for index in range(self.options.entries):
+            await self.start_entry(index)
+
+    async def close(self) -> None:
+        """Stop everything at once."""
+        for entry in self.entries:
+            await entry.close()
+        for agent in self.agents.values():
+            await agent.close()
+        for engine in self.engines.values():
+            await engine.close()
+        for server in self._servers:
+            await server.close()
+
+    async def start_upstream(self, upstream: Upstream, zone: str) -> None:
+        """Start the stand-in of an upstream and the agent beside it."""
+        server = await self._start_standin(upstream)
+        agent = AgentDaemon(
+            AgentSettings(
+                name=f'agent-{upstream.name}',
+                zone=zone,
+                region=self.options.region,
+                upstream=upstream.name,
+                upstream_url=server.url,
+            ),
+        )
+        await agent.start()
+        self.agents[upstream.name] = agent
+        self.hosts.put(
+            HostRecord(
+                agent.settings.name,
+                'agent',
+                agent.address,
+                zone,
+                upstream.name,
+            ),
+        )
+
+    async def start_entry(self, index: int) -> EntryDaemon:
+        """Start one more entry."""
+        zone = self.options.zones[index % len(self.options.zones)]
+        listen = '127.0.0.1:0' if index else self.options.listen
+        entry = EntryDaemon(
+            EntrySettings(
+                name=f'entry-{index}',
+                zone=zone,
+                region=self.options.region,
+                keyvalue_url=self._keyvalue_url,
+                hosts_url=self._hosts_url,
+                listen=listen,
+                readiness_lead_s=self.options.readiness_lead_s,
+                seed=index + 1,
+            ),
+        )
+        await entry.start()
+        self.entries.append(entry)
+        self.hosts.put(
+            HostRecord(entry.settings.name, 'entry', entry.address, zone),
+        )
+        return entry
+
+    async def wait_reachable(self, timeout: float) -> None:
+        """Wait until every model and service is ready on every entry."""
+        wanted = {model.name for model in self.document.models}
+        async with asyncio.timeout(timeout):
+            for entry in self.entries:
+                while not wanted <= entry.directory.ready_models():
+                    await asyncio.sleep(_POLL_S)
+                for service in self.document.services:
+                    while not entry.directory.service_candidates(service):
+                        await asyncio.sleep(_POLL_S)
+
+    async def _start_standin(self, upstream: Upstream) -> HttpServer:
+        if upstream.kind == 'service':
+            ledger = LedgerStandIn()
+            self.ledgers[upstream.name] = ledger
+            return await self._serve(ledger.make_app())
+        engine = EngineStandIn(
+            _scale(upstream, self.options.time_scale),
+            self.weights,
+        )
+        engine.start()
+        self.engines[upstream.name] = engine
+        return await self._serve(make_engine_app(engine))
+
+    async def _serve(self, app: object) -> HttpServer:
+        server = HttpServer(app, '127.0.0.1:0')  # type: ignore[arg-type]
+        await server.start()
+        self._servers.append(server)
+        return server
+
+
+def _scale(upstream: Upstream, time_scale: float) -> EngineSettings:
+    known = EngineSettings()
+    return EngineSettings(
+        name=upstream.name,
+        capacity_mb=upstream.accelerator_mb,
+        checks_fencing=upstream.checks_fencing,
+        step_s=known.step_s * time_scale,
+        step_per_sequence_s=known.step_per_sequence_s * time_scale,
+        prefill_per_token_s=known.prefill_per_token_s * time_scale,
+        load_s_per_gb=known.load_s_per_gb * time_scale,
+        unload_s=known.unload_s * time_scale,
+    )
--- /dev/null
+++ b/bramleybeam/entry/_daemon.py
@@ -0,0 +1,161 @@
+"""The entry process: its parts, how they start and how they stop."""
+
+import asyncio
+import random
+import time
+from typing import Final
+
+import structlog
+
+from bramleybeam.documents import ConfigurationKeeper
+from bramleybeam.entry._account import Account
+from bramleybeam.entry._caller_http import make_caller_app
+from bramleybeam.entry._configuration import ConfigurationRelay
+from bramleybeam.entry._connections import REFRESH_PERIOD_S, Connections
+from bramleybeam.entry._deliver import Deliver
+from bramleybeam.entry._directory import Directory
+from bramleybeam.entry._filters import Admit, Classify, Identify
+from bramleybeam.entry._operator_http import make_operator_app
+from bramleybeam.entry._pipeline import Pipeline
+from bramleybeam.entry._planner import LEASE_PERIOD_S, PLAN_PERIOD_S, Planner
+from bramleybeam.entry._platform import HostList
+from bramleybeam.identity import make_identity
+from bramleybeam.keyvalue import HttpKeyValue
+from bramleybeam.links import LinkServer
+from bramleybeam.settings import EntrySettings
+from bramleybeam.telemetry import Metrics, Tracing
+from bramleybeam.timers import TimerService
+from bramleybeam.web import HttpServer
+
+_DRAIN_POLL_S: Final = 0.05
+_log = structlog.get_logger('entry')
+
+
+class EntryDaemon:
+    """Takes callers' requests; may also hold planner shards."""
+
+    def __init__(self, settings: EntrySettings) -> None:
+        """Build the parts; ``start`` opens the ports."""
+        self.settings = settings
+        rng = random.Random(settings.seed or None)  # noqa: S311
+        self.keeper = ConfigurationKeeper()
+        self.identity = make_identity(
+            settings.name,
+            'entry',
+            settings.zone,
+            settings.peer_key,
+        )
+        self.metrics = Metrics('entry')
+        self.tracing = Tracing(settings.name, settings.tracing)
+        self.timers = TimerService(rng)
+        self.store = HttpKeyValue(settings.keyvalue_url)
+        self.hosts = HostList(settings.hosts_url)
+        self.directory = Directory(settings.zone, self.keeper)
+        self.connections = Connections(
+            self.identity,
+            self.directory,
+            self.hosts,
+        )
+        self.relay = ConfigurationRelay(
+            self.keeper,
+            self.store,
+            self.connections,
+            self.identity,
+        )
+        self.connections.on_notice = self.relay.take_notice
+        self.connections.on_heartbeat = self.relay.compare
+        self.connections.on_opened = self.relay.compare
+        self.planner = Planner(
+            self.store,
+            self.identity,
+            self.keeper,
+            self.directory,
+            self.connections,
+            self.hosts,
+        )
+        self.account = Account(self.metrics)
+        self.deliver = Deliver(self.directory, self.connections, rng)
+        self.admit = Admit(self.identity)
+        self.pipeline = Pipeline(
+            (
+                Identify(settings.caller_keys),
+                Classify(self.keeper),
+                self.admit,
+            ),
+            self.deliver,
+            self.account,
+            self.tracing,
+        )
+        self._server = LinkServer(
+            settings.peer_listen,
+            self.identity,
+            self.connections,
+        )
+        self._caller_web = HttpServer(make_caller_app(self), settings.listen)
+        self._operator_web = HttpServer(
+            make_operator_app(self),
+            settings.operator_listen,
+        )
+        self._watch: asyncio.Task[None] | None = None
+
+    @property
+    def url(self) -> str:
+        """Address for callers."""
+        return self._caller_web.url
+
+    @property
+    def operator_url(self) -> str:
+        """Address for operators."""
+        return self._operator_web.url
+
+    @property
+    def address(self) -> str:
+        """Address for other processes of the system."""
+        return self._server.address
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the balancer may send requests."""
+        return self.keeper.revision > 0 and not self.identity.leaving
+
+    async def start(self) -> None:
+        """Open the ports and begin to follow the platform."""
+        await self._server.start()
+        self._watch = asyncio.create_task(self.relay.watch())
+        await self.connections.refresh()
+        self.timers.subscribe(
+            'hosts', REFRESH_PERIOD_S, self.connections.refresh
+        )
+        self.timers.subscribe(
+            'leases', LEASE_PERIOD_S, self.planner.renew_leases
+        )
+        self.timers.subscribe('plan', PLAN_PERIOD_S, self.planner.plan)
+        await self._caller_web.start()
+        await self._operator_web.start()
+        _log.info(
+            'entry_started', callers=self.url, operators=self.operator_url
+        )
+
+    async def shut_down(self) -> None:
+        """Fail readiness, keep serving, finish what runs, then close."""
+        deadline = time.monotonic() + self.settings.shutdown_s
+        self.identity.leaving = True
+        await self.planner.release()
+        await asyncio.sleep(self.settings.readiness_lead_s)
+        self.admit.closed = True
+        while self.deliver.in_flight and time.monotonic() < deadline:
+            await asyncio.sleep(_DRAIN_POLL_S)
+        await self.close()
+
+    async def close(self) -> None:
+        """Close at once."""
+        await self.timers.close()
+        if self._watch is not None:
+            self._watch.cancel()
+        await self._caller_web.close(grace=1)
+        await self._operator_web.close()
+        await self.connections.close()
+        await self._server.close()
+        await self.store.close()
+        await self.hosts.close()
+        self.tracing.close()
--- /dev/null
+++ b/bramleybeam/entry/_exchange.py
@@ -0,0 +1,87 @@
+"""One caller's request on its way through the pipeline."""
+
+import time
+from typing import Any
+
+import attrs
+from opentelemetry.sdk.trace import Span
+
+from bramleybeam.documents import WorkClass
+from bramleybeam.errors import Refusal
+
+
+@attrs.frozen
+class Piece:
+    """A part of the answer: ``count`` tokens of text."""
+
+    body: bytes
+    count: int
+
+
+@attrs.frozen
+class Ending:
+    """The end of a whole answer."""
+
+    finish_reason: str
+    tokens: int
+    prompt_tokens: int = 0
+    cached_tokens: int = 0
+    status: int = 200
+    content_type: str = ''
+
+
+@attrs.define(eq=False)
+class Exchange:
+    """A request, what the filters found out, and how far its answer is.
+
+    Times are monotonic, in seconds. ``offset`` counts the tokens, or the
+    bytes of a plain service, that the caller has been given.
+    """
+
+    request_id: str
+    kind: str
+    path: str
+    method: str
+    body: dict[str, Any]
+    raw: bytes
+    headers: dict[str, str]
+    received_at: float = attrs.field(factory=time.monotonic)
+    caller: str = ''
+    target: str = ''
+    base_model: str = ''
+    pool: str = ''
+    work_class: WorkClass | None = None
+    idempotency_key: str = ''
+    claimed: bool = False
+    fingerprint: str = ''
+    alone: bool = False
+    span: Span | None = None
+    traceparent: str = ''
+    offset: int = 0
+    attempts: int = 0
+    upstreams: list[str] = attrs.field(factory=list)
+    first_token_at: float = 0
+    refusal: Refusal | None = None
+    ending: Ending | None = None
+    recorded: tuple[int, str] | None = None
+
+    @property
+    def work(self) -> WorkClass:
+        """The class of work; raises ``RuntimeError`` before it is known."""
+        if self.work_class is None:
+            raise RuntimeError('classify the exchange first')
+        return self.work_class
+
+    @property
+    def time_left(self) -> float:
+        """Seconds until the longest wait of the class is over."""
+        waited = time.monotonic() - self.received_at
+        return self.work.longest_wait_s - waited
+
+    @property
+    def met_target(self) -> bool:
+        """Whether the answer came whole and within the target."""
+        if self.ending is None or not self.first_token_at:
+            return False
+        elapsed = self.first_token_at - self.received_at
+        return elapsed <= self.work.answer_within_s
--- /dev/null
+++ b/bramleybeam/links/_transport.py
@@ -0,0 +1,83 @@
+"""Opens and accepts connections between processes, over TCP or TLS."""
+
+import asyncio
+import functools
+import ssl
+from typing import Final
+
+from bramleybeam.links._link import Link, LinkHandler, LinkIdentity, LinkLost
+
+CONNECT_TIMEOUT_S: Final = 1.5
+
+
+async def connect_link(
+    address: str,
+    identity: LinkIdentity,
+    handler: LinkHandler,
+    tls: ssl.SSLContext | None = None,
+) -> Link:
+    """Connect to ``IP:PORT`` and wait for the peer's hello.
+
+    Raises ``LinkLost`` when the peer cannot be reached in time.
+    """
+    host, _, port = address.rpartition(':')
+    loop = asyncio.get_running_loop()
+    factory = functools.partial(Link, identity, handler)
+    server_hostname = host if tls else None
+    try:
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            _transport, link = await loop.create_connection(
+                factory,
+                host,
+                int(port),
+                ssl=tls,
+                server_hostname=server_hostname,
+            )
+            await _wait_opened(link)
+    except (OSError, TimeoutError) as error:
+        raise LinkLost(f'{address}: {error}') from error
+    return link
+
+
+class LinkServer:
+    """Accepts connections of peers at one address."""
+
+    def __init__(
+        self,
+        address: str,
+        identity: LinkIdentity,
+        handler: LinkHandler,
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        """Store the address ``IP:PORT``; port 0 lets the system choose."""
+        self.address = address
+        self._identity = identity
+        self._handler = handler
+        self._tls = tls
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Open the port; ``address`` then holds the chosen one."""
+        host, _, port = self.address.rpartition(':')
+        self._server = await asyncio.get_running_loop().create_server(
+            functools.partial(Link, self._identity, self._handler),
+            host,
+            int(port),
+            ssl=self._tls,
+        )
+        chosen = self._server.sockets[0].getsockname()[1]
+        self.address = f'{host}:{chosen}'
+        self._identity.address = self.address
+
+    async def close(self) -> None:
+        """Close the port; open connections are left to their owners."""
+        if self._server is not None:
+            self._server.close()
+
+
+async def _wait_opened(link: Link) -> None:
+    try:
+        await link.opened
+    except asyncio.CancelledError:
+        link.close()
+        raise
--- /dev/null
+++ b/bramleybeam/messages/__init__.py
@@ -0,0 +1,35 @@
+"""Typed bodies of notices, calls and replies between processes."""
+
+from bramleybeam.messages._codec import MessageError, decode, encode
+from bramleybeam.messages._messages import (
+    ArtifactState,
+    Attach,
+    AttachReply,
+    ClaimCall,
+    ClaimReply,
+    Configuration,
+    FingerprintNotice,
+    Follow,
+    Order,
+    OrderReply,
+    Report,
+    Topic,
+)
+
+__all__ = [
+    'ArtifactState',
+    'Attach',
+    'AttachReply',
+    'ClaimCall',
+    'ClaimReply',
+    'Configuration',
+    'FingerprintNotice',
+    'Follow',
+    'MessageError',
+    'Order',
+    'OrderReply',
+    'Report',
+    'Topic',
+    'decode',
+    'encode',
+]
--- /dev/null
+++ b/bramleybeam/messages/_messages.py
@@ -0,0 +1,152 @@
+"""The messages, each named for what it carries."""
+
+from enum import StrEnum, unique
+
+import attrs
+
+
+@unique
+class Topic(StrEnum):
+    """Topics of notices and calls."""
+
+    REPORT = 'report'
+    FOLLOW = 'follow'
+    ORDER = 'order'
+    ATTACH = 'attach'
+    CONFIGURATION = 'configuration'
+    CONFIGURATION_REQUEST = 'configuration_request'
+    CLAIM = 'claim'
+    FINGERPRINT = 'fingerprint'
+
+
+@attrs.frozen
+class ArtifactState:
+    """A model or adapter in accelerator memory, as the agent's ledger has it.
+
+    ``state`` is ``loading``, ``ready``, ``draining`` or ``unloading``.
+    """
+
+    name: str
+    kind: str
+    memory_mb: int
+    state: str
+    model: str = ''
+
+
+@attrs.frozen
+class Report:
+    """State and load of one upstream.
+
+    ``arrivals`` counts requests by target since the agent started; a reader
+    takes the difference of two reports for a rate. ``step_s`` is the time
+    between tokens that the agent sees, in seconds.
+    """
+
+    upstream: str
+    kind: str
+    zone: str
+    incarnation: str
+    version: int
+    settled: bool
+    healthy: bool
+    leaving: bool
+    capacity_mb: int
+    epoch: int
+    in_flight: int
+    limit: int
+    artifacts: tuple[ArtifactState, ...] = ()
+    arrivals: dict[str, int] = attrs.field(factory=dict)
+    step_s: float = 0
+    first_token_s: float = 0
+    pool: str = ''
+    cached: tuple[int, ...] = ()
+
+
+@attrs.frozen
+class Follow:
+    """Asks an agent for its reports, and tells the highest epoch known."""
+
+    epoch: int = 0
+
+
+@attrs.frozen
+class Order:
+    """An order of a planner shard under its fencing number ``epoch``.
+
+    ``action`` is ``load``, ``unload`` or ``set_role``.
+    """
+
+    order_id: str
+    shard: str
+    epoch: int
+    action: str
+    artifact: ArtifactState
+
+
+@attrs.frozen
+class OrderReply:
+    """Whether the agent took an order, and why not."""
+
+    taken: bool
+    reason: str = ''
+
+
+@attrs.frozen
+class Attach:
+    """Asks for an attempt's stream from ``offset`` on, on this connection."""
+
+    request_id: str
+    attempt: int
+    offset: int
+
+
+@attrs.frozen
+class AttachReply:
+    """``known`` is false when the attempt never came and never will run."""
+
+    known: bool
+
+
+@attrs.frozen
+class Configuration:
+    """A configuration with its envelope, as the service keeps it."""
+
+    revision: int
+    text: str
+
+
+@attrs.frozen
+class ClaimCall:
+    """Claims a key, or records its outcome, through the partition's owner.
+
+    ``action`` is ``claim``, ``finish`` or ``release``.
+    """
+
+    action: str
+    key: str
+    nonce: str
+    fingerprint: str
+    status: int = 0
+    answer: str = ''
+
+
+@attrs.frozen
+class ClaimReply:
+    """What came of a claim call.
+
+    ``verdict`` is ``granted``, ``in_progress``, ``finished``, ``reused`` or
+    ``unavailable``.
+    """
+
+    verdict: str
+    status: int = 0
+    answer: str = ''
+
+
+@attrs.frozen
+class FingerprintNotice:
+    """Crashes seen of a request's fingerprint, or that it was cleared."""
+
+    fingerprint: str
+    crashed: tuple[str, ...]
+    age_s: float = 0
--- /dev/null
+++ b/bramleybeam/operators/__init__.py
@@ -0,0 +1,17 @@
+"""The operators' client: applies documents and asks how things stand."""
+
+from bramleybeam.operators._apply import (
+    ApplyError,
+    ApplyOutcome,
+    apply_document,
+)
+from bramleybeam.operators._commands import ctl
+from bramleybeam.operators._tables import format_table
+
+__all__ = [
+    'ApplyError',
+    'ApplyOutcome',
+    'apply_document',
+    'ctl',
+    'format_table',
+]
--- /dev/null
+++ b/bramleybeam/standins/_engine.py
@@ -0,0 +1,377 @@
+"""A model engine: continuous batching in time, memory that fails hard."""
+
+import asyncio
+import contextlib
+import itertools
+import time
+from collections import OrderedDict, deque
+from collections.abc import AsyncIterator, Iterator
+from typing import Final
+
+import attrs
+import xxhash
+
+from bramleybeam.standins._answers import answer_tokens
+from bramleybeam.standins._weights import WeightStoreStandIn
+
+POISON: Final = 'CRASH-ENGINE'
+_BLOCK_WORDS: Final = 16
+_EVENTS_KEPT: Final = 4096
+
+
+class EngineCrashed(Exception):  # noqa: N818
+    """The engine process died while the request was in it."""
+
+
+class OrderRefused(Exception):  # noqa: N818
+    """The engine does not carry out an order."""
+
+    def __init__(self, status: int, reason: str) -> None:
+        """Store the HTTP status and the reason."""
+        super().__init__(reason)
+        self.status = status
+
+
+@attrs.frozen
+class EngineSettings:
+    """Memory, speed and manners of a stand-in; times in seconds."""
+
+    name: str = 'engine'
+    capacity_mb: int = 80_000
+    checks_fencing: bool = False
+    max_batch: int = 32
+    step_s: float = 0.008
+    step_per_sequence_s: float = 0.0003
+    prefill_per_token_s: float = 0.00005
+    load_s_per_gb: float = 0.1
+    unload_s: float = 0.05
+    load_report_lag_s: float = 0.5
+    cache_blocks: int = 4096
+    event_delay_s: float = 0.5
+    event_gap_every: int = 7
+    restart_s: float = 1.0
+
+
+@attrs.define
+class Artifact:
+    """A model or adapter in the engine's memory."""
+
+    name: str
+    kind: str
+    memory_mb: int
+    model: str
+    state: str = 'loading'
+
+
+@attrs.define(eq=False)
+class Sequence:
+    """One request in the batch."""
+
+    request_id: str
+    target: str
+    tokens: list[str]
+    prompt: str
+    position: int
+    priority: int
+    order: int
+    output: asyncio.Queue[tuple[int, str] | None | Exception] = attrs.field(
+        factory=asyncio.Queue,
+    )
+    started: bool = False
+    cancelled: bool = False
+    cached_words: int = 0
+
+
+@attrs.frozen
+class LoadReport:
+    """What the engine says of its load; it lags."""
+
+    running: int = 0
+    queued: int = 0
+    step_s: float = 0
+
+
+class EngineStandIn:
+    """Batches continuously, caches prefixes, obeys orders, and can crash."""
+
+    def __init__(
+        self,
+        settings: EngineSettings,
+        weights: WeightStoreStandIn | None = None,
+    ) -> None:
+        """Start empty; ``start`` begins the batch loop."""
+        self.settings = settings
+        self.boots = 1
+        self.aborted = False
+        self.overcommits = 0
+        self.runs: dict[str, int] = {}
+        self.highest_epoch = 0
+        self.role = 'mixed'
+        self.artifacts: dict[str, Artifact] = {}
+        self.orders: dict[str, str] = {}
+        self.load = LoadReport()
+        self.slowdown = 1.0
+        self._weights = weights or WeightStoreStandIn()
+        self._sequences: list[Sequence] = []
+        self._wake = asyncio.Event()
+        self._ids = itertools.count()
+        self._cache: OrderedDict[int, None] = OrderedDict()
+        self._events: deque[tuple[int, float, int]] = deque(maxlen=_EVENTS_KEPT)
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._down_until = 0.0
+
+    @property
+    def used_mb(self) -> int:
+        """Memory of all that is resident, loading or unloading."""
+        return sum(artifact.memory_mb for artifact in self.artifacts.values())
+
+    @property
+    def is_down(self) -> bool:
+        """Whether the engine process is dead at the moment."""
+        return self.aborted or time.monotonic() < self._down_until
+
+    def start(self) -> None:
+        """Begin the batch loop and the load report."""
+        self._spawn(self._run_batches())
+        self._spawn(self._report_load())
+
+    async def close(self) -> None:
+        """End all that runs."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def is_ready(self, target: str) -> bool:
+        """Whether a model, or an adapter with its model, can run."""
+        artifact = self.artifacts.get(target)
+        if artifact is None or artifact.state != 'ready':
+            return False
+        if artifact.kind == 'adapter':
+            return self.is_ready(artifact.model)
+        return True
+
+    def submit(
+        self,
+        request_id: str,
+        target: str,
+        prompt: str,
+        max_tokens: int | None,
+        resume_from: int,
+        priority: int,
+    ) -> Sequence:
+        """Queue a request for the batch; higher priority goes first."""
+        self.runs[request_id] = self.runs.get(request_id, 0) + 1
+        sequence = Sequence(
+            request_id,
+            target,
+            answer_tokens(target, prompt, max_tokens),
+            prompt,
+            resume_from,
+            priority,
+            next(self._ids),
+        )
+        self._sequences.append(sequence)
+        self._wake.set()
+        return sequence
+
+    async def stream(
+        self, sequence: Sequence
+    ) -> AsyncIterator[tuple[int, str]]:
+        """Yield (offset, token); raises ``EngineCrashed`` on a crash."""
+        try:
+            while True:
+                output = await sequence.output.get()
+                if output is None:
+                    return
+                if isinstance(output, Exception):
+                    raise output
+                yield output
+        finally:
+            sequence.cancelled = True
+
+    def cancel(self, request_id: str) -> None:
+        """Stop a request where it stands."""
+        for sequence in self._sequences:
+            if sequence.request_id == request_id:
+                sequence.cancelled = True
+                sequence.output.put_nowait(None)
+
+    def order(
+        self,
+        order_id: str,
+        kind: str,
+        artifact: Artifact,
+        epoch: int,
+    ) -> str:
+        """Take an order; repeating an order id tells how it stands."""
+        if order_id in self.orders:
+            return self.orders[order_id]
+        if self.settings.checks_fencing and epoch < self.highest_epoch:
+            raise OrderRefused(409, f'epoch {epoch} < {self.highest_epoch}')
+        self.highest_epoch = max(self.highest_epoch, epoch)
+        self.orders[order_id] = 'running'
+        match kind:
+            case 'load':
+                self._begin_load(order_id, artifact)
+            case 'unload':
+                self._begin_unload(order_id, artifact.name)
+            case 'set_role':
+                self.role = artifact.name
+                self.orders[order_id] = 'done'
+        return self.orders[order_id]
+
+    def crash(self) -> None:
+        """Lose all memory and every request, then restart empty."""
+        self.boots += 1
+        self._down_until = time.monotonic() + self.settings.restart_s
+        self.artifacts.clear()
+        self.orders.clear()
+        self._cache.clear()
+        for sequence in self._sequences:
+            sequence.output.put_nowait(EngineCrashed())
+        self._sequences.clear()
+
+    def cache_events(self, after: int) -> list[tuple[int, int]]:
+        """Return (number, block hash) of late events, some left out."""
+        now = time.monotonic()
+        gap = self.settings.event_gap_every
+        return [
+            (number, block)
+            for number, shown_at, block in self._events
+            if number > after and shown_at <= now and number % gap
+        ]
+
+    def _begin_load(self, order_id: str, artifact: Artifact) -> None:
+        if artifact.name in self.artifacts:
+            self.orders[order_id] = 'done'
+            return
+        self.artifacts[artifact.name] = artifact
+        if self.used_mb > self.settings.capacity_mb:
+            self.overcommits += 1
+            self.crash()
+            self.aborted = True
+            raise OrderRefused(507, 'out of accelerator memory: aborted')
+        self._spawn(self._load(order_id, artifact))
+
+    def _begin_unload(self, order_id: str, name: str) -> None:
+        artifact = self.artifacts.get(name)
+        if artifact is None:
+            self.orders[order_id] = 'done'
+            return
+        artifact.state = 'unloading'
+        self._spawn(self._unload(order_id, artifact))
+
+    async def _load(self, order_id: str, artifact: Artifact) -> None:
+        boot = self.boots
+        await self._weights.fetch(artifact.kind, artifact.memory_mb)
+        if artifact.kind == 'model':
+            gigabytes = artifact.memory_mb / 1000
+            await asyncio.sleep(gigabytes * self.settings.load_s_per_gb)
+        if boot == self.boots:
+            artifact.state = 'ready'
+            self.orders[order_id] = 'done'
+
+    async def _unload(self, order_id: str, artifact: Artifact) -> None:
+        boot = self.boots
+        await asyncio.sleep(self.settings.unload_s)
+        if boot == self.boots:
+            self.artifacts.pop(artifact.name, None)
+            self.orders[order_id] = 'done'
+
+    async def _run_batches(self) -> None:
+        while True:
+            if not self._sequences:
+                self._wake.clear()
+                await self._wake.wait()
+            batch = self._choose_batch()
+            await asyncio.sleep(self._step_time(batch))
+            self._advance(batch)
+
+    def _choose_batch(self) -> list[Sequence]:
+        self._sequences = [seq for seq in self._sequences if not seq.cancelled]
+        ranked = sorted(
+            self._sequences,
+            key=lambda seq: (-seq.priority, not seq.started, seq.order),
+        )
+        return ranked[: self.settings.max_batch]
+
+    def _step_time(self, batch: list[Sequence]) -> float:
+        settings = self.settings
+        prefill_words = 0
+        for sequence in batch:
+            if not sequence.started:
+                sequence.started = True
+                prefill_words += self._admit(sequence)
+        step = settings.step_s + settings.step_per_sequence_s * len(batch)
+        prefill = prefill_words * settings.prefill_per_token_s
+        return (step + prefill) * self.slowdown
+
+    def _admit(self, sequence: Sequence) -> int:
+        words = sequence.prompt.split()
+        sequence.cached_words = self._match_prefix(sequence.target, words)
+        return len(words) - sequence.cached_words + sequence.position
+
+    def _match_prefix(self, target: str, words: list[str]) -> int:
+        cached = 0
+        for block in block_hashes(target, words):
+            if block in self._cache:
+                cached += _BLOCK_WORDS
+                self._cache.move_to_end(block)
+            else:
+                self._remember_block(block)
+        return min(cached, len(words))
+
+    def _remember_block(self, block: int) -> None:
+        self._cache[block] = None
+        if len(self._cache) > self.settings.cache_blocks:
+            self._cache.popitem(last=False)
+        shown_at = time.monotonic() + self.settings.event_delay_s
+        self._events.append((next(self._ids) + 1, shown_at, block))
+
+    def _advance(self, batch: list[Sequence]) -> None:
+        if any(POISON in sequence.prompt for sequence in batch):
+            self.crash()
+            return
+        for sequence in batch:
+            if sequence.position < len(sequence.tokens):
+                token = sequence.tokens[sequence.position]
+                sequence.output.put_nowait((sequence.position, token))
+                sequence.position += 1
+            if sequence.position >= len(sequence.tokens):
+                sequence.output.put_nowait(None)
+                self._sequences.remove(sequence) if (
+                    sequence in self._sequences
+                ) else None
+
+    async def _report_load(self) -> None:
+        while True:
+            await asyncio.sleep(self.settings.load_report_lag_s)
+            running = sum(seq.started for seq in self._sequences)
+            queued = len(self._sequences) - running
+            self.load = LoadReport(running, queued, self.settings.step_s)
+
+    def _spawn(self, work: object) -> None:
+        task = asyncio.ensure_future(work)  # type: ignore[call-overload]
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def block_hashes(target: str, words: list[str]) -> Iterator[int]:
+    """Yield the hash of each whole prefix block of a prompt."""
+    digest = xxhash.xxh64(target.encode())
+    for start in range(0, len(words) - _BLOCK_WORDS + 1, _BLOCK_WORDS):
+        digest.update(' '.join(words[start : start + _BLOCK_WORDS]).encode())
+        yield digest.copy().intdigest() & 0x7FFF_FFFF_FFFF
+
+
+@contextlib.asynccontextmanager
+async def running_engine(
+    settings: EngineSettings,
+) -> AsyncIterator[EngineStandIn]:
+    """Run an engine for the length of a block."""
+    engine = EngineStandIn(settings)
+    engine.start()
+    try:
+        yield engine
+    finally:
+        await engine.close()
--- /dev/null
+++ b/bramleybeam/standins/_ledger.py
@@ -0,0 +1,39 @@
+"""A plain ledger service that counts each run by key."""
+
+import asyncio
+from collections import Counter
+
+from blacksheep import Application, Request, Response
+
+from bramleybeam.web import add_route, make_app, json_response, read_json
+
+
+class LedgerStandIn:
+    """Posts amounts to accounts; a key that is posted twice counts twice."""
+
+    def __init__(self, delay: float = 0) -> None:
+        """Start empty; each post takes ``delay`` seconds."""
+        self.delay = delay
+        self.posts: Counter[str] = Counter()
+
+    def make_app(self) -> Application:
+        """Make the application that serves the ledger."""
+        app = make_app()
+        add_route(app, 'POST', '/postings', self._post)
+        add_route(app, 'GET', '/postings', self._list)
+        add_route(app, 'GET', '/health', self._health)
+        return app
+
+    async def _post(self, request: Request) -> Response:
+        body = await read_json(request)
+        key = str(body['key'])
+        self.posts[key] += 1
+        number = sum(self.posts.values())
+        await asyncio.sleep(self.delay)
+        return json_response(201, {'key': key, 'number': number})
+
+    async def _list(self, _request: Request) -> Response:
+        return json_response(200, dict(self.posts))
+
+    async def _health(self, _request: Request) -> Response:
+        return json_response(200, {'ready': True})
--- /dev/null
+++ b/bramleybeam/telemetry/__init__.py
@@ -0,0 +1,7 @@
+"""Structured logs, metrics and trace spans of one process."""
+
+from bramleybeam.telemetry._logs import configure_logs
+from bramleybeam.telemetry._metrics import Metrics
+from bramleybeam.telemetry._traces import Tracing, TracingSettings
+
+__all__ = ['Metrics', 'Tracing', 'TracingSettings', 'configure_logs']
--- /dev/null
+++ b/bramleybeam/telemetry/_metrics.py
@@ -0,0 +1,74 @@
+"""The metrics of one process, kept by aioprometheus."""
+
+from typing import Final
+
+from aioprometheus import Counter, Gauge, Histogram, Registry, render
+
+LATENCY_BUCKETS_S: Final = (
+    0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.36, 0.5, 1.0, 2.0, 5.0, 15.0, 60.0,
+)  # fmt: skip
+TOKEN_GAP_BUCKETS_S: Final = (
+    0.002, 0.005, 0.01, 0.02, 0.028, 0.04, 0.08, 0.16, 0.5, 2.0,
+)  # fmt: skip
+
+
+class Metrics:
+    """Counters, gauges and histograms under one registry.
+
+    Each process owns one instance, so that several roles can share a Python
+    process in the demo without sharing figures.
+    """
+
+    def __init__(self, role: str) -> None:
+        """Create the registry and the metrics that ``role`` publishes."""
+        self.registry = Registry()
+        labels = {'role': role}
+        self.requests = Counter(
+            'bramleybeam_requests_total',
+            'Requests by class and outcome.',
+            const_labels=labels,
+            registry=self.registry,
+        )
+        self.frames = Counter(
+            'bramleybeam_frames_dropped_total',
+            'Frames that matched no attempt and were dropped.',
+            const_labels=labels,
+            registry=self.registry,
+        )
+        self.links = Gauge(
+            'bramleybeam_links',
+            'Open connections to other processes of the system.',
+            const_labels=labels,
+            registry=self.registry,
+        )
+        self.revision = Gauge(
+            'bramleybeam_config_revision',
+            'Revision of the configuration in force.',
+            const_labels=labels,
+            registry=self.registry,
+        )
+        self.moves = Counter(
+            'bramleybeam_moves_total',
+            'Loads, unloads and shifts of models and adapters.',
+            const_labels=labels,
+            registry=self.registry,
+        )
+        self.first_token = Histogram(
+            'bramleybeam_first_token_seconds',
+            'Time from request to first token.',
+            const_labels=labels,
+            registry=self.registry,
+            buckets=LATENCY_BUCKETS_S,
+        )
+        self.token_gap = Histogram(
+            'bramleybeam_token_gap_seconds',
+            'Time between tokens.',
+            const_labels=labels,
+            registry=self.registry,
+            buckets=TOKEN_GAP_BUCKETS_S,
+        )
+
+    def render(self) -> bytes:
+        """Render all metrics in the Prometheus text format."""
+        content, _headers = render(self.registry, ['text/plain'])
+        return bytes(content)
--- /dev/null
+++ b/bramleybeam/web/__init__.py
@@ -0,0 +1,15 @@
+"""Serves blacksheep applications inside the running event loop."""
+
+from bramleybeam.web._responses import json_response, read_json, text_response
+from bramleybeam.web._routes import Handler, add_route, make_app
+from bramleybeam.web._server import HttpServer
+
+__all__ = [
+    'Handler',
+    'HttpServer',
+    'add_route',
+    'json_response',
+    'make_app',
+    'read_json',
+    'text_response',
+]
--- /dev/null
+++ b/bramleybeam/web/_server.py
@@ -0,0 +1,86 @@
+"""uvicorn's server in our own loop: no workers, no signal handlers."""
+
+import asyncio
+import socket
+import ssl
+from contextlib import suppress
+from typing import Final
+
+import uvicorn
+from blacksheep import Application
+
+_BACKLOG: Final = 2048
+_POLL_S: Final = 0.01
+
+
+class HttpServer:
+    """Serves one application at one address until ``close``.
+
+    The port opens in ``start``; ``address`` then holds the chosen one. TLS
+    comes from a context that the caller owns, so that keys can be renewed.
+    """
+
+    def __init__(
+        self,
+        app: Application,
+        address: str,
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        """Store the application and the address ``IP:PORT``."""
+        self.address = address
+        self._tls = tls
+        config = uvicorn.Config(
+            app,
+            loop='none',
+            http='httptools',
+            ws='none',
+            lifespan='on',
+            log_config=None,
+            log_level='critical',
+            access_log=False,
+            server_header=False,
+            proxy_headers=False,
+            timeout_keep_alive=30,
+        )
+        config.load()
+        config.ssl = tls
+        self._server = uvicorn.Server(config)
+        self._task: asyncio.Task[None] | None = None
+
+    @property
+    def url(self) -> str:
+        """Address as a URL."""
+        scheme = 'https' if self._tls else 'http'
+        return f'{scheme}://{self.address}'
+
+    async def start(self) -> None:
+        """Open the port and wait until requests are taken."""
+        listener = _open_listener(self.address)
+        host, port = listener.getsockname()[:2]
+        self.address = f'{host}:{port}'
+        self._task = asyncio.create_task(
+            self._server._serve(sockets=[listener]),  # noqa: SLF001
+        )
+        while not self._server.started:
+            if self._task.done():
+                self._task.result()
+            await asyncio.sleep(_POLL_S)
+
+    async def close(self, grace: float = 0) -> None:
+        """Stop taking connections, give open ones ``grace`` seconds."""
+        self._server.should_exit = True
+        self._server.config.timeout_graceful_shutdown = grace or _POLL_S  # type: ignore[assignment]
+        if self._task is not None:
+            with suppress(asyncio.CancelledError):
+                await self._task
+
+
+def _open_listener(address: str) -> socket.socket:
+    host, _, port = address.rpartition(':')
+    family = socket.AF_INET6 if ':' in host else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind((host.strip('[]'), int(port)))
+    listener.listen(_BACKLOG)
+    listener.setblocking(False)  # noqa: FBT003
+    return listener
