Split the agent's daemon, share the configuration gossip, turn wemake on

Timers call at once, so that leases are taken at start.

Conclusion: formatter, wemake and type checker are part of make test.

--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 
 lint: setup
 	$(BIN)/ruff format --check bramleybeam tests benchmarks
-#	$(BIN)/flake8 bramleybeam tests benchmarks
+	$(BIN)/flake8 bramleybeam tests benchmarks
 	$(BIN)/mypy bramleybeam
 
 test: lint
--- a/bramleybeam/agent/_orders.py
+++ b/bramleybeam/agent/_orders.py
@@ -2,8 +2,8 @@
 
 import asyncio
 import time
-from collections.abc import Callable
-from typing import Final
+from collections.abc import Callable, Coroutine
+from typing import Any, Final
 
 import attrs
 import structlog
@@ -18,6 +18,7 @@
     MemoryLedger,
 )
 from bramleybeam.messages import ArtifactState, Order, OrderReply
+from bramleybeam.timers import TaskSet
 
 # Longest time that an order of a dead predecessor, or one given before the
 # engine restarted, is allowed to be on its way.
@@ -53,7 +54,7 @@
         self._hold_until = 0.0
         self._open: dict[str, Order] = {}
         self._known_orders: dict[str, None] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = TaskSet()
 
     @property
     def settled(self) -> bool:
@@ -110,9 +111,7 @@
 
     async def close(self) -> None:
         """Stop driving orders; what is under way at the engine goes on."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._tasks.close()
 
     def _find_objection(self, order: Order) -> str:
         if not self.settled:
@@ -131,7 +130,7 @@
             case 'unload':
                 return self._begin_unload(order)
             case 'set_role':
-                self._start(order, self._drive(order))
+                self._start(order, self._change_role(order))
                 return OrderReply(taken=True)
         reason = f'unknown action {order.action}; upgrade the agent'
         return OrderReply(taken=False, reason=reason)
@@ -156,14 +155,20 @@
         self._changed()
         return OrderReply(taken=True)
 
-    def _start(self, order: Order, work: object) -> None:
+    def _start(
+        self,
+        order: Order,
+        work: Coroutine[Any, Any, None],
+    ) -> None:
         self._open[order.artifact.name] = order
         self._known_orders[order.order_id] = None
         if len(self._known_orders) > _REMEMBERED_ORDERS:
             self._known_orders.pop(next(iter(self._known_orders)))
-        task = asyncio.ensure_future(work)  # type: ignore[call-overload]
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._tasks.spawn(work)
+
+    async def _change_role(self, order: Order) -> None:
+        await self._drive(order)
+        self._open.pop(order.artifact.name, None)
 
     async def _load(self, order: Order) -> None:
         name = order.artifact.name
--- a/bramleybeam/agent/_relays.py
+++ b/bramleybeam/agent/_relays.py
@@ -97,6 +97,23 @@
             relay for relay in self._relays.values() if relay.ending is None
         ]
 
+    @property
+    def unfinished(self) -> list[Relay]:
+        """Relays that still owe a connected entry a part of the answer."""
+        return [
+            relay
+            for relay in self._relays.values()
+            if relay.ending is None
+            or (relay.link is not None and not relay.ending_sent)
+        ]
+
+    def is_in_use(self, name: str) -> bool:
+        """Whether an active relay uses a model or adapter."""
+        return any(
+            name in {relay.dispatch.target, relay.dispatch.base_model}
+            for relay in self.active
+        )
+
     def find(self, attempt_id: AttemptId) -> Relay | None:
         """Return the relay of an attempt."""
         return self._relays.get(attempt_id)
--- /dev/null
+++ b/bramleybeam/agent/_reporter.py
@@ -0,0 +1,89 @@
+"""Reports the state and load of the upstream to every entry."""
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable, Iterable
+from typing import Final
+
+from bramleybeam.agent._orders import OrderExecutor
+from bramleybeam.agent._relays import RelayBook
+from bramleybeam.agent._runner import Pace
+from bramleybeam.documents import ConfigurationKeeper
+from bramleybeam.links import Link, LinkIdentity, Notice
+from bramleybeam.messages import Report, Topic, encode
+
+REPORT_PERIOD_S: Final = 1.0
+MAX_IN_FLIGHT: Final = 48
+
+
+class Reporter:
+    """Sends a report each period, and at once when something changes."""
+
+    def __init__(
+        self,
+        upstream: str,
+        identity: LinkIdentity,
+        keeper: ConfigurationKeeper,
+        relays: RelayBook,
+        links: Callable[[], Iterable[Link]],
+    ) -> None:
+        """Store what reports are made from and who receives them."""
+        self.arrivals: Counter[str] = Counter()
+        self.executor: OrderExecutor | None = None
+        self.pace = Pace()
+        self._upstream = upstream
+        self._identity = identity
+        self._keeper = keeper
+        self._relays = relays
+        self._links = links
+        self._version = 0
+        self._due = False
+
+    def make_report(self) -> Report:
+        """Describe the upstream's state and load."""
+        executor = self.executor
+        if executor is None:
+            raise RuntimeError('set the executor before the first report')
+        document = self._keeper.document
+        upstreams = document.upstreams_by_name if document else {}
+        known = upstreams.get(self._upstream)
+        return Report(
+            upstream=self._upstream,
+            kind=known.kind if known else 'engine',
+            pool=known.pool if known else '',
+            zone=self._identity.zone,
+            incarnation=self._identity.incarnation,
+            version=self._version,
+            settled=executor.settled,
+            healthy=executor.healthy,
+            leaving=self._identity.leaving,
+            capacity_mb=executor.ledger.capacity_mb,
+            epoch=executor.epoch,
+            in_flight=len(self._relays.active),
+            limit=MAX_IN_FLIGHT,
+            artifacts=tuple(executor.ledger.holdings.values()),
+            arrivals=dict(self.arrivals),
+            step_s=self.pace.step_s,
+            first_token_s=self.pace.first_token_s,
+        )
+
+    def make_notice(self) -> Notice:
+        """Make a report ready to be sent."""
+        return Notice(Topic.REPORT, encode(self.make_report()))
+
+    def report_soon(self) -> None:
+        """Send a report at the end of this turn of the event loop."""
+        self._version += 1
+        if not self._due:
+            self._due = True
+            asyncio.get_running_loop().call_soon(self._send)
+
+    async def report(self) -> None:
+        """Send a report to every entry."""
+        self._send()
+
+    def _send(self) -> None:
+        self._due = False
+        notice = self.make_notice()
+        for link in self._links():
+            link.send(notice)
--- a/bramleybeam/agent/_runner.py
+++ b/bramleybeam/agent/_runner.py
@@ -7,17 +7,17 @@
 import structlog
 
 from bramleybeam.agent._adapters import AdapterCache
-from bramleybeam.agent._orders import OrderExecutor
-from bramleybeam.agent._relays import Relay
-from bramleybeam.agent._upstream import (
+from bramleybeam.agent._events import (
     Event,
     Finished,
     Lost,
     NotRun,
     Started,
     Text,
-    UpstreamClient,
 )
+from bramleybeam.agent._orders import OrderExecutor
+from bramleybeam.agent._relays import Relay
+from bramleybeam.agent._upstream import UpstreamClient
 from bramleybeam.documents import ConfigurationKeeper
 from bramleybeam.errors import ErrorKind
 from bramleybeam.links import Accepted, Chunk, Dispatch, End, Failed, Refused
@@ -81,6 +81,10 @@
         self._tracing.finish(span, refused.kind if refused else '')
         return refused
 
+    async def cancel(self, relay: Relay) -> None:
+        """Tell the upstream to stop an attempt."""
+        await self._upstream.cancel(relay.dispatch.request_id)
+
     async def _prepare(self, dispatch: Dispatch) -> Refused | None:
         if dispatch.kind == 'service':
             return None
--- a/bramleybeam/agent/_upstream.py
+++ b/bramleybeam/agent/_upstream.py
@@ -8,6 +8,15 @@
 import attrs
 from expression import Error, Ok, Result
 
+from bramleybeam.agent._events import (
+    Event,
+    EventParser,
+    Finished,
+    Lost,
+    NotRun,
+    Started,
+    Text,
+)
 from bramleybeam.links import Dispatch
 from bramleybeam.messages import ArtifactState, Order
 
@@ -17,55 +26,15 @@
 MAX_RESPONSE_BYTES: Final = 900_000
 _OK: Final = 200
 _CONFLICT: Final = 409
+_CALL_FAILURES: Final = (
+    aiohttp.ClientError,
+    OSError,
+    TimeoutError,
+    ValueError,
+)
 _NOT_RUN_STATUSES: Final = frozenset((400, 404, 413, 422, 429, 503))
 
 
-@attrs.frozen
-class Started:
-    """The upstream took the request and answers with this status."""
-
-    status: int
-    content_type: str
-
-
-@attrs.frozen
-class Text:
-    """A piece of the answer: ``count`` tokens from ``offset`` on."""
-
-    offset: int
-    count: int
-    body: bytes
-
-
-@attrs.frozen
-class Finished:
-    """The upstream's finish mark."""
-
-    offset: int
-    reason: str
-    prompt_tokens: int = 0
-    cached_tokens: int = 0
-
-
-@attrs.frozen
-class NotRun:
-    """The upstream was not given the request, or refused to start it."""
-
-    reason: str
-    busy: bool
-
-
-@attrs.frozen
-class Lost:
-    """The upstream was lost after it may have started."""
-
-    reason: str
-    crashed: bool
-
-
-Event = Started | Text | Finished | NotRun | Lost
-
-
 @attrs.frozen
 class UpstreamState:
     """What the engine says of itself; ``boot`` grows with each restart."""
@@ -118,7 +87,7 @@
                     yield event
         except aiohttp.ClientConnectorError as error:
             yield NotRun(f'cannot connect: {error}', busy=True)
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+        except _CALL_FAILURES as error:
             yield Lost(repr(error), crashed=True)
 
     async def request(self, dispatch: Dispatch) -> AsyncIterator[Event]:
@@ -138,7 +107,7 @@
                     yield event
         except aiohttp.ClientConnectorError as error:
             yield NotRun(f'cannot connect: {error}', busy=True)
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+        except _CALL_FAILURES as error:
             yield Lost(repr(error), crashed=False)
 
     async def cancel(self, request_id: str) -> None:
@@ -217,12 +186,7 @@
                 method, url, json=body, timeout=limit
             ) as response:
                 return response.status, await response.json()
-        except (
-            aiohttp.ClientError,
-            OSError,
-            TimeoutError,
-            ValueError,
-        ) as error:
+        except _CALL_FAILURES as error:
             return 0, {'error': repr(error)}
 
     def _open(self) -> aiohttp.ClientSession:
@@ -247,7 +211,7 @@
         yield await _read_refusal(response)
         return
     yield Started(response.status, response.content_type)
-    parser = _EventParser(dispatch.resume_from)
+    parser = EventParser(dispatch.resume_from)
     async for received in response.content.iter_any():
         for event in parser.feed(received):
             yield event
@@ -275,59 +239,3 @@
             yield Lost('the answer is over the size limit', crashed=False)
             return
     yield Finished(size, 'stop')
-
-
-class _EventParser:
-    """Joins the tokens that arrive together into one piece."""
-
-    def __init__(self, offset: int) -> None:
-        self.finished = False
-        self._offset = offset
-        self._rest = b''
-
-    def feed(self, received: bytes) -> list[Event]:
-        *blocks, self._rest = (self._rest + received).split(b'\n\n')
-        events: list[Event] = []
-        texts: list[str] = []
-        start = self._offset
-        end: Finished | None = None
-        for block in blocks:
-            event = _parse_block(block)
-            if event is None:
-                continue
-            choice = event['choices'][0]
-            text = _text_of(choice)
-            if text:
-                texts.append(text)
-                self._offset = event['offset'] + event['tokens']
-            if choice.get('finish_reason'):
-                end = self._finish(event, choice['finish_reason'])
-        if texts:
-            body = ''.join(texts).encode()
-            events.append(Text(start, self._offset - start, body))
-        if end is not None:
-            events.append(end)
-        return events
-
-    def _finish(self, event: dict[str, Any], reason: str) -> Finished:
-        self.finished = True
-        usage = event.get('usage') or {}
-        return Finished(
-            self._offset,
-            reason,
-            usage.get('prompt_tokens', 0),
-            usage.get('cached_tokens', 0),
-        )
-
-
-def _parse_block(block: bytes) -> dict[str, Any] | None:
-    line = block.removeprefix(b'data: ')
-    if line == b'[DONE]' or not line.startswith(b'{'):
-        return None
-    return json.loads(line)
-
-
-def _text_of(choice: dict[str, Any]) -> str:
-    if 'delta' in choice:
-        return choice['delta'].get('content') or ''
-    return choice.get('text') or ''
--- a/bramleybeam/checks/__init__.py
+++ b/bramleybeam/checks/__init__.py
@@ -1,5 +1,6 @@
 """Declared constraints of settings and documents, checked in one place."""
 
+from bramleybeam.checks._check import Problem, check_parameters, describe
 from bramleybeam.checks._constraints import (
     Address,
     Constraint,
@@ -9,7 +10,6 @@
     Url,
     parameter,
 )
-from bramleybeam.checks._check import Problem, check_parameters, describe
 
 __all__ = [
     'Address',
--- a/bramleybeam/decisions/_homes.py
+++ b/bramleybeam/decisions/_homes.py
@@ -35,7 +35,7 @@
         }
     )
     homes = {}
-    for model in sorted(models, key=lambda one: (-one.memory_mb, one.name)):
+    for model in sorted(models, key=_packing_order):
         zone = _choose_zone(model, capacities, left)
         if zone is not None:
             homes[model.name] = zone
@@ -48,6 +48,10 @@
     return sorted(names, key=lambda name: _unit_hash(key, name), reverse=True)
 
 
+def _packing_order(model: Model) -> tuple[int, str]:
+    return -model.memory_mb, model.name
+
+
 def _choose_zone(
     model: Model,
     capacities: Mapping[tuple[str, str], int],
--- a/bramleybeam/decisions/_placement.py
+++ b/bramleybeam/decisions/_placement.py
@@ -155,7 +155,7 @@
         """Load further copies of models whose upstreams are busy."""
         ranked = sorted(
             self._snapshot.demand.items(),
-            key=lambda item: (-item[1], item[0]),
+            key=lambda pair: (-pair[1], pair[0]),
         )
         for name, demand in ranked:
             model = self._snapshot.models.get(name)
--- a/bramleybeam/demo/_cluster.py
+++ b/bramleybeam/demo/_cluster.py
@@ -15,12 +15,12 @@
     EngineSettings,
     EngineStandIn,
     HostListStandIn,
+    HostRecord,
     KeyValueStandIn,
     LedgerStandIn,
     WeightStoreStandIn,
     make_engine_app,
 )
-from bramleybeam.standins import HostRecord
 from bramleybeam.web import HttpServer
 
 _ENTRIES: Final = 2
@@ -89,14 +89,10 @@
 
     async def close(self) -> None:
         """Stop everything at once."""
-        for entry in self.entries:
-            await entry.close()
-        for agent in self.agents.values():
-            await agent.close()
-        for engine in self.engines.values():
-            await engine.close()
-        for server in self._servers:
-            await server.close()
+        await asyncio.gather(*(entry.close() for entry in self.entries))
+        await asyncio.gather(*(one.close() for one in self.agents.values()))
+        await asyncio.gather(*(one.close() for one in self.engines.values()))
+        await asyncio.gather(*(server.close() for server in self._servers))
 
     async def start_upstream(self, upstream: Upstream, zone: str) -> None:
         """Start the stand-in of an upstream and the agent beside it."""
--- a/bramleybeam/demo/_command.py
+++ b/bramleybeam/demo/_command.py
@@ -6,6 +6,7 @@
 import time
 from collections.abc import Iterable
 from pathlib import Path
+from types import MappingProxyType
 from typing import Any, Final
 
 import aiohttp
@@ -22,10 +23,12 @@
 _START_LIMIT_S: Final = 120
 _REQUESTS_PER_CLASS: Final = 8
 _SHOWN_CHARACTERS: Final = 48
-_ZONES: Final = {
-    'permit-office': ('derwent', 'huon', 'coal-river', 'tasman'),
-    'feather-guild': ('piraeus', 'marousi', 'kallithea'),
-}
+_ZONES: Final = MappingProxyType(
+    {
+        'permit-office': ('derwent', 'huon', 'coal-river', 'tasman'),
+        'feather-guild': ('piraeus', 'marousi', 'kallithea'),
+    }
+)
 
 
 @click.command()
@@ -68,24 +71,29 @@
 ) -> None:
     """Start a deployment, show requests of each class, or keep it up."""
     cluster = DemoCluster(document, options)
-    started = time.monotonic()
-    await cluster.start()
     try:
-        await cluster.wait_reachable(_START_LIMIT_S)
-        took = time.monotonic() - started
-        click.echo(
-            f'\n{document.deployment.name}: {len(document.models)} models on '
-            f'{len(document.upstreams)} upstreams reachable in {took:.1f} s',
-        )
-        if serve:
-            await _serve_until_stopped(cluster)
-            return
-        await _show_requests(cluster)
-        click.echo(_attainment_table(cluster))
+        await _run_cluster(cluster, serve=serve)
     finally:
         await cluster.close()
 
 
+async def _run_cluster(cluster: DemoCluster, *, serve: bool) -> None:
+    started = time.monotonic()
+    await cluster.start()
+    await cluster.wait_reachable(_START_LIMIT_S)
+    took = time.monotonic() - started
+    document = cluster.document
+    click.echo(
+        f'\n{document.deployment.name}: {len(document.models)} models on '
+        f'{len(document.upstreams)} upstreams reachable in {took:.1f} s',
+    )
+    if serve:
+        await _serve_until_stopped(cluster)
+        return
+    await _show_requests(cluster)
+    click.echo(_attainment_table(cluster))
+
+
 async def _serve_until_stopped(cluster: DemoCluster) -> None:
     click.echo(f'callers: {cluster.urls[0]}/v1  (Ctrl-C stops it)')
     stop = asyncio.Event()
@@ -151,9 +159,8 @@
 
 
 def _shorten(answer: dict[str, Any]) -> str:
-    text = str(answer)
-    if 'choices' in answer:
-        text = answer['choices'][0]['message']['content']
+    choices = answer.get('choices')
+    text = choices[0]['message']['content'] if choices else str(answer)
     return text[:_SHOWN_CHARACTERS]
 
 
--- a/bramleybeam/entry/_caller_http.py
+++ b/bramleybeam/entry/_caller_http.py
@@ -127,7 +127,7 @@
             # A plain call runs to its end, whether or not the caller waits.
             watcher.cancel()
         done, _pending = await asyncio.wait(
-            {work, watcher} if exchange.kind != 'service' else {work},
+            {work} if exchange.kind == 'service' else {work, watcher},
             return_when=asyncio.FIRST_COMPLETED,
         )
         watcher.cancel()
--- a/bramleybeam/entry/_connections.py
+++ b/bramleybeam/entry/_connections.py
@@ -1,7 +1,6 @@
 """Connections of an entry to agents and to other entries."""
 
 import asyncio
-import time
 from collections.abc import Callable
 from typing import Final
 
@@ -219,23 +218,24 @@
 
     async def _connect(self, host: Host) -> None:
         backoff = _FIRST_BACKOFF_S
-        started = time.monotonic()
         try:
-            while host in self._hosts.hosts and host.name not in self._links:
-                try:
-                    await connect_link(host.address, self._identity, self)
-                except LinkLost as error:
-                    _log.debug(
-                        'cannot_connect',
-                        peer=host.name,
-                        error=str(error),
-                        trying_for=time.monotonic() - started,
-                    )
-                    await asyncio.sleep(backoff)
-                    backoff = min(_LAST_BACKOFF_S, backoff * 2)
+            while not await self._try_connect(host):
+                await asyncio.sleep(backoff)
+                backoff = min(_LAST_BACKOFF_S, backoff * 2)
         finally:
             self._connecting.pop(host.name, None)
 
+    async def _try_connect(self, host: Host) -> bool:
+        """Connect once; ``True`` when there is nothing left to try."""
+        if host not in self._hosts.hosts or host.name in self._links:
+            return True
+        try:
+            await connect_link(host.address, self._identity, self)
+        except LinkLost as error:
+            _log.debug('cannot_connect', peer=host.name, error=str(error))
+            return False
+        return True
+
 
 def _ignore(*_args: object) -> None:
     """Take no notice until a listener is set."""
--- a/bramleybeam/entry/_daemon.py
+++ b/bramleybeam/entry/_daemon.py
@@ -10,7 +10,7 @@
 from bramleybeam.documents import ConfigurationKeeper
 from bramleybeam.entry._account import Account
 from bramleybeam.entry._caller_http import make_caller_app
-from bramleybeam.entry._configuration import ConfigurationRelay
+from bramleybeam.entry._configuration import ConfigurationWatch
 from bramleybeam.entry._connections import REFRESH_PERIOD_S, Connections
 from bramleybeam.entry._deliver import Deliver
 from bramleybeam.entry._directory import Directory
@@ -19,6 +19,7 @@
 from bramleybeam.entry._pipeline import Pipeline
 from bramleybeam.entry._planner import LEASE_PERIOD_S, PLAN_PERIOD_S, Planner
 from bramleybeam.entry._platform import HostList
+from bramleybeam.gossip import ConfigurationGossip
 from bramleybeam.identity import make_identity
 from bramleybeam.keyvalue import HttpKeyValue
 from bramleybeam.links import LinkServer
@@ -56,15 +57,14 @@
             self.directory,
             self.hosts,
         )
-        self.relay = ConfigurationRelay(
+        gossip = ConfigurationGossip(
             self.keeper,
-            self.store,
-            self.connections,
             self.identity,
+            lambda: self.connections.links,
         )
-        self.connections.on_notice = self.relay.take_notice
-        self.connections.on_heartbeat = self.relay.compare
-        self.connections.on_opened = self.relay.compare
+        self.connections.on_notice = gossip.take_notice
+        self.connections.on_heartbeat = gossip.compare
+        self.connections.on_opened = gossip.compare
         self.planner = Planner(
             self.store,
             self.identity,
@@ -121,7 +121,9 @@
     async def start(self) -> None:
         """Open the ports and begin to follow the platform."""
         await self._server.start()
-        self._watch = asyncio.create_task(self.relay.watch())
+        self._watch = asyncio.create_task(
+            ConfigurationWatch(self.keeper, self.store).watch(),
+        )
         await self.connections.refresh()
         self.timers.subscribe(
             'hosts', REFRESH_PERIOD_S, self.connections.refresh
--- a/bramleybeam/entry/_deliver.py
+++ b/bramleybeam/entry/_deliver.py
@@ -58,6 +58,7 @@
 CREDIT_CHUNKS: Final = 64
 PROGRESS_LIMIT_S: Final = 20.0
 REATTACH_LIMIT_S: Final = 6.0
+_FORWARDED: Final = frozenset(('content-type', 'accept', 'idempotency-key'))
 _HOLD_OFF_S: Final = 0.3
 _WAIT_STEP_S: Final = 0.25
 _RETRY_RATE: Final = 5
@@ -114,14 +115,21 @@
         self.in_flight += 1
         try:
             while exchange.ending is None:
-                try:
-                    async for part in self._attempt(exchange):
-                        yield part
-                except _AttemptFailed as failed:
-                    await self._recover(exchange, failed.failure)
+                async for part in self._attempt_safely(exchange):
+                    yield part
         finally:
             self.in_flight -= 1
 
+    async def _attempt_safely(
+        self,
+        exchange: Exchange,
+    ) -> AsyncIterator[Piece | Ending]:
+        try:
+            async for part in self._attempt(exchange):
+                yield part
+        except _AttemptFailed as failed:
+            await self._recover(exchange, failed.failure)
+
     async def _attempt(
         self,
         exchange: Exchange,
@@ -144,9 +152,16 @@
                 yield part
         finally:
             view.own -= 1
-            self._connections.close_attempt(channel)
-            if exchange.ending is None:
-                channel.link.send(_make_cancel(channel.dispatch))
+            self._close_attempt(exchange, channel)
+
+    def _close_attempt(
+        self,
+        exchange: Exchange,
+        channel: AttemptChannel,
+    ) -> None:
+        self._connections.close_attempt(channel)
+        if exchange.ending is None:
+            channel.link.send(_make_cancel(channel.dispatch))
 
     async def _choose(self, exchange: Exchange) -> Candidate:
         self.waiting += 1
@@ -348,9 +363,13 @@
 def _forwarded_headers(exchange: Exchange) -> dict[str, str]:
     forwarded = {'x-request-id': exchange.request_id}
     if exchange.kind == 'service':
-        for name in ('content-type', 'accept', 'idempotency-key'):
-            if name in exchange.headers:
-                forwarded[name] = exchange.headers[name]
+        forwarded.update(
+            {
+                name: text
+                for name, text in exchange.headers.items()
+                if name in _FORWARDED
+            }
+        )
     return forwarded
 
 
--- a/bramleybeam/entry/_directory.py
+++ b/bramleybeam/entry/_directory.py
@@ -9,7 +9,7 @@
 from bramleybeam.decisions import READY, Candidate
 from bramleybeam.documents import ConfigurationKeeper
 from bramleybeam.links import Link
-from bramleybeam.messages import Report
+from bramleybeam.messages import ArtifactState, Report
 
 
 @attrs.define(eq=False)
@@ -32,6 +32,17 @@
         link_open = self.link is not None and self.link.is_open
         return link_open and self.report is not None and self.report.healthy
 
+    @property
+    def artifacts(self) -> tuple[ArtifactState, ...]:
+        """Models and adapters there, by the last report."""
+        return self.report.artifacts if self.report else ()
+
+    def serves(self, service: str) -> bool:
+        """Whether it is a replica of a plain service."""
+        if self.report is None or self.report.kind != 'service':
+            return False
+        return self.report.pool == service
+
     @property
     def leaving(self) -> bool:
         """Whether any sign says that it takes no new work."""
@@ -49,9 +60,7 @@
 
     def state_of(self, name: str) -> str:
         """State of a model or adapter there; empty when it is not there."""
-        if self.report is None:
-            return ''
-        for artifact in self.report.artifacts:
+        for artifact in self.artifacts:
             if artifact.name == name:
                 return artifact.state
         return ''
@@ -133,9 +142,7 @@
             for view in self._views.values()
             if self.is_usable(view)
             and now >= view.held_off_until
-            and view.report is not None
-            and view.report.kind == 'service'
-            and view.report.pool == service
+            and view.serves(service)
         ]
 
     def ready_models(self) -> frozenset[str]:
@@ -143,8 +150,8 @@
         return frozenset(
             artifact.name
             for view in self._views.values()
-            if self.is_usable(view) and view.report is not None
-            for artifact in view.report.artifacts
+            if self.is_usable(view)
+            for artifact in view.artifacts
             if artifact.state == READY
         )
 
--- a/bramleybeam/entry/_filters.py
+++ b/bramleybeam/entry/_filters.py
@@ -30,10 +30,8 @@
 
     def __init__(self, caller_keys: tuple[str, ...]) -> None:
         """Store keys as ``CALLER:KEY``; none lets every caller in."""
-        self._keys = dict(
-            (key, caller)
-            for caller, _, key in (pair.partition(':') for pair in caller_keys)
-        )
+        pairs = [pair.partition(':') for pair in caller_keys]
+        self._keys = {key: caller for caller, _, key in pairs}
 
     async def apply(self, exchange: Exchange) -> Outcome:
         """Refuse a caller whose key is not known."""
--- a/bramleybeam/entry/_operator_http.py
+++ b/bramleybeam/entry/_operator_http.py
@@ -95,7 +95,7 @@
             'in_flight': view.in_flight,
             'models': [
                 f'{artifact.name}:{artifact.state}'
-                for artifact in (view.report.artifacts if view.report else ())
+                for artifact in view.artifacts
                 if artifact.kind == 'model'
             ],
         }
--- a/bramleybeam/entry/_pipeline.py
+++ b/bramleybeam/entry/_pipeline.py
@@ -62,9 +62,9 @@
 
     async def _filter(self, exchange: Exchange) -> Refusal | None:
         for step in self._filters:
-            match await step.apply(exchange):
-                case Result(tag='error', error=refusal):
-                    return refusal
+            outcome = await step.apply(exchange)
+            if outcome.is_error():
+                return outcome.error
         return None
 
     async def _relay(
--- a/bramleybeam/entry/_planner.py
+++ b/bramleybeam/entry/_planner.py
@@ -261,7 +261,8 @@
             for name in models:
                 share = arrivals.get(name, 0) / total
                 seen[name] += view.report.in_flight * share
-        for name in {*seen, *shard.demand}:
+        names = {*seen, *shard.demand}
+        for name in names:
             known = shard.demand.get(name, 0)
             change = seen.get(name, 0) - known
             shard.demand[name] = known + _DEMAND_SMOOTHING * change
--- a/bramleybeam/errors/_kinds.py
+++ b/bramleybeam/errors/_kinds.py
@@ -2,6 +2,7 @@
 
 from enum import StrEnum, unique
 from http import HTTPStatus
+from types import MappingProxyType
 from typing import Final
 
 import attrs
@@ -54,103 +55,105 @@
     remedy: str
 
 
-_DESCRIPTIONS: Final = {
-    ErrorKind.INVALID_REQUEST: KindDescription(
-        HTTPStatus.BAD_REQUEST,
-        'The request does not follow the documented interface.',
-        'Correct the named parameter and send the request again.',
-    ),
-    ErrorKind.REQUEST_TOO_LARGE: KindDescription(
-        HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
-        'The request body is larger than the documented limit.',
-        'Shorten the request and send it again.',
-    ),
-    ErrorKind.UNAUTHENTICATED: KindDescription(
-        HTTPStatus.UNAUTHORIZED,
-        'The key is missing or not known.',
-        'Send a valid key as "Authorization: Bearer KEY".',
-    ),
-    ErrorKind.UNKNOWN_MODEL: KindDescription(
-        HTTPStatus.NOT_FOUND,
-        'No model or adapter of this name is configured.',
-        'Use a name that GET /v1/models lists.',
-    ),
-    ErrorKind.UNKNOWN_CLASS: KindDescription(
-        HTTPStatus.BAD_REQUEST,
-        'No class of work of this name is configured.',
-        'Name a configured class in the X-Work-Class header.',
-    ),
-    ErrorKind.UNKNOWN_SERVICE: KindDescription(
-        HTTPStatus.NOT_FOUND,
-        'No plain service of this name is configured.',
-        'Use the name of a configured service.',
-    ),
-    ErrorKind.NOT_CONFIGURED: KindDescription(
-        HTTPStatus.SERVICE_UNAVAILABLE,
-        'This entry has not yet received a configuration.',
-        'Repeat shortly; operators check "ctl status".',
-    ),
-    ErrorKind.NO_READY_UPSTREAM: KindDescription(
-        HTTPStatus.SERVICE_UNAVAILABLE,
-        'No upstream that holds the model is ready.',
-        'Repeat after the time in Retry-After.',
-    ),
-    ErrorKind.TARGET_UNREACHABLE: KindDescription(
-        HTTPStatus.TOO_MANY_REQUESTS,
-        'The target of the class cannot be met at the current load.',
-        'Repeat after the time in Retry-After.',
-    ),
-    ErrorKind.CALLER_LIMIT: KindDescription(
-        HTTPStatus.TOO_MANY_REQUESTS,
-        'The caller has used its share of the capacity.',
-        'Repeat after the time in Retry-After.',
-    ),
-    ErrorKind.UPSTREAM_REFUSED: KindDescription(
-        HTTPStatus.BAD_GATEWAY,
-        'The upstream refused the request.',
-        'Read the message; correct the request if it names a parameter.',
-    ),
-    ErrorKind.UPSTREAM_LOST: KindDescription(
-        HTTPStatus.BAD_GATEWAY,
-        'The upstream was lost after it had been given the request.',
-        'Check the effect first; then repeat under a new key if needed.',
-    ),
-    ErrorKind.DEADLINE_EXCEEDED: KindDescription(
-        HTTPStatus.GATEWAY_TIMEOUT,
-        'The request did not finish within its longest wait.',
-        'Repeat it if "execution" says not_run; else check its effect.',
-    ),
-    ErrorKind.CLAIMS_UNAVAILABLE: KindDescription(
-        HTTPStatus.SERVICE_UNAVAILABLE,
-        'The idempotency key cannot be claimed at the moment.',
-        'Repeat with the same Idempotency-Key after Retry-After.',
-    ),
-    ErrorKind.DUPLICATE_IN_PROGRESS: KindDescription(
-        HTTPStatus.CONFLICT,
-        'A request with this Idempotency-Key was started before.',
-        'Wait for the first answer, or repeat later for its outcome.',
-    ),
-    ErrorKind.DUPLICATE_FINISHED: KindDescription(
-        HTTPStatus.CONFLICT,
-        'A request with this Idempotency-Key ran; its answer is not kept.',
-        'Do not send it again: it ran.',
-    ),
-    ErrorKind.KEY_REUSED: KindDescription(
-        HTTPStatus.UNPROCESSABLE_ENTITY,
-        'The Idempotency-Key was used before with another request.',
-        'Use a new Idempotency-Key for a new request.',
-    ),
-    ErrorKind.QUARANTINED: KindDescription(
-        HTTPStatus.UNPROCESSABLE_ENTITY,
-        'Requests like this one crashed upstreams and are held back.',
-        'Change the request, or repeat it after the time in Retry-After.',
-    ),
-    ErrorKind.SHUTTING_DOWN: KindDescription(
-        HTTPStatus.SERVICE_UNAVAILABLE,
-        'This entry is shutting down.',
-        'Repeat at once; the balancer will choose another entry.',
-    ),
-}
+_DESCRIPTIONS: Final = MappingProxyType(
+    {
+        ErrorKind.INVALID_REQUEST: KindDescription(
+            HTTPStatus.BAD_REQUEST,
+            'The request does not follow the documented interface.',
+            'Correct the named parameter and send the request again.',
+        ),
+        ErrorKind.REQUEST_TOO_LARGE: KindDescription(
+            HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+            'The request body is larger than the documented limit.',
+            'Shorten the request and send it again.',
+        ),
+        ErrorKind.UNAUTHENTICATED: KindDescription(
+            HTTPStatus.UNAUTHORIZED,
+            'The key is missing or not known.',
+            'Send a valid key as "Authorization: Bearer KEY".',
+        ),
+        ErrorKind.UNKNOWN_MODEL: KindDescription(
+            HTTPStatus.NOT_FOUND,
+            'No model or adapter of this name is configured.',
+            'Use a name that GET /v1/models lists.',
+        ),
+        ErrorKind.UNKNOWN_CLASS: KindDescription(
+            HTTPStatus.BAD_REQUEST,
+            'No class of work of this name is configured.',
+            'Name a configured class in the X-Work-Class header.',
+        ),
+        ErrorKind.UNKNOWN_SERVICE: KindDescription(
+            HTTPStatus.NOT_FOUND,
+            'No plain service of this name is configured.',
+            'Use the name of a configured service.',
+        ),
+        ErrorKind.NOT_CONFIGURED: KindDescription(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            'This entry has not yet received a configuration.',
+            'Repeat shortly; operators check "ctl status".',
+        ),
+        ErrorKind.NO_READY_UPSTREAM: KindDescription(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            'No upstream that holds the model is ready.',
+            'Repeat after the time in Retry-After.',
+        ),
+        ErrorKind.TARGET_UNREACHABLE: KindDescription(
+            HTTPStatus.TOO_MANY_REQUESTS,
+            'The target of the class cannot be met at the current load.',
+            'Repeat after the time in Retry-After.',
+        ),
+        ErrorKind.CALLER_LIMIT: KindDescription(
+            HTTPStatus.TOO_MANY_REQUESTS,
+            'The caller has used its share of the capacity.',
+            'Repeat after the time in Retry-After.',
+        ),
+        ErrorKind.UPSTREAM_REFUSED: KindDescription(
+            HTTPStatus.BAD_GATEWAY,
+            'The upstream refused the request.',
+            'Read the message; correct the request if it names a parameter.',
+        ),
+        ErrorKind.UPSTREAM_LOST: KindDescription(
+            HTTPStatus.BAD_GATEWAY,
+            'The upstream was lost after it had been given the request.',
+            'Check the effect first; then repeat under a new key if needed.',
+        ),
+        ErrorKind.DEADLINE_EXCEEDED: KindDescription(
+            HTTPStatus.GATEWAY_TIMEOUT,
+            'The request did not finish within its longest wait.',
+            'Repeat it if "execution" says not_run; else check its effect.',
+        ),
+        ErrorKind.CLAIMS_UNAVAILABLE: KindDescription(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            'The idempotency key cannot be claimed at the moment.',
+            'Repeat with the same Idempotency-Key after Retry-After.',
+        ),
+        ErrorKind.DUPLICATE_IN_PROGRESS: KindDescription(
+            HTTPStatus.CONFLICT,
+            'A request with this Idempotency-Key was started before.',
+            'Wait for the first answer, or repeat later for its outcome.',
+        ),
+        ErrorKind.DUPLICATE_FINISHED: KindDescription(
+            HTTPStatus.CONFLICT,
+            'A request with this Idempotency-Key ran; its answer is not kept.',
+            'Do not send it again: it ran.',
+        ),
+        ErrorKind.KEY_REUSED: KindDescription(
+            HTTPStatus.UNPROCESSABLE_ENTITY,
+            'The Idempotency-Key was used before with another request.',
+            'Use a new Idempotency-Key for a new request.',
+        ),
+        ErrorKind.QUARANTINED: KindDescription(
+            HTTPStatus.UNPROCESSABLE_ENTITY,
+            'Requests like this one crashed upstreams and are held back.',
+            'Change the request, or repeat it after the time in Retry-After.',
+        ),
+        ErrorKind.SHUTTING_DOWN: KindDescription(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            'This entry is shutting down.',
+            'Repeat at once; the balancer will choose another entry.',
+        ),
+    }
+)
 
 
 def describe_kind(kind: ErrorKind) -> KindDescription:
--- a/bramleybeam/links/_codec.py
+++ b/bramleybeam/links/_codec.py
@@ -9,6 +9,7 @@
 
 import struct
 from collections.abc import Iterator
+from types import MappingProxyType
 from typing import Final
 
 from thriftpy2.protocol.cybin import (  # type: ignore[attr-defined]
@@ -28,7 +29,7 @@
 _STOP: Final = 0
 _STRING: Final = 11
 # Bytes of each fixed-size thrift type: bool, byte, double, i16, i32, i64.
-_FIXED_SIZES: Final = {2: 1, 3: 1, 4: 8, 6: 2, 8: 4, 10: 8}
+_FIXED_SIZES: Final = MappingProxyType({2: 1, 3: 1, 4: 8, 6: 2, 8: 4, 10: 8})
 
 _FRAME_TYPES: Final[tuple[type[Frame], ...]] = (
     frames.Hello,
@@ -45,9 +46,9 @@
     frames.Call,
     frames.Reply,
 )
-_TYPE_NUMBERS: Final = {
-    frame_type: number for number, frame_type in enumerate(_FRAME_TYPES)
-}
+_TYPE_NUMBERS: Final = MappingProxyType(
+    {frame_type: number for number, frame_type in enumerate(_FRAME_TYPES)}
+)
 
 
 def encode_frame(frame: Frame) -> bytes:
@@ -91,7 +92,7 @@
             body = bytes(self._buffer[start + _HEADER.size : end])
             start = end
             yield _decode_body(number, body)
-        del self._buffer[:start]
+        self._buffer = self._buffer[start:]
 
     def _check_header(self, size: int, number: int) -> None:
         if size > self._limit:
@@ -114,7 +115,7 @@
 def _check_types(frame: Frame) -> None:
     for _kind, name, _required in type(frame).thrift_spec.values():
         default = getattr(_DEFAULTS[type(frame)], name)
-        if type(getattr(frame, name)) is not type(default):
+        if getattr(frame, name).__class__ is not default.__class__:
             raise FrameError(f'field {name} has a value of a wrong type')
 
 
@@ -142,4 +143,6 @@
     return start + fixed_size
 
 
-_DEFAULTS: Final = {frame_type: frame_type() for frame_type in _FRAME_TYPES}
+_DEFAULTS: Final = MappingProxyType(
+    {frame_type: frame_type() for frame_type in _FRAME_TYPES}
+)
--- a/bramleybeam/operators/_apply.py
+++ b/bramleybeam/operators/_apply.py
@@ -138,11 +138,10 @@
     applied: Applied,
     version: int,
 ) -> Result[ApplyOutcome, ApplyError] | None:
-    match await read_current(store):
-        case Result(tag='ok', ok=(found_version, current)):
-            pass
-        case _:
-            return None
+    read = await read_current(store)
+    if read.is_error():
+        return None
+    found_version, current = read.ok
     if current is not None and current.nonce == applied.nonce:
         return Ok(ApplyOutcome(applied.revision, was_read_back=True))
     if found_version == version:
@@ -179,9 +178,9 @@
 def _decode(
     found: Versioned,
 ) -> Result[tuple[int, Applied | None], ApplyError]:
-    match decode_applied(found.text):
-        case Result(tag='ok', ok=applied):
-            return Ok((found.version, applied))
+    decoded = decode_applied(found.text)
+    if decoded.is_ok():
+        return Ok((found.version, decoded.ok))
     return Error(
         ApplyError(
             'The stored configuration cannot be read by this version.',
--- a/bramleybeam/standins/_answers.py
+++ b/bramleybeam/standins/_answers.py
@@ -14,12 +14,13 @@
 
 def prompt_of(body: dict[str, Any]) -> str:
     """Return the prompt text of a completions or chat body."""
-    if 'messages' in body:
-        return '\n'.join(
-            f'{message.get("role")}: {message.get("content")}'
-            for message in body['messages']
-        )
-    return str(body.get('prompt', ''))
+    messages = body.get('messages')
+    if messages is None:
+        return str(body.get('prompt', ''))
+    return '\n'.join(
+        f'{message.get("role")}: {message.get("content")}'
+        for message in messages
+    )
 
 
 def answer_tokens(model: str, prompt: str, max_tokens: int | None) -> list[str]:
--- a/bramleybeam/standins/_engine.py
+++ b/bramleybeam/standins/_engine.py
@@ -1,7 +1,6 @@
 """A model engine: continuous batching in time, memory that fails hard."""
 
 import asyncio
-import contextlib
 import itertools
 import time
 from collections import OrderedDict, deque
@@ -13,10 +12,12 @@
 
 from bramleybeam.standins._answers import answer_tokens
 from bramleybeam.standins._weights import WeightStoreStandIn
+from bramleybeam.timers import TaskSet
 
 POISON: Final = 'CRASH-ENGINE'
 _BLOCK_WORDS: Final = 16
 _EVENTS_KEPT: Final = 4096
+_HASH_MASK: Final = 2**47 - 1
 
 
 class EngineCrashed(Exception):  # noqa: N818
@@ -117,7 +118,7 @@
         self._ids = itertools.count()
         self._cache: OrderedDict[int, None] = OrderedDict()
         self._events: deque[tuple[int, float, int]] = deque(maxlen=_EVENTS_KEPT)
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = TaskSet()
         self._down_until = 0.0
 
     @property
@@ -132,14 +133,12 @@
 
     def start(self) -> None:
         """Begin the batch loop and the load report."""
-        self._spawn(self._run_batches())
-        self._spawn(self._report_load())
+        self._tasks.spawn(self._run_batches())
+        self._tasks.spawn(self._report_load())
 
     async def close(self) -> None:
         """End all that runs."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._tasks.close()
 
     def is_ready(self, target: str) -> bool:
         """Whether a model, or an adapter with its model, can run."""
@@ -204,8 +203,9 @@
         epoch: int,
     ) -> str:
         """Take an order; repeating an order id tells how it stands."""
-        if order_id in self.orders:
-            return self.orders[order_id]
+        known = self.orders.get(order_id)
+        if known is not None:
+            return known
         if self.settings.checks_fencing and epoch < self.highest_epoch:
             raise OrderRefused(409, f'epoch {epoch} < {self.highest_epoch}')
         self.highest_epoch = max(self.highest_epoch, epoch)
@@ -251,7 +251,7 @@
             self.crash()
             self.aborted = True
             raise OrderRefused(507, 'out of accelerator memory: aborted')
-        self._spawn(self._load(order_id, artifact))
+        self._tasks.spawn(self._load(order_id, artifact))
 
     def _begin_unload(self, order_id: str, name: str) -> None:
         artifact = self.artifacts.get(name)
@@ -259,7 +259,7 @@
             self.orders[order_id] = 'done'
             return
         artifact.state = 'unloading'
-        self._spawn(self._unload(order_id, artifact))
+        self._tasks.spawn(self._unload(order_id, artifact))
 
     async def _load(self, order_id: str, artifact: Artifact) -> None:
         boot = self.boots
@@ -339,9 +339,7 @@
                 sequence.position += 1
             if sequence.position >= len(sequence.tokens):
                 sequence.output.put_nowait(None)
-                self._sequences.remove(sequence) if (
-                    sequence in self._sequences
-                ) else None
+                sequence.cancelled = True
 
     async def _report_load(self) -> None:
         while True:
@@ -350,28 +348,10 @@
             queued = len(self._sequences) - running
             self.load = LoadReport(running, queued, self.settings.step_s)
 
-    def _spawn(self, work: object) -> None:
-        task = asyncio.ensure_future(work)  # type: ignore[call-overload]
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
 
 def block_hashes(target: str, words: list[str]) -> Iterator[int]:
     """Yield the hash of each whole prefix block of a prompt."""
     digest = xxhash.xxh64(target.encode())
     for start in range(0, len(words) - _BLOCK_WORDS + 1, _BLOCK_WORDS):
         digest.update(' '.join(words[start : start + _BLOCK_WORDS]).encode())
-        yield digest.copy().intdigest() & 0x7FFF_FFFF_FFFF
-
-
-@contextlib.asynccontextmanager
-async def running_engine(
-    settings: EngineSettings,
-) -> AsyncIterator[EngineStandIn]:
-    """Run an engine for the length of a block."""
-    engine = EngineStandIn(settings)
-    engine.start()
-    try:
-        yield engine
-    finally:
-        await engine.close()
+        yield digest.copy().intdigest() & _HASH_MASK
--- a/bramleybeam/standins/_engine_http.py
+++ b/bramleybeam/standins/_engine_http.py
@@ -15,7 +15,7 @@
     OrderRefused,
     Sequence,
 )
-from bramleybeam.web import add_route, make_app, json_response, read_json
+from bramleybeam.web import add_route, json_response, make_app, read_json
 
 
 def make_engine_app(engine: EngineStandIn) -> Application:
--- a/bramleybeam/standins/_hosts.py
+++ b/bramleybeam/standins/_hosts.py
@@ -5,7 +5,7 @@
 import attrs
 from blacksheep import Application, Request, Response
 
-from bramleybeam.web import add_route, make_app, json_response, read_json
+from bramleybeam.web import add_route, json_response, make_app, read_json
 
 
 @attrs.frozen
--- a/bramleybeam/standins/_keyvalue.py
+++ b/bramleybeam/standins/_keyvalue.py
@@ -8,7 +8,7 @@
 import attrs
 from blacksheep import Application, Request, Response
 
-from bramleybeam.web import add_route, make_app, json_response, read_json
+from bramleybeam.web import add_route, json_response, make_app, read_json
 
 MAX_VALUE_BYTES: Final = 1_000_000
 _MAX_WAIT_S: Final = 60.0
--- a/bramleybeam/timers/__init__.py
+++ b/bramleybeam/timers/__init__.py
@@ -1,5 +1,6 @@
 """The timer service that parts subscribe to."""
 
 from bramleybeam.timers._service import Subscription, TimerService
+from bramleybeam.timers._tasks import TaskSet
 
-__all__ = ['Subscription', 'TimerService']
+__all__ = ['Subscription', 'TaskSet', 'TimerService']
--- a/bramleybeam/timers/_service.py
+++ b/bramleybeam/timers/_service.py
@@ -20,12 +20,11 @@
 
     name: str
     period: float
-    _task: asyncio.Task[None] | None = None
+    task: asyncio.Task[None]
 
     def cancel(self) -> None:
         """End the calls; one that is under way is cancelled."""
-        if self._task is not None:
-            self._task.cancel()
+        self.task.cancel()
 
 
 class TimerService:
@@ -61,32 +60,31 @@
         period: float,
         callback: Callback,
     ) -> Subscription:
-        """Call ``callback`` about every ``period`` seconds from now on."""
-        subscription = Subscription(name, period)
-        subscription._task = asyncio.create_task(  # noqa: SLF001
-            self._run(subscription, callback),
-            name=f'timer-{name}',
-        )
+        """Call ``callback`` now and about every ``period`` seconds."""
+        work = self._run(name, period, callback)
+        task = asyncio.create_task(work, name=f'timer-{name}')
+        subscription = Subscription(name, period, task)
         self._subscriptions.append(subscription)
         return subscription
 
     async def close(self) -> None:
         """Cancel every subscription and wait until all have ended."""
-        tasks = []
+        ended = [subscription.task for subscription in self._subscriptions]
         for subscription in self._subscriptions:
             subscription.cancel()
-            if subscription._task is not None:  # noqa: SLF001
-                tasks.append(subscription._task)  # noqa: SLF001
         self._subscriptions.clear()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await asyncio.gather(*ended, return_exceptions=True)
 
     async def _run(
-        self, subscription: Subscription, callback: Callback
+        self,
+        name: str,
+        period: float,
+        callback: Callback,
     ) -> None:
         while True:
-            spread = self._rng.uniform(-_JITTER_SHARE, _JITTER_SHARE)
-            await asyncio.sleep(subscription.period * (1 + spread))
             try:
                 await callback()
             except Exception:
-                self._log.exception('timer_failed', timer=subscription.name)
+                self._log.exception('timer_failed', timer=name)
+            spread = self._rng.uniform(-_JITTER_SHARE, _JITTER_SHARE)
+            await asyncio.sleep(period * (1 + spread))
