Claim idempotency keys durably; prove streams and postings under faults

Cause: Idempotency-Key was read and not honoured, and nothing showed that a stream survives a lost, silent or frozen peer.

Change: claims are records in a chain of segments per partition, appended by compare-and-swap, many to one write; the committer is found by rendezvous hash and only saves writes, so that two committers at once are safe. Work that is not idempotent runs to its end when its caller leaves. A fault proxy and a harness of real processes strike agents, engines and connections mid-stream.

--- a/bramleybeam/agent/_daemon.py
+++ b/bramleybeam/agent/_daemon.py
@@ -96,7 +96,11 @@
         timers.subscribe('observe', OBSERVE_PERIOD_S, self._observe)
         timers.subscribe('report', REPORT_PERIOD_S, self._reporter.report)
         timers.subscribe('sweep', REPORT_PERIOD_S, self._intake.sweep)
-        _log.info('agent_started', address=self.address)
+        _log.info(
+            'agent_started',
+            address=self.address,
+            operators=self.operator_url,
+        )
 
     async def shut_down(self) -> None:
         """Refuse new work, finish what runs, then close."""
--- a/bramleybeam/decisions/__init__.py
+++ b/bramleybeam/decisions/__init__.py
@@ -1,5 +1,11 @@
 """Decisions as pure functions of a snapshot, the time and a generator."""
 
+from bramleybeam.decisions._claims import (
+    ClaimIndex,
+    ClaimRecord,
+    ClaimState,
+    Verdict,
+)
 from bramleybeam.decisions._homes import assign_homes, rank_by_hash
 from bramleybeam.decisions._memory import (
     DRAINING,
@@ -37,6 +43,10 @@
     'UNLOADING',
     'AttemptHistory',
     'AttemptLost',
+    'ClaimIndex',
+    'ClaimRecord',
+    'ClaimState',
+    'Verdict',
     'Candidate',
     'Failure',
     'GiveUp',
--- a/bramleybeam/entry/_caller_http.py
+++ b/bramleybeam/entry/_caller_http.py
@@ -22,8 +22,10 @@
     from bramleybeam.entry._daemon import EntryDaemon
 
 _SERVICE_METHODS: Final = ('GET', 'POST', 'PUT', 'PATCH', 'DELETE')
+_JSON_TYPE: Final = 'application/json'
 _OK: Final = 200
 _UNAVAILABLE: Final = 503
+_CLIENT_CLOSED: Final = 499
 
 
 def make_caller_app(entry: 'EntryDaemon') -> Application:
@@ -65,6 +67,7 @@
             raw=raw,
             headers=_headers(request),
             target=body['model'],
+            streamed=bool(body.get('stream')),
         )
         if body.get('stream'):
             return await self._stream(request, exchange)
@@ -123,20 +126,17 @@
     async def _whole(self, request: Request, exchange: Exchange) -> Response:
         work = asyncio.ensure_future(self._collect(exchange))
         watcher = asyncio.ensure_future(_wait_disconnect(request))
-        if exchange.kind == 'service':
-            # A plain call runs to its end, whether or not the caller waits.
-            watcher.cancel()
-        done, _pending = await asyncio.wait(
-            {work} if exchange.kind == 'service' else {work, watcher},
+        await asyncio.wait(
+            {work, watcher},
             return_when=asyncio.FIRST_COMPLETED,
         )
         watcher.cancel()
-        if work not in done:
+        if not work.done() and exchange.may_be_abandoned:
             work.cancel()
             with suppress(asyncio.CancelledError):
                 await work
-            return Response(499)
-        return work.result()
+            return Response(_CLIENT_CLOSED)
+        return await work
 
     async def _collect(self, exchange: Exchange) -> Response:
         opened = await self._entry.pipeline.open(exchange)
@@ -192,7 +192,7 @@
     watcher = asyncio.ensure_future(_wait_disconnect(request))
     try:
         async for part in parts:
-            if watcher.done():
+            if watcher.done() and exchange.may_be_abandoned:
                 break
             match part:
                 case Piece():
@@ -230,17 +230,13 @@
 
 
 def _refuse_exchange(exchange: Exchange, refusal: Refusal) -> Response:
-    if exchange.recorded is not None:
-        status, text = exchange.recorded
-        return Response(
-            status,
-            [
-                (b'x-request-id', exchange.request_id.encode()),
-                (b'idempotent-replayed', b'true'),
-            ],
-            Content(b'application/json', text.encode()),
-        )
-    return _refuse(refusal, exchange.request_id)
+    if exchange.recorded is None or exchange.streamed:
+        return _refuse(refusal, exchange.request_id)
+    status, text = exchange.recorded
+    ending = Ending('stop', 0, status=status, content_type=_JSON_TYPE)
+    answer = _answer(exchange, text.encode(), ending)
+    answer.add_header(b'idempotent-replayed', b'true')
+    return answer
 
 
 def _refuse(refusal: Refusal, request_id: str) -> Response:
--- a/bramleybeam/entry/_daemon.py
+++ b/bramleybeam/entry/_daemon.py
@@ -7,6 +7,7 @@
 
 import structlog
 
+from bramleybeam.claims import ClaimRouter
 from bramleybeam.documents import ConfigurationKeeper
 from bramleybeam.entry._account import Account
 from bramleybeam.entry._caller_http import make_caller_app
@@ -14,6 +15,7 @@
 from bramleybeam.entry._connections import REFRESH_PERIOD_S, Connections
 from bramleybeam.entry._deliver import Deliver
 from bramleybeam.entry._directory import Directory
+from bramleybeam.entry._duplicates import CheckDuplicates
 from bramleybeam.entry._filters import Admit, Classify, Identify
 from bramleybeam.entry._operator_http import make_operator_app
 from bramleybeam.entry._pipeline import Pipeline
@@ -22,10 +24,11 @@
 from bramleybeam.gossip import ConfigurationGossip
 from bramleybeam.identity import make_identity
 from bramleybeam.keyvalue import HttpKeyValue
-from bramleybeam.links import LinkServer
+from bramleybeam.links import Call, Link, LinkServer, Reply
+from bramleybeam.messages import Topic
 from bramleybeam.settings import EntrySettings
 from bramleybeam.telemetry import Metrics, Tracing
-from bramleybeam.timers import TimerService
+from bramleybeam.timers import TaskSet, TimerService
 from bramleybeam.web import HttpServer
 
 _DRAIN_POLL_S: Final = 0.05
@@ -76,13 +79,24 @@
         self.account = Account(self.metrics)
         self.deliver = Deliver(self.directory, self.connections, rng)
         self.admit = Admit(self.identity)
+        self.claims = ClaimRouter(
+            self.store,
+            settings.name,
+            self.hosts.live_entries,
+            self._call_committer,
+        )
+        self._duplicates = CheckDuplicates(self.claims)
+        self._tasks = TaskSet()
+        self.connections.on_call = self._answer_call
         self.pipeline = Pipeline(
             (
                 Identify(settings.caller_keys),
                 Classify(self.keeper),
                 self.admit,
+                self._duplicates,
             ),
             self.deliver,
+            self._duplicates,
             self.account,
             self.tracing,
         )
@@ -135,7 +149,10 @@
         await self._caller_web.start()
         await self._operator_web.start()
         _log.info(
-            'entry_started', callers=self.url, operators=self.operator_url
+            'entry_started',
+            callers=self.url,
+            operators=self.operator_url,
+            address=self.address,
         )
 
     async def shut_down(self) -> None:
@@ -145,7 +162,7 @@
         await self.planner.release()
         await asyncio.sleep(self.settings.readiness_lead_s)
         self.admit.closed = True
-        while self.deliver.in_flight and time.monotonic() < deadline:
+        while self.pipeline.in_flight and time.monotonic() < deadline:
             await asyncio.sleep(_DRAIN_POLL_S)
         await self.close()
 
@@ -156,8 +173,25 @@
             self._watch.cancel()
         await self._caller_web.close(grace=1)
         await self._operator_web.close()
+        await self._close_parts()
+
+    async def _close_parts(self) -> None:
         await self.connections.close()
         await self._server.close()
+        await self._tasks.close()
+        await self._duplicates.close()
+        await self.claims.close()
         await self.store.close()
         await self.hosts.close()
         self.tracing.close()
+
+    async def _call_committer(self, process: str, body: bytes) -> Reply:
+        return await self.connections.call(process, Topic.CLAIM, body)
+
+    def _answer_call(self, link: Link, call: Call) -> None:
+        if call.topic == Topic.CLAIM:
+            work = self.claims.answer(link, call.call_id, call.body)
+            self._tasks.spawn(work)
+            return
+        reason = f'unknown topic {call.topic}; upgrade the entry'
+        link.send(Reply(call.call_id, ok=False, body=reason.encode()))
--- a/bramleybeam/entry/_deliver.py
+++ b/bramleybeam/entry/_deliver.py
@@ -249,6 +249,8 @@
         if not exchange.first_token_at:
             exchange.first_token_at = time.monotonic()
         exchange.offset += chunk.count
+        if exchange.claimed:
+            exchange.keep(chunk.body)
         attempt.channel.link.send(
             Credit(
                 request_id=chunk.request_id,
--- a/bramleybeam/entry/_exchange.py
+++ b/bramleybeam/entry/_exchange.py
@@ -1,7 +1,7 @@
 """One caller's request on its way through the pipeline."""
 
 import time
-from typing import Any
+from typing import Any, Final
 
 import attrs
 from opentelemetry.sdk.trace import Span
@@ -9,6 +9,8 @@
 from bramleybeam.documents import WorkClass
 from bramleybeam.errors import Refusal
 
+KEPT_BYTES: Final = 2048
+
 
 @attrs.frozen
 class Piece:
@@ -64,6 +66,8 @@
     refusal: Refusal | None = None
     ending: Ending | None = None
     recorded: tuple[int, str] | None = None
+    streamed: bool = False
+    kept: bytearray = attrs.field(factory=bytearray)
 
     @property
     def work(self) -> WorkClass:
@@ -78,6 +82,21 @@
         waited = time.monotonic() - self.received_at
         return self.work.longest_wait_s - waited
 
+    def keep(self, body: bytes) -> None:
+        """Keep the beginning of the answer, to be recorded with a claim."""
+        if len(self.kept) <= KEPT_BYTES:
+            self.kept += body
+
+    @property
+    def may_be_abandoned(self) -> bool:
+        """Whether to stop when the caller has gone.
+
+        What is not idempotent runs to its end, so that its outcome is known.
+        """
+        if self.kind == 'service' or self.work_class is None:
+            return False
+        return self.work_class.idempotent
+
     @property
     def met_target(self) -> bool:
         """Whether the answer came whole and within the target."""
--- a/bramleybeam/entry/_operator_http.py
+++ b/bramleybeam/entry/_operator_http.py
@@ -123,6 +123,10 @@
         'shards': entry.planner.held,
         'moves': entry.planner.moves,
         'in_flight': entry.deliver.in_flight,
+        'reattached': entry.deliver.reattached,
+        'retried': entry.deliver.retried,
+        'claim_writes': entry.claims.writes,
+        'claims_committed': entry.claims.committed,
         'dropped_frames': entry.connections.dropped_frames,
     }
 
--- a/bramleybeam/entry/_pipeline.py
+++ b/bramleybeam/entry/_pipeline.py
@@ -7,6 +7,7 @@
 
 from bramleybeam.entry._account import Account
 from bramleybeam.entry._deliver import Deliver, Refusing
+from bramleybeam.entry._duplicates import CheckDuplicates
 from bramleybeam.entry._exchange import Ending, Exchange, Piece
 from bramleybeam.entry._filters import Filter
 from bramleybeam.errors import Refusal
@@ -29,12 +30,15 @@
         self,
         filters: Sequence[Filter],
         deliver: Deliver,
+        duplicates: CheckDuplicates,
         account: Account,
         tracing: Tracing,
     ) -> None:
         """Store the steps."""
+        self.in_flight = 0
         self._filters = tuple(filters)
         self._deliver = deliver
+        self._duplicates = duplicates
         self._account = account
         self._tracing = tracing
 
@@ -44,6 +48,7 @@
         A refusal that comes later than the first part is raised by the
         iterator as ``Refusing``.
         """
+        self.in_flight += 1
         self._start_span(exchange)
         refusal = await self._filter(exchange)
         if refusal is not None:
@@ -91,7 +96,9 @@
     ) -> None:
         exchange.refusal = refusal
         self._tracing.finish(exchange.span, refusal.kind if refusal else '')
+        await self._duplicates.settle(exchange)
         await self._account.close(exchange)
+        self.in_flight -= 1
 
     def _start_span(self, exchange: Exchange) -> None:
         sent = exchange.headers.get('traceparent', '')
--- a/bramleybeam/entry/_planner.py
+++ b/bramleybeam/entry/_planner.py
@@ -309,11 +309,7 @@
         )
 
     def _is_contender(self, zone: str) -> bool:
-        entries = [
-            host.name
-            for host in self._hosts.hosts
-            if host.role == 'entry' and host.state == 'live'
-        ]
+        entries = self._hosts.live_entries()
         return (
             self._identity.process in rank_by_hash(zone, entries)[:_CONTENDERS]
         )
--- a/bramleybeam/entry/_platform.py
+++ b/bramleybeam/entry/_platform.py
@@ -30,6 +30,14 @@
         self._url = url
         self._session: aiohttp.ClientSession | None = None
 
+    def live_entries(self) -> list[str]:
+        """Return the names of the entries that are listed as live."""
+        return [
+            host.name
+            for host in self.hosts
+            if host.role == 'entry' and host.state == 'live'
+        ]
+
     async def refresh(self) -> bool:
         """Read the list; a failure keeps the last one."""
         if self._session is None:
--- /dev/null
+++ b/bramleybeam/standins/__main__.py
@@ -0,0 +1,98 @@
+"""Runs one stand-in as a process: ``python -m bramleybeam.standins``."""
+
+import asyncio
+import signal
+import sys
+from collections.abc import Callable
+
+import click
+from blacksheep import Application
+
+from bramleybeam.standins._engine import EngineSettings, EngineStandIn
+from bramleybeam.standins._engine_http import make_engine_app
+from bramleybeam.standins._hosts import HostListStandIn
+from bramleybeam.standins._keyvalue import KeyValueStandIn
+from bramleybeam.standins._ledger import LedgerStandIn
+from bramleybeam.standins._weights import WeightStoreStandIn
+from bramleybeam.telemetry import configure_logs
+from bramleybeam.web import HttpServer
+
+_LISTEN = click.option('--listen', default='127.0.0.1:0', help='IP:PORT.')
+
+
+@click.group()
+def main() -> None:
+    """Run a small stand-in for a part of the platform."""
+    configure_logs('error')
+
+
+@main.command()
+@_LISTEN
+def keyvalue(listen: str) -> None:
+    """Run the key-value service."""
+    asyncio.run(_serve(lambda: KeyValueStandIn().make_app(), listen))
+
+
+@main.command()
+@_LISTEN
+@click.option('--lag', default=0.2, help='Seconds until a change shows.')
+def hosts(listen: str, lag: float) -> None:
+    """Run the list of hosts."""
+    asyncio.run(_serve(lambda: HostListStandIn(lag).make_app(), listen))
+
+
+@main.command()
+@_LISTEN
+@click.option('--delay', default=0.0, help='Seconds that a posting takes.')
+def ledger(listen: str, delay: float) -> None:
+    """Run the plain ledger service."""
+    asyncio.run(_serve(lambda: LedgerStandIn(delay).make_app(), listen))
+
+
+@main.command()
+@_LISTEN
+@click.option('--name', default='engine')
+@click.option('--capacity-mb', default=80_000)
+@click.option('--checks-fencing', is_flag=True)
+@click.option('--step-s', default=0.008, help='Seconds between tokens.')
+@click.option('--load-s-per-gb', default=0.1)
+def engine(
+    listen: str,
+    name: str,
+    capacity_mb: int,
+    checks_fencing: bool,  # noqa: FBT001
+    step_s: float,
+    load_s_per_gb: float,
+) -> None:
+    """Run a model engine."""
+    settings = EngineSettings(
+        name=name,
+        capacity_mb=capacity_mb,
+        checks_fencing=checks_fencing,
+        step_s=step_s,
+        load_s_per_gb=load_s_per_gb,
+    )
+
+    def make_app() -> Application:
+        standin = EngineStandIn(settings, WeightStoreStandIn(1000, 100, 100))
+        standin.start()
+        return make_engine_app(standin)
+
+    asyncio.run(_serve(make_app, listen))
+
+
+async def _serve(make: Callable[[], Application], listen: str) -> None:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    server = HttpServer(make(), listen)
+    await server.start()
+    sys.stdout.write(f'{server.url}\n')
+    sys.stdout.flush()
+    await stop.wait()
+    await server.close()
+
+
+if __name__ == '__main__':
+    main()
