Authenticate peers by TLS and key, callers and operators by keys of their own

Cause: nothing stood between a stranger on the network and the processes' ports; keys could not be renewed.

Change: TrustStore makes contexts that ask both sides for a certificate of the authority and reads renewed keys without a restart; callers' TLS is set apart.

--- a/bramleybeam/agent/_daemon.py
+++ b/bramleybeam/agent/_daemon.py
@@ -22,6 +22,7 @@
 from bramleybeam.settings import AgentSettings
 from bramleybeam.telemetry import Metrics, Tracing
 from bramleybeam.timers import TimerService
+from bramleybeam.trust import KEY_PERIOD_S, TrustStore
 from bramleybeam.web import HttpServer
 
 OBSERVE_PERIOD_S: Final = 0.25
@@ -61,7 +62,13 @@
         )
         self._intake = Intake(self.identity, self.relays, self._reporter)
         self._connect_parts()
-        self._server = LinkServer(settings.listen, self.identity, self._intake)
+        self._trust = TrustStore(settings.tls)
+        self._server = LinkServer(
+            settings.listen,
+            self.identity,
+            self._intake,
+            self._trust.make_server(),
+        )
         self._web = HttpServer(make_health_app(self), settings.operator_listen)
 
     @property
@@ -96,6 +103,7 @@
         timers = self._timers
         timers.subscribe('observe', OBSERVE_PERIOD_S, self._observe)
         timers.subscribe('report', REPORT_PERIOD_S, self._reporter.report)
+        timers.subscribe('keys', KEY_PERIOD_S, self._trust.refresh)
         timers.subscribe('sweep', REPORT_PERIOD_S, self._intake.sweep)
         _log.info(
             'agent_started',
--- a/bramleybeam/decisions/tests/test_quarantine.py
+++ b/bramleybeam/decisions/tests/test_quarantine.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from bramleybeam.decisions import Suspicion, SuspectTable
+from bramleybeam.decisions import SuspectTable, Suspicion
 from bramleybeam.decisions._quarantine import QUARANTINE_S
 
 
--- a/bramleybeam/demo/_cluster.py
+++ b/bramleybeam/demo/_cluster.py
@@ -10,7 +10,7 @@
 from bramleybeam.entry import EntryDaemon
 from bramleybeam.keyvalue import HttpKeyValue
 from bramleybeam.operators import apply_document
-from bramleybeam.settings import AgentSettings, EntrySettings
+from bramleybeam.settings import AgentSettings, EntrySettings, TlsSettings
 from bramleybeam.standins import (
     EngineSettings,
     EngineStandIn,
@@ -37,6 +37,10 @@
     entries: int = _ENTRIES
     time_scale: float = 1.0
     readiness_lead_s: float = 0.1
+    caller_keys: tuple[str, ...] = ()
+    operator_keys: tuple[str, ...] = ()
+    tls: TlsSettings = attrs.field(factory=TlsSettings)
+    caller_tls: TlsSettings = attrs.field(factory=TlsSettings)
 
 
 class DemoCluster:
@@ -104,6 +108,7 @@
                 region=self.options.region,
                 upstream=upstream.name,
                 upstream_url=server.url,
+                tls=self.options.tls,
             ),
         )
         await agent.start()
@@ -132,6 +137,10 @@
                 listen=listen,
                 readiness_lead_s=self.options.readiness_lead_s,
                 seed=index + 1,
+                caller_keys=self.options.caller_keys,
+                operator_keys=self.options.operator_keys,
+                tls=self.options.tls,
+                caller_tls=self.options.caller_tls,
             ),
         )
         await entry.start()
--- a/bramleybeam/entry/_connections.py
+++ b/bramleybeam/entry/_connections.py
@@ -1,6 +1,7 @@
 """Connections of an entry to agents and to other entries."""
 
 import asyncio
+import ssl
 from collections.abc import Callable
 from typing import Final
 
@@ -67,6 +68,7 @@
         identity: LinkIdentity,
         directory: Directory,
         hosts: HostList,
+        tls: ssl.SSLContext | None = None,
     ) -> None:
         """Store who connects, and where reports go."""
         self.dropped_frames = 0
@@ -78,6 +80,7 @@
         self._identity = identity
         self._directory = directory
         self._hosts = hosts
+        self._tls = tls
         self._links: dict[str, Link] = {}
         self._connecting: dict[str, asyncio.Task[None]] = {}
         self._channels: dict[tuple[str, int], AttemptChannel] = {}
@@ -239,7 +242,7 @@
         if host not in self._hosts.hosts or host.name in self._links:
             return True
         try:
-            await connect_link(host.address, self._identity, self)
+            await connect_link(host.address, self._identity, self, self._tls)
         except LinkLost as error:
             _log.debug('cannot_connect', peer=host.name, error=str(error))
             return False
--- a/bramleybeam/entry/_daemon.py
+++ b/bramleybeam/entry/_daemon.py
@@ -30,6 +30,7 @@
 from bramleybeam.settings import EntrySettings
 from bramleybeam.telemetry import Metrics, Tracing
 from bramleybeam.timers import TaskSet, TimerService
+from bramleybeam.trust import KEY_PERIOD_S, TrustStore
 from bramleybeam.web import HttpServer
 
 _DRAIN_POLL_S: Final = 0.05
@@ -55,11 +56,14 @@
         self.timers = TimerService(rng)
         self.store = HttpKeyValue(settings.keyvalue_url)
         self.hosts = HostList(settings.hosts_url)
+        self._trust = TrustStore(settings.tls)
+        self._caller_trust = TrustStore(settings.caller_tls)
         self.directory = Directory(settings.zone, self.keeper)
         self.connections = Connections(
             self.identity,
             self.directory,
             self.hosts,
+            self._trust.make_client(),
         )
         gossip = ConfigurationGossip(
             self.keeper,
@@ -113,8 +117,13 @@
             settings.peer_listen,
             self.identity,
             self.connections,
+            self._trust.make_server(),
+        )
+        self._caller_web = HttpServer(
+            make_caller_app(self),
+            settings.listen,
+            self._caller_trust.make_server(),
         )
-        self._caller_web = HttpServer(make_caller_app(self), settings.listen)
         self._operator_web = HttpServer(
             make_operator_app(self),
             settings.operator_listen,
@@ -155,6 +164,8 @@
             'leases', LEASE_PERIOD_S, self.planner.renew_leases
         )
         self.timers.subscribe('plan', PLAN_PERIOD_S, self.planner.plan)
+        self.timers.subscribe('keys', KEY_PERIOD_S, self._trust.refresh)
+        self.timers.subscribe('keys', KEY_PERIOD_S, self._caller_trust.refresh)
         await self._caller_web.start()
         await self._operator_web.start()
         _log.info(
--- a/bramleybeam/settings/_settings.py
+++ b/bramleybeam/settings/_settings.py
@@ -81,6 +81,7 @@
         default=0,
     )
     tls: TlsSettings = attrs.field(factory=TlsSettings)
+    caller_tls: TlsSettings = attrs.field(factory=TlsSettings)
     tracing: TracingSettings = attrs.field(factory=TracingSettings)
 
 
