--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,10 @@
 test: lint binary
 	$(BIN)/python -m pytest
 
+reference: setup
+	$(BIN)/bramleybeam ctl reference settings > docs/operations/settings.md
+	$(BIN)/bramleybeam ctl reference errors > docs/operations/errors.md
+
 demo: setup
 	$(BIN)/bramleybeam demo examples/permit-office/deployment.toml \
 		examples/feather-guild/deployment.toml
@@ -34,4 +38,4 @@
 demo-serve: setup
 	$(BIN)/bramleybeam demo --serve examples/permit-office/deployment.toml
 
-.PHONY: setup binary lint test demo demo-serve
+.PHONY: setup reference binary lint test demo demo-serve
--- a/bramleybeam/entry/_openai.py
+++ b/bramleybeam/entry/_openai.py
@@ -121,7 +121,7 @@
     for name in _UNSUPPORTED:
         if body.get(name):
             return f'{name} is not supported; leave it out.'
-    if body.get('n') not in {None, 1}:
+    if body.get('n') not in (None, 1):  # noqa: WPS510
         return 'n must be 1.'
     for name in ('max_tokens', 'max_completion_tokens'):
         limit = body.get(name)
@@ -130,6 +130,8 @@
             return f'{name} must be a whole number from 1.'
     if not isinstance(body.get('stream', False), bool):
         return 'stream must be true or false.'
+    if not isinstance(body.get('stream_options'), dict | None):
+        return 'stream_options must be an object.'
     return ''
 
 
--- a/bramleybeam/entry/_operator_http.py
+++ b/bramleybeam/entry/_operator_http.py
@@ -121,6 +121,7 @@
         'unreachable': [name for name in models if name not in ready],
         'upstreams': upstreams,
         'shards': entry.planner.held,
+        'plan_ms': entry.planner.plan_ms,
         'moves': entry.planner.moves,
         'in_flight': entry.deliver.in_flight,
         'bytes': entry.connections.count_bytes(),
--- a/bramleybeam/entry/_planner.py
+++ b/bramleybeam/entry/_planner.py
@@ -40,6 +40,7 @@
 PLAN_PERIOD_S: Final = 0.5
 LEASE_PERIOD_S: Final = 2.0
 _CONTENDERS: Final = 2
+_MILLISECONDS: Final = 1000
 _SETTLE_S: Final = 2.0
 _KEPT_REASONS: Final = 2000
 _log = structlog.get_logger('planner')
@@ -73,6 +74,7 @@
     ) -> None:
         """Store what plans are made from and where orders go."""
         self.moves = 0
+        self.plan_ms = 0.0
         self.reasons: dict[str, PlannedOrder] = {}
         self._store = store
         self._identity = identity
@@ -111,10 +113,12 @@
         document = self._keeper.document
         if document is None:
             return
+        begun = time.monotonic()
         for zone, shard in self._shards.items():
             settled = time.monotonic() - shard.held_since > _SETTLE_S
             if shard.lease.epoch is not None and settled:
                 await self._plan_shard(zone, shard, document)
+        self.plan_ms = (time.monotonic() - begun) * _MILLISECONDS
 
     async def release(self) -> None:
         """Hand every shard over."""
--- a/bramleybeam/operators/_commands.py
+++ b/bramleybeam/operators/_commands.py
@@ -23,6 +23,7 @@
     read_current,
     read_history,
 )
+from bramleybeam.operators._reference import make_reference
 from bramleybeam.operators._tables import format_table
 from bramleybeam.settings import ClientSettings, load_settings
 
@@ -60,6 +61,13 @@
     )
 
 
+@ctl.command()
+@click.argument('page', type=click.Choice(['settings', 'errors']))
+def reference(page: str) -> None:
+    """Print a reference page, made from the declared constraints."""
+    click.echo(make_reference(page), nl=False)
+
+
 @ctl.command()
 @click.argument('file', type=click.Path(path_type=Path))
 @click.option('--revision', type=int, required=True, help='Newest you know.')
--- a/bramleybeam/standins/__main__.py
+++ b/bramleybeam/standins/__main__.py
@@ -81,6 +81,35 @@
     asyncio.run(_serve(make_app, listen))
 
 
+@main.command()
+@click.option('--count', default=10)
+@click.option('--capacity-mb', default=80_000)
+def engines(count: int, capacity_mb: int) -> None:
+    """Run many model engines in one process, each on a port of its own."""
+    settings = EngineSettings(capacity_mb=capacity_mb)
+
+    def make_app() -> Application:
+        standin = EngineStandIn(settings, WeightStoreStandIn(1000, 100, 100))
+        standin.start()
+        return make_engine_app(standin)
+
+    asyncio.run(_serve_many(make_app, count))
+
+
+async def _serve_many(make: Callable[[], Application], count: int) -> None:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, stop.set)
+    urls = []
+    for _ in range(count):
+        server = HttpServer(make(), '127.0.0.1:0')
+        await server.start()
+        urls.append(server.url)
+    sys.stdout.write('{0}\n'.format(' '.join(urls)))
+    sys.stdout.flush()
+    await stop.wait()
+
+
 async def _serve(make: Callable[[], Application], listen: str) -> None:
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -64,15 +64,7 @@
 
     async def start(self, entries: int = 2) -> None:
         """Start all of the document's upstreams and the entries."""
-        await asyncio.gather(
-            self.start_standin('keyvalue', 'keyvalue'),
-            self.start_standin('hosts', 'hosts'),
-        )
-        await self._proxy('keyvalue', self.urls['keyvalue'])
-        store = HttpKeyValue(self.urls['keyvalue'])
-        outcome = await apply_document(store, self.document, 0, 'test')
-        await store.close()
-        assert outcome.is_ok(), outcome
+        await self.start_platform()
         await asyncio.gather(
             *(
                 self.start_upstream(upstream.name)
@@ -84,6 +76,18 @@
         )
         await self.wait_reachable()
 
+    async def start_platform(self) -> None:
+        """Start the platform's stand-ins and apply the document."""
+        await asyncio.gather(
+            self.start_standin('keyvalue', 'keyvalue'),
+            self.start_standin('hosts', 'hosts'),
+        )
+        await self._proxy('keyvalue', self.urls['keyvalue'])
+        store = HttpKeyValue(self.urls['keyvalue'])
+        outcome = await apply_document(store, self.document, 0, 'test')
+        await store.close()
+        assert outcome.is_ok(), outcome
+
     async def close(self) -> None:
         """End every process that was started."""
         for running in self.running.values():
@@ -119,7 +123,13 @@
         proxy = await self._proxy(name, self.urls[name])
         await self.start_agent(name, proxy.url)
 
-    async def start_agent(self, upstream: str, upstream_url: str) -> None:
+    async def start_agent(
+        self,
+        upstream: str,
+        upstream_url: str,
+        *,
+        proxied: bool = True,
+    ) -> None:
         """Start the agent of an upstream and list it by its proxy."""
         name = f'agent-{upstream}'
         zone = self._zone_of(upstream)
@@ -129,6 +139,10 @@
             'shutdown_s = 30\n'
         )
         running = await self._spawn_daemon('agent', name, settings)
+        address = running.said['address']
+        if not proxied:
+            await self.list_host(name, 'agent', address, zone, upstream)
+            return
         proxy = self.proxies.get(name)
         if proxy is None:
             proxy = await self._proxy(name, running.said['address'])
