Let requests wait by slack, refuse hopeless ones early, send loads apart from reports

Change: waiting requests go in order of slack, those near their longest wait first; patient classes fill at most 70 % of a limit; the class sets the engine's priority; a wait that would outlast the longest wait is refused at once with the expected time. A prefix memory of the entry's own routing is the hint for cache affinity. Reports go out on change and each 15 s, loads each 2 s when changed. Naive twins share the policy interface.

--- a/bramleybeam/agent/_daemon.py
+++ b/bramleybeam/agent/_daemon.py
@@ -12,7 +12,11 @@
 from bramleybeam.agent._intake import Intake
 from bramleybeam.agent._orders import OrderExecutor
 from bramleybeam.agent._relays import RelayBook
-from bramleybeam.agent._reporter import REPORT_PERIOD_S, Reporter
+from bramleybeam.agent._reporter import (
+    LOAD_PERIOD_S,
+    REPORT_PERIOD_S,
+    Reporter,
+)
 from bramleybeam.agent._runner import AttemptRunner
 from bramleybeam.agent._upstream import UpstreamClient
 from bramleybeam.documents import Applied, ConfigurationKeeper
@@ -103,8 +107,9 @@
         timers = self._timers
         timers.subscribe('observe', OBSERVE_PERIOD_S, self._observe)
         timers.subscribe('report', REPORT_PERIOD_S, self._reporter.report)
+        timers.subscribe('load', LOAD_PERIOD_S, self._reporter.report_load)
         timers.subscribe('keys', KEY_PERIOD_S, self._trust.refresh)
-        timers.subscribe('sweep', REPORT_PERIOD_S, self._intake.sweep)
+        timers.subscribe('sweep', LOAD_PERIOD_S, self._intake.sweep)
         _log.info(
             'agent_started',
             address=self.address,
--- a/bramleybeam/agent/_intake.py
+++ b/bramleybeam/agent/_intake.py
@@ -132,7 +132,6 @@
             self._relays.revoke(attempt_id)
             link.send(objection)
             return
-        self._reporter.arrivals[dispatch.base_model or dispatch.target] += 1
         relay = Relay(dispatch, link, time.monotonic(), dispatch.credit)
         self._relays.add(relay)
         self._tasks.spawn(self._run(relay))
--- a/bramleybeam/agent/_reporter.py
+++ b/bramleybeam/agent/_reporter.py
@@ -1,7 +1,6 @@
 """Reports the state and load of the upstream to every entry."""
 
 import asyncio
-from collections import Counter
 from collections.abc import Callable, Iterable
 from typing import Final
 
@@ -10,14 +9,21 @@
 from bramleybeam.agent._runner import Pace
 from bramleybeam.documents import ConfigurationKeeper
 from bramleybeam.links import Link, LinkIdentity, Notice
-from bramleybeam.messages import Report, Topic, encode
+from bramleybeam.messages import Load, Report, Topic, encode
 
-REPORT_PERIOD_S: Final = 1.0
+LOAD_PERIOD_S: Final = 2.0
+REPORT_PERIOD_S: Final = 15.0
 MAX_IN_FLIGHT: Final = 48
+_DIGITS: Final = 4
 
 
 class Reporter:
-    """Sends a report each period, and at once when something changes."""
+    """Tells entries of the upstream's state and load.
+
+    A whole report goes out when models or health change, and each
+    ``REPORT_PERIOD_S`` in case one was missed. In between only the load is
+    sent, each ``LOAD_PERIOD_S``, and only when it has changed.
+    """
 
     def __init__(
         self,
@@ -28,7 +34,6 @@
         links: Callable[[], Iterable[Link]],
     ) -> None:
         """Store what reports are made from and who receives them."""
-        self.arrivals: Counter[str] = Counter()
         self.executor: OrderExecutor | None = None
         self.pace = Pace()
         self._upstream = upstream
@@ -38,6 +43,7 @@
         self._links = links
         self._version = 0
         self._due = False
+        self._last_load: Load | None = None
 
     def make_report(self) -> Report:
         """Describe the upstream's state and load."""
@@ -62,7 +68,6 @@
             in_flight=len(self._relays.active),
             limit=MAX_IN_FLIGHT,
             artifacts=tuple(executor.ledger.holdings.values()),
-            arrivals=dict(self.arrivals),
             running=self._relays.count_running(),
             step_s=self.pace.step_s,
             first_token_s=self.pace.first_token_s,
@@ -80,9 +85,27 @@
             asyncio.get_running_loop().call_soon(self._send)
 
     async def report(self) -> None:
-        """Send a report to every entry."""
+        """Send a whole report to every entry."""
         self._send()
 
+    async def report_load(self) -> None:
+        """Send the load to every entry if it has changed."""
+        load = self._make_load()
+        if load == self._last_load:
+            return
+        self._last_load = load
+        notice = Notice(Topic.LOAD, encode(load))
+        for link in self._links():
+            link.send(notice)
+
+    def _make_load(self) -> Load:
+        return Load(
+            in_flight=len(self._relays.active),
+            step_s=round(self.pace.step_s, _DIGITS),
+            first_token_s=round(self.pace.first_token_s, _DIGITS),
+            running=self._relays.count_running(),
+        )
+
     def _send(self) -> None:
         self._due = False
         notice = self.make_notice()
--- a/bramleybeam/decisions/__init__.py
+++ b/bramleybeam/decisions/__init__.py
@@ -1,5 +1,13 @@
 """Decisions as pure functions of a snapshot, the time and a generator."""
 
+from bramleybeam.decisions._admission import (
+    Waiting,
+    expected_wait,
+    is_hopeless,
+    is_next,
+    priority_of,
+    share_of,
+)
 from bramleybeam.decisions._buckets import TokenBucket
 from bramleybeam.decisions._claims import (
     ClaimIndex,
@@ -21,6 +29,14 @@
     PlannedOrder,
     plan_placement,
 )
+from bramleybeam.decisions._policies import (
+    EstimatePolicy,
+    Policy,
+    RandomPolicy,
+    RoundRobinPolicy,
+    StaleLeastPolicy,
+)
+from bramleybeam.decisions._prefixes import PrefixMemory, hash_blocks
 from bramleybeam.decisions._quarantine import SuspectTable, Suspicion
 from bramleybeam.decisions._retries import (
     AttemptHistory,
@@ -58,6 +74,7 @@
     'ClaimState',
     'Verdict',
     'Candidate',
+    'EstimatePolicy',
     'Failure',
     'GiveUp',
     'MemoryLedger',
@@ -65,7 +82,19 @@
     'PlacedUpstream',
     'PlacementSnapshot',
     'PlannedOrder',
+    'Policy',
+    'PrefixMemory',
+    'RandomPolicy',
     'RefusedByAgent',
+    'RoundRobinPolicy',
+    'StaleLeastPolicy',
+    'Waiting',
+    'expected_wait',
+    'hash_blocks',
+    'is_hopeless',
+    'is_next',
+    'priority_of',
+    'share_of',
     'ShardLimits',
     'ShardPlanner',
     'ShardUpstream',
--- a/bramleybeam/decisions/_routing.py
+++ b/bramleybeam/decisions/_routing.py
@@ -19,7 +19,9 @@
     ``in_flight`` is the entry's own requests plus others' by the last report;
     ``report_age`` and times are in seconds; ``zone_distance`` is 0 in the
     same zone, 1 in the same region and 2 elsewhere; ``cached_share`` is the
-    part of the prompt that its prefix cache is believed to hold.
+    part of the prompt that its prefix cache is believed to hold, ``share`` the
+    part of the limit that the class of work may fill, ``service_s`` the time
+    that its requests take as a whole, ``reported`` the last report's figure.
     """
 
     name: str
@@ -31,11 +33,14 @@
     step_s: float = 0
     first_token_s: float = 0
     report_age: float = 0
+    service_s: float = 0
+    reported: int = 0
+    share: float = 1
 
     @property
     def has_room(self) -> bool:
-        """Whether it is believed to be under its limit."""
-        return self.in_flight < self.limit
+        """Whether it is believed to be under the share that may be filled."""
+        return self.in_flight < self.limit * self.share
 
 
 def choose_upstream(
--- a/bramleybeam/entry/_caller_http.py
+++ b/bramleybeam/entry/_caller_http.py
@@ -11,8 +11,7 @@
 from expression import Result
 
 from bramleybeam.entry import _openai as openai
-from bramleybeam.entry._deliver import Refusing
-from bramleybeam.entry._exchange import Ending, Exchange, Piece
+from bramleybeam.entry._exchange import Ending, Exchange, Piece, Refusing
 from bramleybeam.entry._pipeline import Parts
 from bramleybeam.errors import ErrorKind, Refusal, refuse
 from bramleybeam.identity import make_unique_id
--- a/bramleybeam/entry/_connections.py
+++ b/bramleybeam/entry/_connections.py
@@ -29,6 +29,7 @@
 )
 from bramleybeam.messages import (
     Follow,
+    Load,
     MessageError,
     Report,
     Topic,
@@ -156,6 +157,8 @@
                 self.on_heartbeat(link)
             case Notice(topic=Topic.REPORT):
                 self._take_report(link, frame)
+            case Notice(topic=Topic.LOAD):
+                self._take_load(link, frame)
             case Notice(topic=Topic.CRASH):
                 self.on_crash(link, frame)
             case Notice():
@@ -197,6 +200,14 @@
             return
         self._directory.take_report(link, report)
 
+    def _take_load(self, link: Link, notice: Notice) -> None:
+        try:
+            load = decode(notice.body, Load)
+        except MessageError as error:
+            _log.warning('bad_load', peer=link.peer.process, error=str(error))
+            return
+        self._directory.take_load(link, load)
+
     def _make_follow(self, link: Link) -> Follow:
         epochs = [
             view.report.epoch
--- a/bramleybeam/entry/_daemon.py
+++ b/bramleybeam/entry/_daemon.py
@@ -8,9 +8,11 @@
 import structlog
 
 from bramleybeam.claims import ClaimRouter
+from bramleybeam.decisions import Policy
 from bramleybeam.documents import ConfigurationKeeper
 from bramleybeam.entry._account import Account
 from bramleybeam.entry._caller_http import make_caller_app
+from bramleybeam.entry._choose import Chooser
 from bramleybeam.entry._configuration import ConfigurationWatch
 from bramleybeam.entry._connections import REFRESH_PERIOD_S, Connections
 from bramleybeam.entry._deliver import Deliver
@@ -40,8 +42,15 @@
 class EntryDaemon:
     """Takes callers' requests; may also hold planner shards."""
 
-    def __init__(self, settings: EntrySettings) -> None:
-        """Build the parts; ``start`` opens the ports."""
+    def __init__(
+        self,
+        settings: EntrySettings,
+        policy: Policy | None = None,
+    ) -> None:
+        """Build the parts; ``start`` opens the ports.
+
+        ``policy`` is for measurements against the naive twins alone.
+        """
         self.settings = settings
         rng = random.Random(settings.seed or None)  # noqa: S311
         self.keeper = ConfigurationKeeper()
@@ -88,6 +97,7 @@
             self.directory,
             self.connections,
             self.quarantine,
+            Chooser(self.directory, rng, policy),
             rng,
         )
         self.admit = Admit(self.identity)
--- a/bramleybeam/entry/_deliver.py
+++ b/bramleybeam/entry/_deliver.py
@@ -17,24 +17,24 @@
 from bramleybeam.decisions import (
     AttemptHistory,
     AttemptLost,
-    Candidate,
     Failure,
     GiveUp,
     NeverArrived,
     RefusedByAgent,
     TokenBucket,
-    choose_upstream,
     decide_retry,
+    priority_of,
 )
+from bramleybeam.entry._choose import Chooser
 from bramleybeam.entry._connections import (
     AttemptChannel,
     Connections,
     LinkGone,
 )
 from bramleybeam.entry._directory import Directory
-from bramleybeam.entry._exchange import Ending, Exchange, Piece
+from bramleybeam.entry._exchange import Ending, Exchange, Piece, Refusing
 from bramleybeam.entry._quarantine import Quarantine
-from bramleybeam.errors import ErrorKind, Execution, Refusal, refuse
+from bramleybeam.errors import ErrorKind
 from bramleybeam.links import (
     Accepted,
     Cancel,
@@ -69,15 +69,6 @@
 _log = structlog.get_logger('deliver')
 
 
-class Refusing(Exception):  # noqa: N818
-    """Ends an answer with a refusal."""
-
-    def __init__(self, refusal: Refusal) -> None:
-        """Store the refusal."""
-        super().__init__(refusal.message)
-        self.refusal = refusal
-
-
 class _AttemptFailed(Exception):  # noqa: N818
     def __init__(self, failure: Failure) -> None:
         super().__init__(str(failure))
@@ -93,6 +84,7 @@
     process: str
     accepted: bool = False
     taken: int = 0
+    started_at: float = attrs.field(factory=time.monotonic)
 
 
 class Deliver:
@@ -103,10 +95,10 @@
         directory: Directory,
         connections: Connections,
         quarantine: Quarantine,
+        chooser: Chooser,
         rng: random.Random,
     ) -> None:
         """Store what is known of upstreams and how to reach them."""
-        self.waiting = 0
         self.in_flight = 0
         self.reattached = 0
         self.retried = 0
@@ -114,6 +106,7 @@
         self._connections = connections
         self._quarantine = quarantine
         self._rng = rng
+        self._chooser = chooser
         self._budget = TokenBucket(_RETRY_RATE, _RETRY_BURST)
 
     async def stream(self, exchange: Exchange) -> AsyncIterator[Piece | Ending]:
@@ -155,7 +148,7 @@
         self,
         exchange: Exchange,
     ) -> AsyncIterator[Piece | Ending]:
-        candidate = await self._choose(exchange)
+        candidate = await self._chooser.choose(exchange)
         view = self._directory.view(candidate.name)
         link = view.link
         if link is None or not link.is_open:
@@ -171,6 +164,7 @@
         try:
             async for part in self._follow(exchange, attempt):
                 yield part
+            view.note_service(time.monotonic() - attempt.started_at)
         finally:
             view.own -= 1
             self._close_attempt(exchange, channel)
@@ -180,47 +174,11 @@
         exchange: Exchange,
         channel: AttemptChannel,
     ) -> None:
+        self._directory.signal()
         self._connections.close_attempt(channel)
         if exchange.ending is None:
             channel.link.send(_make_cancel(channel.dispatch))
 
-    async def _choose(self, exchange: Exchange) -> Candidate:
-        self.waiting += 1
-        try:
-            while True:
-                chosen = choose_upstream(self._candidates(exchange), self._rng)
-                if chosen is not None:
-                    return chosen
-                if exchange.time_left <= 0:
-                    raise Refusing(self._refuse_unplaced(exchange))
-                wait = min(_WAIT_STEP_S, exchange.time_left)
-                await self._directory.wait_for_change(wait)
-        finally:
-            self.waiting -= 1
-
-    def _candidates(self, exchange: Exchange) -> list[Candidate]:
-        if exchange.kind == 'service':
-            return self._directory.service_candidates(exchange.target)
-        return self._directory.candidates(exchange.base_model, exchange.target)
-
-    def _refuse_unplaced(self, exchange: Exchange) -> Refusal:
-        execution = Execution.NOT_RUN
-        if exchange.offset:
-            execution = Execution.OUTCOME_UNKNOWN
-        if self._candidates(exchange):
-            return refuse(
-                ErrorKind.TARGET_UNREACHABLE,
-                'Every upstream that holds the model is full.',
-                execution,
-                retry_after=1,
-            )
-        return refuse(
-            ErrorKind.NO_READY_UPSTREAM,
-            f'Asked: {exchange.target}.',
-            execution,
-            retry_after=1,
-        )
-
     async def _follow(
         self,
         exchange: Exchange,
@@ -386,6 +344,7 @@
         idempotent=exchange.work.idempotent,
         traceparent=exchange.traceparent,
         credit=CREDIT_CHUNKS,
+        priority=priority_of(exchange.work),
         alone=exchange.alone,
         fingerprint=exchange.fingerprint,
     )
--- a/bramleybeam/entry/_directory.py
+++ b/bramleybeam/entry/_directory.py
@@ -3,13 +3,16 @@
 import asyncio
 import time
 from collections.abc import Iterator
+from typing import Final
 
 import attrs
 
 from bramleybeam.decisions import READY, Candidate
 from bramleybeam.documents import ConfigurationKeeper
 from bramleybeam.links import Link
-from bramleybeam.messages import ArtifactState, Report
+from bramleybeam.messages import ArtifactState, Load, Report
+
+_SMOOTHING: Final = 0.1
 
 
 @attrs.define(eq=False)
@@ -25,6 +28,7 @@
     own_at_report: int = 0
     listed_leaving: bool = False
     held_off_until: float = 0
+    service_s: float = 0
 
     @property
     def is_open(self) -> bool:
@@ -50,6 +54,11 @@
         reported = self.report is not None and self.report.leaving
         return self.listed_leaving or said_by_agent or reported
 
+    def note_service(self, elapsed: float) -> None:
+        """Take in how long a whole request took there, in seconds."""
+        known = self.service_s or elapsed
+        self.service_s = known + _SMOOTHING * (elapsed - known)
+
     @property
     def in_flight(self) -> int:
         """Own requests plus others' by the last report."""
@@ -98,6 +107,21 @@
         view.own_at_report = view.own
         self.signal()
 
+    def take_load(self, link: Link, load: Load) -> None:
+        """Take in the load of the upstream at the other end of a link."""
+        for view in self._views.values():
+            if view.link is link and view.report is not None:
+                view.report = attrs.evolve(
+                    view.report,
+                    in_flight=load.in_flight,
+                    step_s=load.step_s,
+                    first_token_s=load.first_token_s,
+                    running=load.running,
+                )
+                view.received_at = time.monotonic()
+                view.own_at_report = view.own
+                self.signal()
+
     def lose_link(self, link: Link) -> None:
         """Take requests away from an upstream that cannot be reached."""
         for view in self._views.values():
@@ -173,4 +197,6 @@
             step_s=report.step_s,
             first_token_s=report.first_token_s,
             report_age=now - view.received_at,
+            service_s=view.service_s,
+            reported=report.in_flight,
         )
--- a/bramleybeam/entry/_exchange.py
+++ b/bramleybeam/entry/_exchange.py
@@ -12,6 +12,15 @@
 KEPT_BYTES: Final = 2048
 
 
+class Refusing(Exception):  # noqa: N818
+    """Ends an answer with a refusal."""
+
+    def __init__(self, refusal: Refusal) -> None:
+        """Store the refusal."""
+        super().__init__(refusal.message)
+        self.refusal = refusal
+
+
 @attrs.frozen
 class Piece:
     """A part of the answer: ``count`` tokens of text."""
--- a/bramleybeam/entry/_pipeline.py
+++ b/bramleybeam/entry/_pipeline.py
@@ -6,9 +6,9 @@
 from expression import Error, Ok, Result
 
 from bramleybeam.entry._account import Account
-from bramleybeam.entry._deliver import Deliver, Refusing
+from bramleybeam.entry._deliver import Deliver
 from bramleybeam.entry._duplicates import CheckDuplicates
-from bramleybeam.entry._exchange import Ending, Exchange, Piece
+from bramleybeam.entry._exchange import Ending, Exchange, Piece, Refusing
 from bramleybeam.entry._filters import Filter
 from bramleybeam.errors import Refusal
 from bramleybeam.telemetry import Tracing
--- a/bramleybeam/messages/_messages.py
+++ b/bramleybeam/messages/_messages.py
@@ -10,6 +10,7 @@
     """Topics of notices and calls."""
 
     REPORT = 'report'
+    LOAD = 'load'
     FOLLOW = 'follow'
     ORDER = 'order'
     ATTACH = 'attach'
@@ -37,8 +38,7 @@
 class Report:
     """State and load of one upstream.
 
-    ``arrivals`` counts requests by target since the agent started; a reader
-    takes the difference of two reports for a rate. ``running`` counts those in
+    ``running`` counts those in
     flight by model. ``step_s`` is the time
     between tokens that the agent sees, in seconds.
     """
@@ -56,7 +56,6 @@
     in_flight: int
     limit: int
     artifacts: tuple[ArtifactState, ...] = ()
-    arrivals: dict[str, int] = attrs.field(factory=dict)
     running: dict[str, int] = attrs.field(factory=dict)
     step_s: float = 0
     first_token_s: float = 0
@@ -64,6 +63,16 @@
     cached: tuple[int, ...] = ()
 
 
+@attrs.frozen
+class Load:
+    """The part of a report that changes with each request."""
+
+    in_flight: int
+    step_s: float
+    first_token_s: float
+    running: dict[str, int]
+
+
 @attrs.frozen
 class Follow:
     """Asks an agent for its reports, and tells the highest epoch known."""
