--- a/bramleybeam/agent/_daemon.py
+++ b/bramleybeam/agent/_daemon.py
@@ -14,6 +14,7 @@
 from bramleybeam.agent._relays import RelayBook
 from bramleybeam.agent._reporter import (
     LOAD_PERIOD_S,
+    MAX_IN_FLIGHT,
     REPORT_PERIOD_S,
     Reporter,
 )
@@ -37,7 +38,11 @@
 class AgentDaemon:
     """Stands beside one upstream and is the only process that talks to it."""
 
-    def __init__(self, settings: AgentSettings) -> None:
+    def __init__(
+        self,
+        settings: AgentSettings,
+        max_in_flight: int = MAX_IN_FLIGHT,
+    ) -> None:
         """Build the parts; ``start`` opens the ports."""
         self.settings = settings
         self.keeper = ConfigurationKeeper()
@@ -58,6 +63,7 @@
             self.keeper,
             self.relays,
             self._list_links,
+            max_in_flight,
         )
         self.executor = OrderExecutor(
             self._upstream,
--- a/bramleybeam/agent/_intake.py
+++ b/bramleybeam/agent/_intake.py
@@ -8,7 +8,7 @@
 
 from bramleybeam.agent._orders import OrderExecutor
 from bramleybeam.agent._relays import AttemptId, Relay, RelayBook
-from bramleybeam.agent._reporter import MAX_IN_FLIGHT, Reporter
+from bramleybeam.agent._reporter import Reporter
 from bramleybeam.agent._runner import AttemptRunner, refused
 from bramleybeam.errors import ErrorKind
 from bramleybeam.gossip import ConfigurationGossip
@@ -148,7 +148,7 @@
                 ErrorKind.NO_READY_UPSTREAM,
                 'A suspect runs alone here.',
             )
-        if len(self._relays.active) >= MAX_IN_FLIGHT:
+        if len(self._relays.active) >= self._reporter.max_in_flight:
             return refused(dispatch, ErrorKind.TARGET_UNREACHABLE, 'Full.')
         return None
 
--- a/bramleybeam/agent/_reporter.py
+++ b/bramleybeam/agent/_reporter.py
@@ -32,8 +32,10 @@
         keeper: ConfigurationKeeper,
         relays: RelayBook,
         links: Callable[[], Iterable[Link]],
+        max_in_flight: int = MAX_IN_FLIGHT,
     ) -> None:
         """Store what reports are made from and who receives them."""
+        self.max_in_flight = max_in_flight
         self.executor: OrderExecutor | None = None
         self.pace = Pace()
         self._upstream = upstream
@@ -66,7 +68,7 @@
             capacity_mb=executor.ledger.capacity_mb,
             epoch=executor.epoch,
             in_flight=len(self._relays.active),
-            limit=MAX_IN_FLIGHT,
+            limit=self.max_in_flight,
             artifacts=tuple(executor.ledger.holdings.values()),
             running=self._relays.count_running(),
             step_s=self.pace.step_s,
--- a/bramleybeam/demo/_cluster.py
+++ b/bramleybeam/demo/_cluster.py
@@ -1,11 +1,13 @@
 """Runs all roles and stand-ins of a deployment on loopback."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Final
 
 import attrs
 
-from bramleybeam.agent import AgentDaemon
+from bramleybeam.agent import MAX_IN_FLIGHT, AgentDaemon
+from bramleybeam.decisions import EstimatePolicy, Policy
 from bramleybeam.documents import Document, Upstream
 from bramleybeam.entry import EntryDaemon
 from bramleybeam.keyvalue import HttpKeyValue
@@ -29,7 +31,11 @@
 
 @attrs.frozen
 class DemoOptions:
-    """How the demo runs; ``time_scale`` under 1 makes the stand-ins faster."""
+    """How the demo runs; ``time_scale`` under 1 makes the stand-ins faster.
+
+    ``load_scale`` is the same for loads alone, when it is not 0. The last
+    three are for measurements.
+    """
 
     region: str = 'demo'
     zones: tuple[str, ...] = ('zone-a',)
@@ -37,6 +43,10 @@
     entries: int = _ENTRIES
     time_scale: float = 1.0
     readiness_lead_s: float = 0.1
+    load_scale: float = 0
+    max_batch: int = 32
+    max_in_flight: int = MAX_IN_FLIGHT
+    policy: Callable[[], Policy] = EstimatePolicy
     caller_keys: tuple[str, ...] = ()
     operator_keys: tuple[str, ...] = ()
     tls: TlsSettings = attrs.field(factory=TlsSettings)
@@ -61,7 +71,7 @@
             document.deployment.loads_per_second,
             document.deployment.loads_at_once,
             document.deployment.adapters_in_transit,
-            options.time_scale,
+            options.load_scale or options.time_scale,
         )
         self.engines: dict[str, EngineStandIn] = {}
         self.ledgers: dict[str, LedgerStandIn] = {}
@@ -110,6 +120,7 @@
                 upstream_url=server.url,
                 tls=self.options.tls,
             ),
+            self.options.max_in_flight,
         )
         await agent.start()
         self.agents[upstream.name] = agent
@@ -142,6 +153,7 @@
                 tls=self.options.tls,
                 caller_tls=self.options.caller_tls,
             ),
+            self.options.policy(),
         )
         await entry.start()
         self.entries.append(entry)
@@ -167,7 +179,7 @@
             self.ledgers[upstream.name] = ledger
             return await self._serve(ledger.make_app())
         engine = EngineStandIn(
-            _scale(upstream, self.options.time_scale),
+            _scale(upstream, self.options),
             self.weights,
         )
         engine.start()
@@ -181,8 +193,10 @@
         return server
 
 
-def _scale(upstream: Upstream, time_scale: float) -> EngineSettings:
+def _scale(upstream: Upstream, options: DemoOptions) -> EngineSettings:
     known = EngineSettings()
+    time_scale = options.time_scale
+    load_scale = options.load_scale or time_scale
     return EngineSettings(
         name=upstream.name,
         capacity_mb=upstream.accelerator_mb,
@@ -190,6 +204,7 @@
         step_s=known.step_s * time_scale,
         step_per_sequence_s=known.step_per_sequence_s * time_scale,
         prefill_per_token_s=known.prefill_per_token_s * time_scale,
-        load_s_per_gb=known.load_s_per_gb * time_scale,
+        max_batch=options.max_batch,
+        load_s_per_gb=known.load_s_per_gb * load_scale,
         unload_s=known.unload_s * time_scale,
     )
