--- /dev/null
+++ b/bramleybeam/decisions/tests/test_claims.py
@@ -0,0 +1,77 @@
+"""Claims of idempotency keys, by table and by random histories."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from bramleybeam.decisions import ClaimIndex, Verdict
+from bramleybeam.messages import ClaimCall
+
+
+def call(action, nonce='n1', fingerprint='f', status=0, answer=''):
+    """Make a call for one key."""
+    return ClaimCall(action, 'key', nonce, fingerprint, status, answer)
+
+
+def play(index, *calls):
+    """Judge calls in order, making each record durable."""
+    verdicts = []
+    for one in calls:
+        judgement = index.judge(one)
+        if judgement.record is not None:
+            index.add(judgement.record)
+        verdicts.append(judgement.reply.verdict)
+    return verdicts
+
+
+@pytest.mark.parametrize(
+    ('calls', 'last'),
+    [
+        ([call('claim')], Verdict.GRANTED),
+        ([call('claim'), call('claim')], Verdict.GRANTED),
+        ([call('claim'), call('claim', 'n2')], Verdict.IN_PROGRESS),
+        ([call('claim'), call('claim', 'n2', 'other')], Verdict.REUSED),
+        ([call('claim'), call('release'), call('claim', 'n2')], Verdict.GRANTED),
+        ([call('claim'), call('finish'), call('claim', 'n2')], Verdict.FINISHED),
+        ([call('claim'), call('finish', 'n2'), call('claim', 'n3')],
+         Verdict.IN_PROGRESS),
+        ([call('release'), call('claim')], Verdict.UNAVAILABLE),
+        ([call('release'), call('claim', 'n2')], Verdict.GRANTED),
+        ([call('claim'), call('finish'), call('release'), call('claim', 'n2')],
+         Verdict.FINISHED),
+    ],
+)  # fmt: skip
+def test_verdicts(calls, last):
+    """The verdict on the last call of a history."""
+    assert play(ClaimIndex(), *calls)[-1] == last
+
+
+def test_a_repeat_gets_the_recorded_answer():
+    """Status and answer come back as they were recorded."""
+    index = ClaimIndex()
+    play(index, call('claim'), call('finish', status=201, answer='done'))
+    reply = index.judge(call('claim', 'n2')).reply
+    assert (reply.status, reply.answer) == (201, 'done')
+
+
+@given(
+    history=st.lists(
+        st.tuples(
+            st.sampled_from(['claim', 'finish', 'release']),
+            st.sampled_from(['n1', 'n2', 'n3']),
+        ),
+        max_size=20,
+    ),
+)
+@settings(derandomize=True, max_examples=400, deadline=None)
+def test_no_two_hold_a_key_at_once(history):
+    """Between a grant and its release no other nonce is granted."""
+    index = ClaimIndex()
+    holder = None
+    for action, nonce in history:
+        (verdict,) = play(index, call(action, nonce))
+        if action == 'claim' and verdict == Verdict.GRANTED:
+            assert holder in {None, nonce}
+            holder = nonce
+        if action == 'release' and nonce == holder:
+            holder = None
--- /dev/null
+++ b/bramleybeam/decisions/tests/test_retries.py
@@ -0,0 +1,64 @@
+"""What follows a failed attempt."""
+
+import random
+
+import attrs
+import pytest
+
+from bramleybeam.decisions import (
+    AttemptHistory,
+    AttemptLost,
+    GiveUp,
+    NeverArrived,
+    RefusedByAgent,
+    TryAgain,
+    decide_retry,
+)
+from bramleybeam.errors import ErrorKind, Execution
+
+BUSY = RefusedByAgent(ErrorKind.NO_READY_UPSTREAM, 'busy')
+WRONG = RefusedByAgent(ErrorKind.UPSTREAM_REFUSED, 'wrong')
+LOST = AttemptLost('lost')
+HISTORY = AttemptHistory(
+    attempts=1, idempotent=True, started=False, time_left=1, may_retry=True
+)
+
+
+@pytest.mark.parametrize(
+    ('failure', 'changes', 'execution'),
+    [
+        (BUSY, {}, None),
+        (BUSY, {'idempotent': False}, None),
+        (BUSY, {'time_left': 0}, Execution.NOT_RUN),
+        (WRONG, {}, Execution.NOT_RUN),
+        (NeverArrived(), {'idempotent': False}, None),
+        (NeverArrived(), {'time_left': 0}, Execution.NOT_RUN),
+        (LOST, {}, None),
+        (LOST, {'idempotent': False}, Execution.OUTCOME_UNKNOWN),
+        (LOST, {'may_retry': False}, Execution.OUTCOME_UNKNOWN),
+        (LOST, {'attempts': 8}, Execution.OUTCOME_UNKNOWN),
+        (LOST, {'started': True}, None),
+        (WRONG, {'started': True}, Execution.OUTCOME_UNKNOWN),
+    ],
+)
+def test_retry_or_truthful_refusal(failure, changes, execution):
+    """``None`` stands for another attempt."""
+    history = attrs.evolve(HISTORY, **changes)
+    decision = decide_retry(failure, history, random.Random(1))
+    if execution is None:
+        assert isinstance(decision, TryAgain)
+        assert 0 <= decision.wait <= 0.5
+    else:
+        assert isinstance(decision, GiveUp)
+        assert decision.refusal.execution == execution
+
+
+def test_a_lost_request_that_is_not_idempotent_is_never_tried_again():
+    """Whatever else is known of it."""
+    for attempts in range(1, 9):
+        for started in (False, True):
+            history = attrs.evolve(
+                HISTORY, idempotent=False, attempts=attempts, started=started
+            )
+            decision = decide_retry(LOST, history, random.Random(1))
+            assert isinstance(decision, GiveUp)
