--- a/bramleybeam/decisions/_placement.py
+++ b/bramleybeam/decisions/_placement.py
@@ -1,6 +1,6 @@
 """Plans which models a shard's upstreams hold, one round at a time."""
 
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Iterable, Mapping
 from typing import Final
 
@@ -111,6 +111,7 @@
             upstream.name: upstream.free_mb + upstream.adapters_mb
             for upstream in snapshot.upstreams
         }
+        self._limits = _collect_limits(snapshot.upstreams)
         self._copies = _count_copies(snapshot.upstreams)
         self._ready = _count_ready(snapshot.upstreams)
         self._loading = sum(
@@ -173,11 +174,7 @@
 
     def _is_busy(self, model: Model, demand: float) -> bool:
         copies = self._copies[model.name]
-        limits = [
-            upstream.limit
-            for upstream in self._snapshot.upstreams
-            if upstream.holds(model.name)
-        ]
+        limits = self._limits.get(model.name)
         if not copies or not limits:
             return False
         return demand > _BUSY_SHARE * copies * min(limits)
@@ -308,3 +305,14 @@
         for holding in upstream.holdings
         if upstream.usable and holding.state == READY
     )
+
+
+def _collect_limits(
+    upstreams: Iterable[PlacedUpstream],
+) -> dict[str, list[int]]:
+    """Collect, by model, the limits of the upstreams that hold it."""
+    limits: dict[str, list[int]] = defaultdict(list)
+    for upstream in upstreams:
+        for holding in upstream.holdings:
+            limits[holding.name].append(upstream.limit)
+    return limits
--- a/bramleybeam/entry/_planner.py
+++ b/bramleybeam/entry/_planner.py
@@ -84,6 +84,8 @@
         self._hosts = hosts
         self._shards: dict[str, ShardState] = {}
         self._numbers = itertools.count(1)
+        self._homes_basis: tuple[int, dict[tuple[str, str], int]] = (0, {})
+        self._known_homes: dict[str, str] = {}
 
     @property
     def held(self) -> dict[str, int]:
@@ -289,7 +291,11 @@
             known = document.upstreams_by_name.get(view.name)
             if known is not None and self._directory.is_usable(view):
                 capacities[view.zone, known.pool] += known.accelerator_mb
-        return assign_homes(document.models, capacities)
+        basis = self._keeper.revision, dict(capacities)
+        if basis != self._homes_basis:
+            self._homes_basis = basis
+            self._known_homes = assign_homes(document.models, capacities)
+        return self._known_homes
 
     def _shard(self, zone: str) -> ShardState:
         shard = self._shards.get(zone)
