Strike a running system with a seeded mix of faults

Cause: faults were proved one at a time.

Conclusion: longer runs over more seeds are still to be recorded.

--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,9 @@
 	$(BIN)/bramleybeam ctl reference settings > docs/operations/settings.md
 	$(BIN)/bramleybeam ctl reference errors > docs/operations/errors.md
 
+chaos: setup
+	$(BIN)/python -m benchmarks.chaos
+
 demo: setup
 	$(BIN)/bramleybeam demo examples/permit-office/deployment.toml \
 		examples/feather-guild/deployment.toml
@@ -38,4 +41,4 @@
 demo-serve: setup
 	$(BIN)/bramleybeam demo --serve examples/permit-office/deployment.toml
 
-.PHONY: setup reference binary lint test demo demo-serve
+.PHONY: chaos setup reference binary lint test demo demo-serve
