Keep the insurer's proof in the service; ctl report reads it

Cause: attainment, refusals and revisions in force ended with the process that counted them.

Change: each entry merges its counts of the hour into one of 16 values of that hour, every 30 s and at shutdown; ctl report adds them up as JSON or a page. The client's commands are split by what they do.

Conclusion: an entry that is killed loses at most its last 30 s of counts.

--- a/bramleybeam/entry/_account.py
+++ b/bramleybeam/entry/_account.py
@@ -1,6 +1,6 @@
 """Counts how each exchange ended: the last step of the pipeline."""
 
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from typing import Final
 
 import attrs
@@ -46,6 +46,7 @@
     def __init__(self, metrics: Metrics) -> None:
         """Start with nothing counted."""
         self.tallies: dict[str, ClassTally] = {}
+        self.refusals: Counter[str] = Counter()
         self._metrics = metrics
         self._trails: OrderedDict[str, Trail] = OrderedDict()
 
@@ -58,6 +59,8 @@
         name = exchange.work_class.name if exchange.work_class else 'none'
         outcome = _outcome(exchange)
         self._tally(name, outcome)
+        if exchange.refusal is not None:
+            self.refusals[str(exchange.refusal.kind)] += 1
         self._metrics.requests.inc({'class': name, 'outcome': outcome})
         first_token_s = None
         if exchange.first_token_at:
--- a/bramleybeam/entry/_daemon.py
+++ b/bramleybeam/entry/_daemon.py
@@ -19,6 +19,7 @@
 from bramleybeam.entry._directory import Directory
 from bramleybeam.entry._duplicates import CheckDuplicates
 from bramleybeam.entry._filters import Admit, Classify, Identify
+from bramleybeam.entry._journal import JOURNAL_PERIOD_S, Journal
 from bramleybeam.entry._operator_http import make_operator_app
 from bramleybeam.entry._pipeline import Pipeline
 from bramleybeam.entry._planner import LEASE_PERIOD_S, PLAN_PERIOD_S, Planner
@@ -92,6 +93,13 @@
             self.hosts,
         )
         self.account = Account(self.metrics)
+        self._journal = Journal(
+            self.identity.incarnation,
+            self.store,
+            self.keeper,
+            self.account,
+            self.planner,
+        )
         self.quarantine = Quarantine(self.connections)
         self.deliver = Deliver(
             self.directory,
@@ -174,6 +182,7 @@
             'leases', LEASE_PERIOD_S, self.planner.renew_leases
         )
         self.timers.subscribe('plan', PLAN_PERIOD_S, self.planner.plan)
+        self.timers.subscribe('journal', JOURNAL_PERIOD_S, self._journal.write)
         self.timers.subscribe('keys', KEY_PERIOD_S, self._trust.refresh)
         self.timers.subscribe('keys', KEY_PERIOD_S, self._caller_trust.refresh)
         await self._caller_web.start()
@@ -194,6 +203,7 @@
         self.admit.closed = True
         while self.pipeline.in_flight and time.monotonic() < deadline:
             await asyncio.sleep(_DRAIN_POLL_S)
+        await self._journal.write()
         await self.close()
 
     async def close(self) -> None:
--- /dev/null
+++ b/bramleybeam/operators/_queries.py
@@ -0,0 +1,139 @@
+"""Commands that ask: status, explain, report and reference."""
+
+import json
+from datetime import datetime
+from pathlib import Path
+from typing import Any
+
+import click
+
+from bramleybeam.keyvalue import HttpKeyValue
+from bramleybeam.operators._client import (
+    EXIT_UNAVAILABLE,
+    JSON_OPTION,
+    ask_entry,
+    fail,
+    load_client,
+    read_newest,
+    run_with_store,
+)
+from bramleybeam.operators._reference import make_reference
+from bramleybeam.operators._report import (
+    read_report,
+    report_json,
+    report_page,
+)
+from bramleybeam.operators._tables import format_table
+
+
+@click.command()
+@JSON_OPTION
+@click.pass_context
+def status(context: click.Context, as_json: bool) -> None:  # noqa: FBT001
+    """Tell whether targets are met, what is short, and what runs where."""
+    body = ask_entry(load_client(context), '/status')
+    if as_json:
+        click.echo(json.dumps(body))
+        return
+    click.echo(_status_text(body))
+
+
+@click.command()
+@click.argument('name')
+@JSON_OPTION
+@click.pass_context
+def explain(context: click.Context, name: str, as_json: bool) -> None:  # noqa: FBT001
+    """Tell what became of a request, or why a model stands where it does."""
+    body = ask_entry(load_client(context), f'/explain/{name}')
+    if as_json:
+        click.echo(json.dumps(body))
+        return
+    for part in body.values():
+        rows = [(key, json.dumps(found)) for key, found in part.items()]
+        click.echo(format_table(('FIELD', 'VALUE'), rows))
+
+
+@click.command()
+@click.option('--from', 'begin', type=click.DateTime(), required=True)
+@click.option('--to', 'end', type=click.DateTime(), required=True)
+@click.option(
+    '--page', type=click.Path(path_type=Path), help='Write HTML here.'
+)
+@click.pass_context
+def report(
+    context: click.Context,
+    begin: datetime,
+    end: datetime,
+    page: Path | None,
+) -> None:
+    """Prove what was in force and what came of requests; times in UTC."""
+
+    async def work(store: HttpKeyValue) -> None:
+        current = await read_newest(store)
+        read = await read_report(store, begin, end)
+        if read.is_error():
+            fail(f'the service does not answer: {read.error}', EXIT_UNAVAILABLE)
+        accelerators = sum(
+            upstream.kind == 'engine' for upstream in current.document.upstreams
+        )
+        shaped = report_json(read.ok, accelerators)
+        if page is None:
+            click.echo(json.dumps(shaped))
+            return
+        page.write_text(report_page(shaped))
+
+    run_with_store(load_client(context), work)
+
+
+@click.command()
+@click.argument('page', type=click.Choice(['settings', 'errors']))
+def reference(page: str) -> None:
+    """Print a reference page, made from the declared constraints."""
+    click.echo(make_reference(page), nl=False)
+
+
+def _status_text(body: dict[str, Any]) -> str:
+    classes = format_table(
+        ('CLASS', 'REQUESTS', 'MET', 'LATE', 'REFUSED', 'UNKNOWN'),
+        [
+            (
+                name,
+                one['requests'],
+                one['met'],
+                one['late'],
+                one['refused'],
+                one['unknown'],
+            )
+            for name, one in sorted(body['classes'].items())
+        ],
+    )
+    upstreams = format_table(
+        ('UPSTREAM', 'ZONE', 'USABLE', 'IN FLIGHT', 'MODELS'),
+        [
+            (
+                one['name'],
+                one['zone'],
+                one['usable'],
+                one['in_flight'],
+                len(one['models']),
+            )
+            for one in sorted(body['upstreams'], key=lambda one: one['name'])
+        ],
+    )
+    behind = [
+        f'{process} has {revision}'
+        for process, revision in sorted(body['revisions'].items())
+        if revision != body['revision']
+    ]
+    everywhere = ', '.join(behind) or 'in force on every process'
+    short = ', '.join(body['unreachable']) or 'none'
+    return '\n'.join(
+        (
+            f'revision {body["revision"]}: {everywhere}',
+            f'models out of reach: {short}',
+            '',
+            classes,
+            '',
+            upstreams,
+        )
+    )
--- a/tests/chaos.py
+++ b/tests/chaos.py
@@ -33,7 +33,8 @@
     def rows(self) -> list[tuple[str, int]]:
         """Return rows for a table."""
         faults = [
-            (f'fault: {name}', n) for name, n in sorted(self.faults.items())
+            (f'fault: {name}', count)
+            for name, count in sorted(self.faults.items())
         ]
         return [
             ('whole answers', self.answers),
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import json
+import signal
 import sys
+from datetime import UTC, datetime
 
 import cattrs
 import pytest
@@ -11,6 +13,7 @@
 from bramleybeam.documents import encode_applied
 from bramleybeam.keyvalue import HttpKeyValue
 from bramleybeam.operators._apply import read_current
+from tests.calls import ask
 from tests.documents import make_document
 from tests.processes import ProcessCluster
 
@@ -224,3 +227,31 @@
     assert process.returncode == 2
     assert said in err.decode()
     assert 'entry_started' not in err.decode()
+
+
+async def test_the_report_proves_what_was_in_force(cluster, tmp_path):
+    """Counts and revisions outlive the entries that wrote them."""
+    answer = await ask(
+        cluster.session, cluster.urls['entry-1'], 'drafter-b', 'x'
+    )
+    assert not answer.error
+    _version, current = await newest(cluster)
+    for name in cluster.entries:
+        cluster.running[name].signal(signal.SIGTERM)
+        assert await cluster.running[name].wait() == 0
+    now = datetime.now(UTC)
+    times = ('--from', now.strftime('%Y-%m-%d'), '--to',
+             now.strftime('%Y-%m-%dT%H:%M:%S'))  # fmt: skip
+    code, out, err = await ctl(cluster, tmp_path, 'report', *times)
+    assert code == 0, err
+    shaped = json.loads(out)
+    assert shaped['classes']['question']['requests'] >= 1
+    assert shaped['moves'] >= 1
+    revisions = {one['revision'] for one in shaped['in_force']}
+    assert current.revision in revisions
+    page = tmp_path / 'report.html'
+    code, _, err = await ctl(
+        cluster, tmp_path, 'report', *times, '--page', str(page)
+    )
+    assert code == 0, err
+    assert '<meter' in page.read_text()
