Take only the agent that was asked as proof that an attempt never ran

An agent that had been killed and restarted within the re-attach limit did not know the attempt, said so, and the entry took that as proof that it never arrived. Ruled out: the claim log (each key had one grant).

Change: an attach names the incarnation that was dispatched to and the age; only that incarnation, within the time that it remembers, may say never_ran; else the outcome is unknown. The health of a plain service is reported when it changes, not within 15 s.

--- a/bramleybeam/agent/_daemon.py
+++ b/bramleybeam/agent/_daemon.py
@@ -179,6 +179,7 @@
 
     async def _observe(self) -> None:
         if self.is_service:
-            self.executor.healthy = await self._upstream.is_healthy()
+            healthy = await self._upstream.is_healthy()
+            self.executor.note_health(healthy=healthy)
         else:
             await self.executor.observe()
--- a/bramleybeam/agent/_intake.py
+++ b/bramleybeam/agent/_intake.py
@@ -7,7 +7,12 @@
 import structlog
 
 from bramleybeam.agent._orders import OrderExecutor
-from bramleybeam.agent._relays import AttemptId, Relay, RelayBook
+from bramleybeam.agent._relays import (
+    KEPT_FINISHED_S,
+    AttemptId,
+    Relay,
+    RelayBook,
+)
 from bramleybeam.agent._reporter import Reporter
 from bramleybeam.agent._runner import AttemptRunner, refused
 from bramleybeam.errors import ErrorKind
@@ -26,6 +31,9 @@
     Reply,
 )
 from bramleybeam.messages import (
+    ATTACHED,
+    NEVER_RAN,
+    UNKNOWN,
     Attach,
     AttachReply,
     Follow,
@@ -191,12 +199,15 @@
     def _attach(self, link: Link, attach: Attach) -> AttachReply:
         attempt_id = attach.request_id, attach.attempt
         relay = self._relays.find(attempt_id)
-        if relay is None:
-            self._relays.revoke(attempt_id)
-            return AttachReply(known=False)
-        loop = asyncio.get_running_loop()
-        loop.call_soon(relay.attach, link, attach.offset)
-        return AttachReply(known=True)
+        if relay is not None:
+            loop = asyncio.get_running_loop()
+            loop.call_soon(relay.attach, link, attach.offset)
+            return AttachReply(ATTACHED)
+        self._relays.revoke(attempt_id)
+        is_same = attach.incarnation == self._identity.incarnation
+        if is_same and attach.age_s < KEPT_FINISHED_S:
+            return AttachReply(NEVER_RAN)
+        return AttachReply(UNKNOWN)
 
     def _follow(self, link: Link, notice: Notice) -> None:
         try:
--- a/bramleybeam/agent/_orders.py
+++ b/bramleybeam/agent/_orders.py
@@ -91,14 +91,14 @@
         """Read the engine's state and bring the ledger up to it."""
         state = await self._upstream.state()
         if state is None:
-            self._set_healthy(healthy=False)
+            self.note_health(healthy=False)
             return
         self.last_seen = time.monotonic()
         self._note_boot(state)
         before = self.ledger.holdings
         self.ledger = self.ledger.observe(state.artifacts, self._open)
         self.learn_epoch(state.highest_epoch)
-        self._set_healthy(healthy=True)
+        self.note_health(healthy=True)
         if before != self.ledger.holdings:
             self._changed()
 
@@ -111,6 +111,19 @@
             await asyncio.sleep(_POLL_S / 10)
         return True
 
+    def note_health(self, *, healthy: bool) -> None:
+        """Note whether the upstream answers; a change is reported at once."""
+        if self.healthy == healthy:
+            return
+        self.healthy = healthy
+        _log.info('engine_health', healthy=healthy)
+        self._changed()
+
+
+def artifact_of_adapter(name: str, model: str, memory_mb: int) -> ArtifactState:
+    """Describe an adapter that is to be loaded."""
+    return ArtifactState(name, 'adapter', memory_mb, LOADING, model)
+
     async def close(self) -> None:
         """Stop driving orders; what is under way at the engine goes on."""
         await self._tasks.close()
@@ -255,15 +268,3 @@
         if restarted:
             _log.error('engine_restarted', boot=state.boot)
             self._changed()
-
-    def _set_healthy(self, *, healthy: bool) -> None:
-        if self.healthy == healthy:
-            return
-        self.healthy = healthy
-        _log.info('engine_health', healthy=healthy)
-        self._changed()
-
-
-def artifact_of_adapter(name: str, model: str, memory_mb: int) -> ArtifactState:
-    """Describe an adapter that is to be loaded."""
-    return ArtifactState(name, 'adapter', memory_mb, LOADING, model)
--- a/bramleybeam/entry/_deliver.py
+++ b/bramleybeam/entry/_deliver.py
@@ -48,6 +48,8 @@
     Refused,
 )
 from bramleybeam.messages import (
+    ATTACHED,
+    NEVER_RAN,
     Attach,
     AttachReply,
     MessageError,
@@ -80,8 +82,8 @@
     """One attempt on the way: where it went and what was heard of it."""
 
     channel: AttemptChannel
-    upstream: str
     process: str
+    incarnation: str
     accepted: bool = False
     taken: int = 0
     started_at: float = attrs.field(factory=time.monotonic)
@@ -159,7 +161,11 @@
             link,
             _make_dispatch(exchange),
         )
-        attempt = _Attempt(channel, candidate.name, link.peer.process)
+        attempt = _Attempt(
+            channel,
+            link.peer.process,
+            link.peer.incarnation,
+        )
         view.own += 1
         try:
             async for part in self._follow(exchange, attempt):
@@ -268,12 +274,12 @@
             reply = await self._ask(link, exchange, attempt)
             if reply is None:
                 continue
-            if reply.known:
+            if reply.state == ATTACHED:
                 self.reattached += 1
                 return
-            if attempt.accepted:
-                break
-            raise _AttemptFailed(NeverArrived())
+            if reply.state == NEVER_RAN and not attempt.accepted:
+                raise _AttemptFailed(NeverArrived())
+            break
         raise _AttemptFailed(AttemptLost('The agent cannot be reached.'))
 
     async def _ask(
@@ -288,6 +294,8 @@
             channel.dispatch.request_id,
             channel.dispatch.attempt,
             exchange.offset,
+            attempt.incarnation,
+            time.monotonic() - attempt.started_at,
         )
         try:
             reply = await link.call(Topic.ATTACH, encode(asked))
--- a/bramleybeam/messages/__init__.py
+++ b/bramleybeam/messages/__init__.py
@@ -2,6 +2,9 @@
 
 from bramleybeam.messages._codec import MessageError, decode, encode
 from bramleybeam.messages._messages import (
+    ATTACHED,
+    NEVER_RAN,
+    UNKNOWN,
     ArtifactState,
     Attach,
     AttachReply,
@@ -18,6 +21,9 @@
 )
 
 __all__ = [
+    'ATTACHED',
+    'NEVER_RAN',
+    'UNKNOWN',
     'ArtifactState',
     'Attach',
     'AttachReply',
--- a/bramleybeam/messages/_messages.py
+++ b/bramleybeam/messages/_messages.py
@@ -1,9 +1,14 @@
 """The messages, each named for what it carries."""
 
 from enum import StrEnum, unique
+from typing import Final
 
 import attrs
 
+ATTACHED: Final = 'attached'
+NEVER_RAN: Final = 'never_ran'
+UNKNOWN: Final = 'unknown'
+
 
 @unique
 class Topic(StrEnum):
@@ -104,18 +109,29 @@
 
 @attrs.frozen
 class Attach:
-    """Asks for an attempt's stream from ``offset`` on, on this connection."""
+    """Asks for an attempt's stream from ``offset`` on, on this connection.
+
+    ``incarnation`` is the agent's at the time of the dispatch, ``age_s`` the
+    seconds since then: only the agent that was asked, and only while it
+    remembers, can prove that an attempt never came.
+    """
 
     request_id: str
     attempt: int
     offset: int
+    incarnation: str
+    age_s: float
 
 
 @attrs.frozen
 class AttachReply:
-    """``known`` is false when the attempt never came and never will run."""
+    """What an agent knows of an attempt.
 
-    known: bool
+    ``state`` is ``attached``; ``never_ran`` when it never came and never will
+    run; or ``unknown`` when this agent cannot tell.
+    """
+
+    state: str
 
 
 @attrs.frozen
--- a/tests/test_kill_points.py
+++ b/tests/test_kill_points.py
@@ -41,6 +41,7 @@
     slow_after: float = 0
     keyvalue_faults: dict[str, object] = attrs.field(factory=dict)
     faults_after: float = 0
+    back_at_once: bool = False
 
     def __str__(self) -> str:
         """Name the row."""
@@ -59,6 +60,10 @@
     KillPoint('entry, answer on its way', ('entry-0',), 1.3, 'agent-book-1', 0.8),
     KillPoint('agent, answer on its way', ('agent-book-1',), 1.3, 'agent-book-1', 0.8),
     KillPoint('entry, outcome on its way', ('entry-0',), 1.3, 'keyvalue', 0.8),
+    KillPoint('agent, while it runs, back at once', ('agent-book-1',), 0.6,
+              back_at_once=True),
+    KillPoint('agent, dispatch on its way, back at once', ('agent-book-1',), 0.3,
+              'agent-book-1', back_at_once=True),
     KillPoint('nobody, claim reply lost', (), 0.5, keyvalue_faults={
         'lose_replies': 1, 'lose_prefix': 'claims',
     }),
@@ -113,6 +118,8 @@
     """Kill every victim."""
     for name in point.victims:
         await cluster.running[name].kill()
+    if point.back_at_once:
+        await start_again(cluster, point)
 
 
 async def slow(cluster, point):
@@ -133,6 +140,13 @@
     await set_faults(
         cluster, {'down': False, 'lose_replies': 0, 'lose_prefix': ''}
     )
+    if not point.back_at_once:
+        await start_again(cluster, point)
+    await cluster.wait_reachable()
+
+
+async def start_again(cluster, point):
+    """Start every victim in its place."""
     for name in point.victims:
         if name.startswith('entry'):
             await cluster.start_entry(name)
@@ -143,7 +157,6 @@
             await cluster.start_standin(
                 name, 'ledger', '--listen', cluster.proxies[name].target
             )
-    await cluster.wait_reachable()
 
 
 async def try_post(cluster, entry, key):
