--- a/bramleybeam/agent/_orders.py
+++ b/bramleybeam/agent/_orders.py
@@ -119,11 +119,6 @@
         _log.info('engine_health', healthy=healthy)
         self._changed()
 
-
-def artifact_of_adapter(name: str, model: str, memory_mb: int) -> ArtifactState:
-    """Describe an adapter that is to be loaded."""
-    return ArtifactState(name, 'adapter', memory_mb, LOADING, model)
-
     async def close(self) -> None:
         """Stop driving orders; what is under way at the engine goes on."""
         await self._tasks.close()
@@ -268,3 +263,8 @@
         if restarted:
             _log.error('engine_restarted', boot=state.boot)
             self._changed()
+
+
+def artifact_of_adapter(name: str, model: str, memory_mb: int) -> ArtifactState:
+    """Describe an adapter that is to be loaded."""
+    return ArtifactState(name, 'adapter', memory_mb, LOADING, model)
