--- a/bramleybeam/agent/_daemon.py
+++ b/bramleybeam/agent/_daemon.py
@@ -91,6 +91,11 @@
         """Address for the platform's checks and the metrics."""
         return self._web.url
 
+    @property
+    def links(self) -> tuple[Link, ...]:
+        """Open connections of entries."""
+        return tuple(self._intake.links)
+
     @property
     def is_service(self) -> bool:
         """Whether the upstream is a plain service."""
@@ -169,7 +174,7 @@
         self.keeper.subscribe(self._configuration_changed)
 
     def _list_links(self) -> tuple[Link, ...]:
-        return tuple(self._intake.links)
+        return self.links
 
     def _configuration_changed(self, applied: Applied) -> None:
         known = applied.document.upstreams_by_name.get(self.settings.upstream)
--- a/bramleybeam/agent/_health.py
+++ b/bramleybeam/agent/_health.py
@@ -22,6 +22,10 @@
         return json_response(200 if is_ready else 503, body)
 
     async def metrics(_request: Request) -> Response:
+        agent.metrics.set_state(
+            links=len(agent.links),
+            revision=agent.keeper.revision,
+        )
         return text_response(200, agent.metrics.render().decode())
 
     app = make_app()
--- a/bramleybeam/demo/_cluster.py
+++ b/bramleybeam/demo/_cluster.py
@@ -23,6 +23,7 @@
     WeightStoreStandIn,
     make_engine_app,
 )
+from bramleybeam.telemetry import TracingSettings
 from bramleybeam.web import HttpServer
 
 _ENTRIES: Final = 2
@@ -49,6 +50,7 @@
     policy: Callable[[], Policy] = EstimatePolicy
     caller_keys: tuple[str, ...] = ()
     operator_keys: tuple[str, ...] = ()
+    tracing: TracingSettings = attrs.field(factory=TracingSettings)
     tls: TlsSettings = attrs.field(factory=TlsSettings)
     caller_tls: TlsSettings = attrs.field(factory=TlsSettings)
 
@@ -119,6 +121,7 @@
                 upstream=upstream.name,
                 upstream_url=server.url,
                 tls=self.options.tls,
+                tracing=self.options.tracing,
             ),
             self.options.max_in_flight,
         )
@@ -150,6 +153,7 @@
                 seed=index + 1,
                 caller_keys=self.options.caller_keys,
                 operator_keys=self.options.operator_keys,
+                tracing=self.options.tracing,
                 tls=self.options.tls,
                 caller_tls=self.options.caller_tls,
             ),
--- a/bramleybeam/entry/_account.py
+++ b/bramleybeam/entry/_account.py
@@ -1,5 +1,6 @@
 """Counts how each exchange ended: the last step of the pipeline."""
 
+import time
 from collections import Counter, OrderedDict
 from typing import Final
 
@@ -66,6 +67,7 @@
         if exchange.first_token_at:
             first_token_s = exchange.first_token_at - exchange.received_at
             self._metrics.first_token.observe({'class': name}, first_token_s)
+        self._observe_gap(exchange, name)
         trail = Trail(
             request_id=exchange.request_id,
             caller=exchange.caller,
@@ -83,6 +85,15 @@
             self._trails.popitem(last=False)
         _log.info('request', **attrs.asdict(trail))
 
+    def _observe_gap(self, exchange: Exchange, name: str) -> None:
+        """Note the mean time between the tokens of a whole answer."""
+        if exchange.ending is None or exchange.kind == 'service':
+            return
+        gaps = exchange.offset - 1
+        if gaps > 0:
+            elapsed = time.monotonic() - exchange.first_token_at
+            self._metrics.token_gap.observe({'class': name}, elapsed / gaps)
+
     def _tally(self, name: str, outcome: str) -> None:
         tally = self.tallies.setdefault(name, ClassTally())
         tally.requests += 1
--- a/bramleybeam/entry/_operator_http.py
+++ b/bramleybeam/entry/_operator_http.py
@@ -74,7 +74,14 @@
 
     async def metrics(self, _request: Request) -> Response:
         """Render the metrics."""
-        return text_response(200, self._entry.metrics.render().decode())
+        entry = self._entry
+        entry.metrics.set_state(
+            links=len(entry.connections.links),
+            revision=entry.keeper.revision,
+            moves=entry.planner.moves,
+            dropped_frames=entry.connections.dropped_frames,
+        )
+        return text_response(200, entry.metrics.render().decode())
 
     def _is_known(self, request: Request) -> bool:
         sent = request.headers.get_first(b'authorization') or b''
--- a/bramleybeam/telemetry/_metrics.py
+++ b/bramleybeam/telemetry/_metrics.py
@@ -62,12 +62,26 @@
         )
         self.token_gap = Histogram(
             'bramleybeam_token_gap_seconds',
-            'Time between tokens.',
+            'Mean time between the tokens of an answer.',
             const_labels=labels,
             registry=self.registry,
             buckets=TOKEN_GAP_BUCKETS_S,
         )
 
+    def set_state(
+        self,
+        *,
+        links: int,
+        revision: int,
+        moves: int = 0,
+        dropped_frames: int = 0,
+    ) -> None:
+        """Set what is read from the process when the metrics are asked for."""
+        self.links.set({}, links)
+        self.revision.set({}, revision)
+        self.moves.set({}, moves)
+        self.frames.set({}, dropped_frames)
+
     def render(self) -> bytes:
         """Render all metrics in the Prometheus text format."""
         content, _headers = render(self.registry, ['text/plain'])
