--- a/benchmarks/policies.py
+++ b/benchmarks/policies.py
@@ -315,7 +315,7 @@
         axes.bar(places, heights, width, yerr=spreads, label=policy)
     axes.set_xticks([place + 0.3 for place in range(len(scenarios))], scenarios)
     axes.set_ylabel('share of requests that met their target')
-    axes.legend()
+    axes.legend(loc='upper center', bbox_to_anchor=(0.5, -0.08), ncols=4)
     Path(path).parent.mkdir(parents=True, exist_ok=True)
     figure.savefig(path, dpi=120, bbox_inches='tight')
 
