Enforce deadlines at the agent; drop what nothing uses

Cause: the deadline of a dispatch was carried and not used; several attributes, the stand-in's load report and cache events, and a client call had no reader.

Conclusion: prefix affinity uses the entry's own memory alone; the engines' events are not read.

--- a/bramleybeam/__main__.py
+++ b/bramleybeam/__main__.py
@@ -3,7 +3,7 @@
 import asyncio
 import signal
 import sys
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from pathlib import Path
 from typing import Final, Protocol, TypeVar
 
@@ -90,7 +90,5 @@
     await daemon.shut_down()
 
 
-Runner = Callable[[], Awaitable[None]]
-
 if __name__ == '__main__':
     main()
--- a/bramleybeam/agent/_adapters.py
+++ b/bramleybeam/agent/_adapters.py
@@ -9,7 +9,6 @@
 from bramleybeam.documents import Adapter
 from bramleybeam.messages import ArtifactState, Order
 
-LOAD_WAIT_S: Final = 5.0
 _HALF_LIFE_S: Final = 120.0
 
 
@@ -19,13 +18,12 @@
     def __init__(self, executor: OrderExecutor, process: str) -> None:
         """Store who carries out the orders."""
         self.loads = 0
-        self.evictions = 0
         self._executor = executor
         self._process = process
         self._numbers = itertools.count(1)
         self._uses: dict[str, tuple[float, float]] = {}
 
-    async def ensure(self, adapter: Adapter) -> bool:
+    async def ensure(self, adapter: Adapter, timeout: float) -> bool:
         """Make an adapter ready; ``False`` when there is no room or time."""
         self._count_use(adapter.name)
         if self._executor.is_ready(adapter.name):
@@ -33,7 +31,7 @@
         if adapter.name not in self._executor.ledger.holdings:
             if not self._order_load(adapter):
                 return False
-        return await self._executor.wait_ready(adapter.name, LOAD_WAIT_S)
+        return await self._executor.wait_ready(adapter.name, timeout)
 
     def _order_load(self, adapter: Adapter) -> bool:
         artifact = artifact_of_adapter(
@@ -58,7 +56,6 @@
             if missing <= 0:
                 return
             self._executor.take(self._make_order('unload', holding))
-            self.evictions += 1
             missing -= holding.memory_mb
 
     def _make_order(self, action: str, artifact: ArtifactState) -> Order:
--- a/bramleybeam/agent/_intake.py
+++ b/bramleybeam/agent/_intake.py
@@ -47,6 +47,7 @@
 
 _ORPHAN_LIMIT_S: Final = 10.0
 _ALONE_POLL_S: Final = 0.02
+_MILLISECONDS: Final = 1000
 _log = structlog.get_logger('intake')
 
 
@@ -161,15 +162,29 @@
         return None
 
     async def _run(self, relay: Relay) -> None:
-        while relay.dispatch.alone and len(self._relays.active) > 1:
-            await asyncio.sleep(_ALONE_POLL_S)
-        refusal = await self._runner.run(relay)
+        refusal = await self._wait_alone(relay)
+        if refusal is None:
+            refusal = await self._runner.run(relay)
         if refusal is not None:
             self._relays.revoke(relay.attempt_id)
             self._relays.drop(relay.attempt_id)
             if relay.link is not None:
                 relay.link.send(refusal)
 
+    async def _wait_alone(self, relay: Relay) -> Refused | None:
+        """Let a suspect wait until nothing else runs, up to its deadline."""
+        dispatch = relay.dispatch
+        deadline = relay.started_at + dispatch.deadline_ms / _MILLISECONDS
+        while dispatch.alone and len(self._relays.active) > 1:
+            if time.monotonic() > deadline:
+                return refused(
+                    dispatch,
+                    ErrorKind.DEADLINE_EXCEEDED,
+                    'Others were still running here.',
+                )
+            await asyncio.sleep(_ALONE_POLL_S)
+        return None
+
     def _cancel(self, attempt_id: AttemptId) -> None:
         relay = self._relays.find(attempt_id)
         self._relays.revoke(attempt_id)
--- a/bramleybeam/agent/_orders.py
+++ b/bramleybeam/agent/_orders.py
@@ -47,7 +47,6 @@
         self.epoch = 0
         self.boot = 0
         self.healthy = False
-        self.last_seen = 0.0
         self._upstream = upstream
         self._in_use = in_use
         self._changed = changed
@@ -93,7 +92,6 @@
         if state is None:
             self.note_health(healthy=False)
             return
-        self.last_seen = time.monotonic()
         self._note_boot(state)
         before = self.ledger.holdings
         self.ledger = self.ledger.observe(state.artifacts, self._open)
--- a/bramleybeam/agent/_runner.py
+++ b/bramleybeam/agent/_runner.py
@@ -26,6 +26,7 @@
 
 _SMOOTHING: Final = 0.1
 _BUSY_RETRY_MS: Final = 200
+_MILLISECONDS: Final = 1000
 _log = structlog.get_logger('runner')
 
 
@@ -102,7 +103,8 @@
         document = self._keeper.document
         adapters = document.adapters_by_name if document else {}
         adapter = adapters.get(dispatch.target)
-        if adapter is None or not await self._adapters.ensure(adapter):
+        limit = dispatch.deadline_ms / _MILLISECONDS
+        if adapter is None or not await self._adapters.ensure(adapter, limit):
             return refused(
                 dispatch,
                 ErrorKind.NO_READY_UPSTREAM,
--- a/bramleybeam/agent/_upstream.py
+++ b/bramleybeam/agent/_upstream.py
@@ -160,14 +160,6 @@
             artifacts,
         )
 
-    async def cache_events(self, after: int) -> list[tuple[int, int]]:
-        """Read prefix cache events after a number: (number, block hash)."""
-        status, body = await self._admin(
-            'GET',
-            f'/admin/cache-events?after={after}',
-        )
-        return body['events'] if status == _OK else []
-
     async def is_healthy(self) -> bool:
         """Whether a plain service answers its health check."""
         status, _body = await self._admin('GET', '/health')
--- a/bramleybeam/decisions/_placement.py
+++ b/bramleybeam/decisions/_placement.py
@@ -11,7 +11,6 @@
 from bramleybeam.messages import ArtifactState
 
 _BUSY_SHARE: Final = 0.5
-_IDLE_SHARE: Final = 0.1
 
 
 @attrs.frozen
@@ -114,11 +113,6 @@
         self._limits = _collect_limits(snapshot.upstreams)
         self._copies = _count_copies(snapshot.upstreams)
         self._ready = _count_ready(snapshot.upstreams)
-        self._loading = sum(
-            holding.state == LOADING and holding.kind == 'model'
-            for upstream in snapshot.upstreams
-            for holding in upstream.holdings
-        )
 
     def restore_home_models(self) -> None:
         """Load each home model that has no copy, largest first."""
--- a/bramleybeam/decisions/_routing.py
+++ b/bramleybeam/decisions/_routing.py
@@ -17,7 +17,7 @@
     """An upstream that holds the model, as this entry sees it.
 
     ``in_flight`` is the entry's own requests plus others' by the last report;
-    ``report_age`` and times are in seconds; ``zone_distance`` is 0 in the
+    Times are in seconds; ``zone_distance`` is 0 in the
     same zone, 1 in the same region and 2 elsewhere; ``cached_share`` is the
     part of the prompt that its prefix cache is believed to hold, ``share`` the
     part of the limit that the class of work may fill, ``service_s`` the time
@@ -32,7 +32,6 @@
     cached_share: float = 0
     step_s: float = 0
     first_token_s: float = 0
-    report_age: float = 0
     service_s: float = 0
     reported: int = 0
     share: float = 1
--- a/bramleybeam/entry/_directory.py
+++ b/bramleybeam/entry/_directory.py
@@ -151,7 +151,7 @@
         """Return the usable upstreams that hold a model."""
         now = time.monotonic()
         return [
-            self._candidate(view, target, now)
+            self._candidate(view, target)
             for view in self._views.values()
             if self.is_usable(view)
             and now >= view.held_off_until
@@ -162,7 +162,7 @@
         """Return the usable replicas of a plain service."""
         now = time.monotonic()
         return [
-            self._candidate(view, '', now)
+            self._candidate(view, '')
             for view in self._views.values()
             if self.is_usable(view)
             and now >= view.held_off_until
@@ -179,12 +179,7 @@
             if artifact.state == READY
         )
 
-    def _candidate(
-        self,
-        view: UpstreamView,
-        target: str,
-        now: float,
-    ) -> Candidate:
+    def _candidate(self, view: UpstreamView, target: str) -> Candidate:
         report = view.report
         if report is None:
             raise RuntimeError('only reported upstreams are candidates')
@@ -196,7 +191,6 @@
             zone_distance=int(view.zone != self._zone),
             step_s=report.step_s,
             first_token_s=report.first_token_s,
-            report_age=now - view.received_at,
             service_s=view.service_s,
             reported=report.in_flight,
         )
--- a/bramleybeam/links/_frames.py
+++ b/bramleybeam/links/_frames.py
@@ -52,7 +52,6 @@
 
     revision: int = 0
     leaving: bool = False
-    sequence: int = 0
 
 
 @attrs.define(slots=False)
--- a/bramleybeam/links/frames.thrift
+++ b/bramleybeam/links/frames.thrift
@@ -6,7 +6,7 @@
   5: i32 protocol, 6: string key, 7: i64 revision, 8: bool leaving,
   9: string address
 }
-struct Heartbeat { 1: i64 revision, 2: bool leaving, 3: i64 sequence }
+struct Heartbeat { 1: i64 revision, 2: bool leaving }
 struct Dispatch {
   1: string request_id, 2: i32 attempt, 3: string kind, 4: string target,
   5: string path, 6: string method, 7: binary body, 8: i64 resume_from,
--- a/bramleybeam/messages/_messages.py
+++ b/bramleybeam/messages/_messages.py
@@ -65,7 +65,6 @@
     step_s: float = 0
     first_token_s: float = 0
     pool: str = ''
-    cached: tuple[int, ...] = ()
 
 
 @attrs.frozen
--- a/bramleybeam/standins/_engine.py
+++ b/bramleybeam/standins/_engine.py
@@ -3,7 +3,7 @@
 import asyncio
 import itertools
 import time
-from collections import OrderedDict, deque
+from collections import OrderedDict
 from collections.abc import AsyncIterator, Iterator
 from typing import Final
 
@@ -16,7 +16,6 @@
 
 POISON: Final = 'CRASH-ENGINE'
 _BLOCK_WORDS: Final = 16
-_EVENTS_KEPT: Final = 4096
 _HASH_MASK: Final = 2**47 - 1
 
 
@@ -46,10 +45,7 @@
     prefill_per_token_s: float = 0.00005
     load_s_per_gb: float = 0.1
     unload_s: float = 0.05
-    load_report_lag_s: float = 0.5
     cache_blocks: int = 4096
-    event_delay_s: float = 0.5
-    event_gap_every: int = 7
     restart_s: float = 1.0
 
 
@@ -83,15 +79,6 @@
     cached_words: int = 0
 
 
-@attrs.frozen
-class LoadReport:
-    """What the engine says of its load; it lags."""
-
-    running: int = 0
-    queued: int = 0
-    step_s: float = 0
-
-
 class EngineStandIn:
     """Batches continuously, caches prefixes, obeys orders, and can crash."""
 
@@ -110,14 +97,12 @@
         self.role = 'mixed'
         self.artifacts: dict[str, Artifact] = {}
         self.orders: dict[str, str] = {}
-        self.load = LoadReport()
         self.slowdown = 1.0
         self._weights = weights or WeightStoreStandIn()
         self._sequences: list[Sequence] = []
         self._wake = asyncio.Event()
         self._ids = itertools.count()
         self._cache: OrderedDict[int, None] = OrderedDict()
-        self._events: deque[tuple[int, float, int]] = deque(maxlen=_EVENTS_KEPT)
         self._tasks = TaskSet()
         self._down_until = 0.0
 
@@ -132,9 +117,8 @@
         return self.aborted or time.monotonic() < self._down_until
 
     def start(self) -> None:
-        """Begin the batch loop and the load report."""
+        """Begin the batch loop."""
         self._tasks.spawn(self._run_batches())
-        self._tasks.spawn(self._report_load())
 
     async def close(self) -> None:
         """End all that runs."""
@@ -231,16 +215,6 @@
             sequence.output.put_nowait(EngineCrashed())
         self._sequences.clear()
 
-    def cache_events(self, after: int) -> list[tuple[int, int]]:
-        """Return (number, block hash) of late events, some left out."""
-        now = time.monotonic()
-        gap = self.settings.event_gap_every
-        return [
-            (number, block)
-            for number, shown_at, block in self._events
-            if number > after and shown_at <= now and number % gap
-        ]
-
     def _begin_load(self, order_id: str, artifact: Artifact) -> None:
         if artifact.name in self.artifacts:
             self.orders[order_id] = 'done'
@@ -325,8 +299,6 @@
         self._cache[block] = None
         if len(self._cache) > self.settings.cache_blocks:
             self._cache.popitem(last=False)
-        shown_at = time.monotonic() + self.settings.event_delay_s
-        self._events.append((next(self._ids) + 1, shown_at, block))
 
     def _advance(self, batch: list[Sequence]) -> None:
         if any(POISON in sequence.prompt for sequence in batch):
@@ -341,13 +313,6 @@
                 sequence.output.put_nowait(None)
                 sequence.cancelled = True
 
-    async def _report_load(self) -> None:
-        while True:
-            await asyncio.sleep(self.settings.load_report_lag_s)
-            running = sum(seq.started for seq in self._sequences)
-            queued = len(self._sequences) - running
-            self.load = LoadReport(running, queued, self.settings.step_s)
-
 
 def block_hashes(target: str, words: list[str]) -> Iterator[int]:
     """Yield the hash of each whole prefix block of a prompt."""
--- a/bramleybeam/standins/_engine_http.py
+++ b/bramleybeam/standins/_engine_http.py
@@ -26,8 +26,6 @@
     add_route(app, 'POST', '/v1/completions', api.complete)
     add_route(app, 'POST', '/admin/orders', api.order)
     add_route(app, 'GET', '/admin/state', api.state)
-    add_route(app, 'GET', '/admin/load', api.load)
-    add_route(app, 'GET', '/admin/cache-events', api.cache_events)
     add_route(app, 'POST', '/admin/cancel', api.cancel)
     return app
 
@@ -82,13 +80,6 @@
             },
         )
 
-    async def load(self, _request: Request) -> Response:
-        return json_response(200, attrs.asdict(self._engine.load))
-
-    async def cache_events(self, request: Request) -> Response:
-        after = int((request.query.get('after') or ['0'])[0])
-        return json_response(200, {'events': self._engine.cache_events(after)})
-
     async def cancel(self, request: Request) -> Response:
         body = await read_json(request)
         self._engine.cancel(body['request_id'])
