--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -195,6 +195,26 @@
     assert not drained[0]['usable']
 
 
+async def test_a_listed_leaving_host_gets_no_new_work(cluster):
+    """The platform's list alone is enough of a sign."""
+    agent = cluster.proxies['agent-engine-2'].address
+    for state, expected in (('leaving', False), ('live', True)):
+        await cluster.list_host(
+            'agent-engine-2', 'agent', agent, 'west', 'engine-2', state
+        )
+        async with asyncio.timeout(EVERYWHERE_LIMIT_S):
+            while await is_usable(cluster, 'engine-2') != expected:
+                await asyncio.sleep(0.05)
+
+
+async def is_usable(cluster, upstream):
+    """Whether the entries would give an upstream new work."""
+    status = await cluster.status('entry-0')
+    return [
+        one['usable'] for one in status['upstreams'] if one['name'] == upstream
+    ] == [True]
+
+
 @pytest.mark.parametrize(
     ('line', 'said'),
     [
