--- /dev/null
+++ b/benchmarks/hostile.py
@@ -0,0 +1,82 @@
+"""How long the largest inputs hold the event loop::
+
+python -m benchmarks.hostile
+"""
+
+import json
+import time
+from collections.abc import Callable
+from typing import Final
+
+import click
+
+from benchmarks.capacity import make_large_document
+from bramleybeam.documents import Applied, decode_applied, encode_applied
+from bramleybeam.entry._openai import parse_body
+from bramleybeam.links import Chunk, FrameDecoder, FrameError, encode_frame
+from bramleybeam.messages import MessageError, Report, decode
+from bramleybeam.operators import format_table
+
+_BODY_BYTES: Final = 512_000
+_FRAME_BYTES: Final = 1_000_000
+_REPEATS: Final = 5
+_MILLISECONDS: Final = 1000
+_BOMB: Final = bytes.fromhex(
+    '0d0de244943ee499ca0001b85bd1b784614418616581eb0503df241f23077054'
+    'c083d658d16ab2230cd2071d',
+)
+
+
+def feed(received: bytes) -> None:
+    """Decode bytes as a known peer's."""
+    decoder = FrameDecoder()
+    decoder.raise_limit()
+    try:
+        list(decoder.feed(received))
+    except FrameError:
+        return
+
+
+def read_report(body: bytes) -> None:
+    """Decode bytes as a report."""
+    try:
+        decode(body, Report)
+    except MessageError:
+        return
+
+
+def measure(work: Callable[[], object]) -> float:
+    """Return the longest milliseconds that one call took."""
+    longest = 0.0
+    for _ in range(_REPEATS):
+        begun = time.perf_counter()
+        work()
+        longest = max(longest, time.perf_counter() - begun)
+    return longest * _MILLISECONDS
+
+
+@click.command()
+def main() -> None:
+    """Print the table."""
+    bomb = len(_BOMB).to_bytes(4, 'big') + b'\x0a' + _BOMB
+    chunk = encode_frame(Chunk(body=b'x' * _FRAME_BYTES))
+    deep = b'[' * _BODY_BYTES
+    wide = b'{"model":"m","messages":[' + b'{"role":"u"},' * 39_000 + b'{}]}'
+    numbers = json.dumps({'model': 'm', 'prompt': 'x', 'n': [1] * 170_000})
+    applied = Applied(1, make_large_document(2500), 'o', 0, 'n')
+    document = encode_applied(applied)
+    rows = [
+        ('container bomb, 44 B', measure(lambda: feed(bomb))),
+        ('frame of 1 MB', measure(lambda: feed(chunk))),
+        ('body of 512 kB, deep', measure(lambda: parse_body(deep, '/v1/chat/completions'))),
+        ('body of 507 kB, 39,000 messages', measure(lambda: parse_body(wide, '/v1/chat/completions'))),
+        ('body of 510 kB, 170,000 numbers', measure(lambda: parse_body(numbers.encode(), '/v1/completions'))),
+        ('report of 1 MB, deep', measure(lambda: read_report(b'[' * _FRAME_BYTES))),
+        (f'document of {len(document)} B, 2,500 upstreams', measure(lambda: decode_applied(document))),
+    ]  # fmt: skip
+    shown = [(name, f'{longest:.2f}') for name, longest in rows]
+    click.echo(format_table(('INPUT', 'LONGEST MS'), shown))
+
+
+if __name__ == '__main__':
+    main()
--- a/bramleybeam/documents/_codec.py
+++ b/bramleybeam/documents/_codec.py
@@ -14,6 +14,10 @@
 from bramleybeam.documents._document import Document
 
 _CONVERTER = cattrs.Converter(forbid_extra_keys=True, detailed_validation=True)
+_QUICK_CONVERTER = cattrs.Converter(
+    forbid_extra_keys=True,
+    detailed_validation=False,
+)
 
 
 @attrs.frozen
@@ -65,13 +69,22 @@
 def decode_applied(text: str) -> Result[Applied, list[Problem]]:
     """Decode and check an applied document."""
     try:
-        applied = _CONVERTER.structure(json.loads(text), Applied)
-    except Exception as error:
-        return Error(_problems_of(error))
+        applied = _QUICK_CONVERTER.structure(json.loads(text), Applied)
+    except Exception:
+        return Error(_explain_applied(text))
     problems = check_document(applied.document)
     return Error(problems) if problems else Ok(applied)
 
 
+def _explain_applied(text: str) -> list[Problem]:
+    """Decode again, slowly, to name every problem."""
+    try:
+        _CONVERTER.structure(json.loads(text), Applied)
+    except Exception as error:
+        return _problems_of(error)
+    return []
+
+
 def _problems_of(error: Exception) -> list[Problem]:
     if isinstance(
         error,
--- a/bramleybeam/entry/_openai.py
+++ b/bramleybeam/entry/_openai.py
@@ -10,11 +10,17 @@
 from bramleybeam.errors import ErrorKind, Refusal, refuse
 
 _UNSUPPORTED: Final = ('tools', 'functions', 'logprobs', 'suffix', 'audio')
+_MAX_BRACKETS: Final = 10_000
+_MAX_ELEMENTS: Final = 60_000
+_MAX_MESSAGES: Final = 2_000
 DONE_EVENT: Final = b'data: [DONE]\n\n'
 
 
 def parse_body(raw: bytes, path: str) -> Result[dict[str, Any], Refusal]:
     """Parse and check a body; the refusal names the parameter."""
+    if _is_too_rich(raw):
+        detail = f'At most {_MAX_ELEMENTS} elements are taken.'
+        return Error(refuse(ErrorKind.REQUEST_TOO_LARGE, detail))
     try:
         body = json.loads(raw)
     except (ValueError, RecursionError):
@@ -112,6 +118,16 @@
     }
 
 
+def _is_too_rich(raw: bytes) -> bool:
+    """Whether parsing could hold the event loop for long.
+
+    Brackets and commas bound the number of elements; those in texts count as
+    well, so the limits are far above what texts hold.
+    """
+    brackets = raw.count(b'{') + raw.count(b'[')
+    return brackets > _MAX_BRACKETS or raw.count(b',') > _MAX_ELEMENTS
+
+
 def _find_problem(body: dict[str, Any], path: str) -> str:
     if not isinstance(body.get('model'), str):
         return 'model must be a text.'
@@ -142,6 +158,8 @@
     messages = body.get('messages')
     if not isinstance(messages, list) or not messages:
         return 'messages must be a list that is not empty.'
+    if len(messages) > _MAX_MESSAGES:
+        return f'messages must have at most {_MAX_MESSAGES} elements.'
     for message in messages:
         if not isinstance(message, dict) or 'role' not in message:
             return 'each of messages must have a role and content.'
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -4,6 +4,8 @@
 import json
 import signal
 import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from pathlib import Path
 from typing import Any
 
@@ -13,6 +15,7 @@
 from bramleybeam.documents import Document
 from bramleybeam.keyvalue import HttpKeyValue
 from bramleybeam.operators import apply_document
+from tests.documents import make_document
 from tests.proxy import FaultProxy
 
 START_LIMIT_S = 30
@@ -163,6 +166,17 @@
         self.urls[f'{name}/operators'] = running.said['operators']
         await self.list_host(name, 'entry', running.said['address'], 'east')
 
+    async def start_again(self, name: str) -> None:
+        """Start a process that has ended in its place."""
+        if name.startswith('entry'):
+            await self.start_entry(name)
+        elif name.startswith('agent'):
+            upstream = name.removeprefix('agent-')
+            await self.start_agent(upstream, self.proxies[upstream].url)
+        else:
+            target = self.proxies[name].target
+            await self.start_standin(name, 'ledger', '--listen', target)
+
     async def list_host(
         self,
         name: str,
@@ -245,6 +259,23 @@
         return ('east', 'west')[names.index(upstream) % 2]
 
 
+@asynccontextmanager
+async def run_processes(
+    folder: Path,
+    *,
+    entries: int = 2,
+    ledger_delay: float = 0,
+) -> AsyncIterator[ProcessCluster]:
+    """Run a small deployment for the length of a block."""
+    cluster = ProcessCluster(folder, make_document())
+    cluster.ledger_delay = ledger_delay
+    try:
+        await cluster.start(entries)
+        yield cluster
+    finally:
+        await cluster.close()
+
+
 def _find_announcement(output: Path, begin: int) -> dict[str, Any]:
     for line in output.read_bytes()[begin:].decode().splitlines():
         if line.startswith('http'):
