Name a TLS file that cannot be read before any port opens

Cause: a wrong path in [tls] ended the process with a stack trace and 1.

Conclusion: settings are checked whole, in one place.

--- a/bramleybeam/checks/__init__.py
+++ b/bramleybeam/checks/__init__.py
@@ -4,6 +4,7 @@
 from bramleybeam.checks._constraints import (
     Address,
     Constraint,
+    File,
     Interval,
     Name,
     OneOf,
@@ -14,6 +15,7 @@
 __all__ = [
     'Address',
     'Constraint',
+    'File',
     'Interval',
     'Name',
     'OneOf',
--- a/bramleybeam/checks/_constraints.py
+++ b/bramleybeam/checks/_constraints.py
@@ -1,6 +1,7 @@
 """Kinds of constraint that a parameter can be declared with."""
 
 import ipaddress
+import os
 import re
 from typing import Any, Final
 from urllib.parse import urlsplit
@@ -70,7 +71,16 @@
         return f'http://IP:PORT or https://IP:PORT{suffix}'
 
 
-Constraint = Interval | OneOf | Name | Address | Url
+@attrs.frozen
+class File:
+    """A file that can be read; empty means none."""
+
+    def __str__(self) -> str:
+        """Say what is allowed."""
+        return 'a file that can be read, or empty'
+
+
+Constraint = Interval | OneOf | Name | Address | Url | File
 
 
 def parameter(
@@ -105,6 +115,8 @@
             return isinstance(candidate, str) and _is_address(candidate)
         case Url(optional=optional):
             return _is_url(candidate, optional=optional)
+        case File():
+            return isinstance(candidate, str) and _is_file(candidate)
     raise TypeError(f'unknown constraint {constraint!r}; declare it here')
 
 
@@ -130,6 +142,15 @@
     return port.isdecimal() and int(port) <= _MAX_PORT
 
 
+def _is_file(candidate: str) -> bool:
+    if not candidate:
+        return True
+    try:
+        return os.access(candidate, os.R_OK)
+    except ValueError:
+        return False
+
+
 def _is_url(candidate: Any, *, optional: bool) -> bool:
     if not isinstance(candidate, str):
         return False
--- a/bramleybeam/settings/_settings.py
+++ b/bramleybeam/settings/_settings.py
@@ -2,7 +2,15 @@
 
 import attrs
 
-from bramleybeam.checks import Address, Interval, Name, OneOf, Url, parameter
+from bramleybeam.checks import (
+    Address,
+    File,
+    Interval,
+    Name,
+    OneOf,
+    Url,
+    parameter,
+)
 from bramleybeam.telemetry import TracingSettings
 
 _LOG_LEVELS = OneOf(('debug', 'info', 'warning', 'error'))
@@ -16,9 +24,17 @@
     Files are read again when they change, without a restart.
     """
 
-    certificate: str = parameter('PEM file of the certificate.', default='')
-    private_key: str = parameter('PEM file of its key.', default='')
-    authority: str = parameter('PEM file of who signs peers.', default='')
+    certificate: str = parameter(
+        'PEM file of the certificate.',
+        File(),
+        default='',
+    )
+    private_key: str = parameter('PEM file of its key.', File(), default='')
+    authority: str = parameter(
+        'PEM file of who signs peers.',
+        File(),
+        default='',
+    )
 
 
 @attrs.frozen
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -219,6 +219,7 @@
         ('keyvalue_url = "http://name/"', 'http://IP:PORT'),
         ('shutdown_s = -1', 'a number from 0 to 3600 s'),
         ('weights = 3', 'weights'),
+        ('tls = {certificate = "/nowhere"}', 'a file that can be read'),
         ('log_level = "loud"', 'one of debug, info, warning, error'),
     ],
 )
