Hash a prompt once while it waits; drop parts that nothing reads

Cause: a read of the whole change. The chooser hashed the prompt and gathered the candidates again on every wake, and once more to refuse; Planner, Admit, Relay, a claim segment and Pipeline each kept something that nothing read; the crash notice took a detour through the daemon; the pipeline's description had the filters in another order than they run.

Change: blocks are hashed once for a choice and the candidates at hand are used to refuse; the unread parts are gone; the description follows the code. Behaviour is the same. Left as they are: smoothing stands in the agent's pace and in the entry's view of an upstream, two lines each in different processes; frames and settings are alike in shape and differ in meaning.

--- a/bramleybeam/agent/_intake.py
+++ b/bramleybeam/agent/_intake.py
@@ -189,7 +189,6 @@
         relay = self._relays.find(attempt_id)
         self._relays.revoke(attempt_id)
         if relay is not None and relay.ending is None:
-            relay.cancelled = True
             if relay.dispatch.kind != 'service':
                 self._tasks.spawn(self._runner.cancel(relay))
 
--- a/bramleybeam/agent/_relays.py
+++ b/bramleybeam/agent/_relays.py
@@ -34,7 +34,6 @@
     ending: End | Failed | None = None
     ended_at: float = 0
     detached_at: float = 0
-    cancelled: bool = False
     upstream_has_it: bool = False
 
     @property
--- a/bramleybeam/claims/_log.py
+++ b/bramleybeam/claims/_log.py
@@ -29,7 +29,6 @@
     version: int = 0
     sealed: bool = False
     records: list[ClaimRecord] = attrs.field(factory=list)
-    size: int = 0
 
 
 @attrs.frozen
--- a/bramleybeam/entry/_choose.py
+++ b/bramleybeam/entry/_choose.py
@@ -42,22 +42,18 @@
         self._prefixes = PrefixMemory()
         self._rooms: dict[str, list[Waiting]] = defaultdict(list)
 
-    @property
-    def waiting(self) -> int:
-        """Requests that wait for an upstream."""
-        return sum(len(room) for room in self._rooms.values())
-
     async def choose(self, exchange: Exchange) -> Candidate:
         """Wait for an upstream; raises ``Refusing`` when waiting is over."""
         room = self._rooms[exchange.base_model or exchange.target]
         mine = _make_waiting(exchange)
+        blocks = _hash_prompt(exchange)
         room.append(mine)
         try:
             while True:
-                candidates = self._candidates(exchange)
+                candidates = self._candidates(exchange, blocks)
                 chosen = self._try_choose(mine, room, candidates)
                 if chosen is not None:
-                    self._note_prefix(exchange, chosen)
+                    self._prefixes.note(chosen.name, blocks, time.monotonic())
                     return chosen
                 self._check_patience(exchange, room, candidates)
                 wait = min(_WAIT_STEP_S, exchange.time_left)
@@ -85,7 +81,7 @@
     ) -> None:
         """Refuse when the longest wait is over, or will surely be."""
         if exchange.time_left <= 0:
-            raise Refusing(self._refuse_unplaced(exchange))
+            raise Refusing(_refuse_unplaced(exchange, candidates))
         if exchange.attempts or not self._policy.uses_slack:
             return
         wait = expected_wait(candidates, len(room) - 1)
@@ -98,7 +94,11 @@
                 ),
             )
 
-    def _candidates(self, exchange: Exchange) -> list[Candidate]:
+    def _candidates(
+        self,
+        exchange: Exchange,
+        blocks: list[int],
+    ) -> list[Candidate]:
         if exchange.kind == 'service':
             return self._directory.service_candidates(exchange.target)
         found = self._directory.candidates(
@@ -106,7 +106,6 @@
             exchange.target,
         )
         share = share_of(exchange.work)
-        blocks = hash_blocks(exchange.target, exchange.raw)
         now = time.monotonic()
         return [
             attrs.evolve(
@@ -117,29 +116,6 @@
             for candidate in found
         ]
 
-    def _note_prefix(self, exchange: Exchange, chosen: Candidate) -> None:
-        if exchange.kind != 'service':
-            blocks = hash_blocks(exchange.target, exchange.raw)
-            self._prefixes.note(chosen.name, blocks, time.monotonic())
-
-    def _refuse_unplaced(self, exchange: Exchange) -> Refusal:
-        execution = Execution.NOT_RUN
-        if exchange.offset:
-            execution = Execution.OUTCOME_UNKNOWN
-        if self._candidates(exchange):
-            return refuse(
-                ErrorKind.TARGET_UNREACHABLE,
-                'Every upstream that holds the model is full.',
-                execution,
-                retry_after=1,
-            )
-        return refuse(
-            ErrorKind.NO_READY_UPSTREAM,
-            f'Asked: {exchange.target}.',
-            execution,
-            retry_after=1,
-        )
-
 
 def _make_waiting(exchange: Exchange) -> Waiting:
     return Waiting(
@@ -147,3 +123,31 @@
         exchange.work.answer_within_s,
         exchange.work.longest_wait_s,
     )
+
+
+def _hash_prompt(exchange: Exchange) -> list[int]:
+    if exchange.kind == 'service':
+        return []
+    return hash_blocks(exchange.target, exchange.raw)
+
+
+def _refuse_unplaced(
+    exchange: Exchange,
+    candidates: list[Candidate],
+) -> Refusal:
+    execution = Execution.NOT_RUN
+    if exchange.offset:
+        execution = Execution.OUTCOME_UNKNOWN
+    if candidates:
+        return refuse(
+            ErrorKind.TARGET_UNREACHABLE,
+            'Every upstream that holds the model is full.',
+            execution,
+            retry_after=1,
+        )
+    return refuse(
+        ErrorKind.NO_READY_UPSTREAM,
+        f'Asked: {exchange.target}.',
+        execution,
+        retry_after=1,
+    )
--- a/bramleybeam/entry/_daemon.py
+++ b/bramleybeam/entry/_daemon.py
@@ -28,7 +28,7 @@
 from bramleybeam.gossip import ConfigurationGossip
 from bramleybeam.identity import make_identity
 from bramleybeam.keyvalue import HttpKeyValue
-from bramleybeam.links import Call, Link, LinkServer, Notice, Reply
+from bramleybeam.links import Call, Link, LinkServer, Reply
 from bramleybeam.messages import Topic
 from bramleybeam.settings import EntrySettings
 from bramleybeam.telemetry import Metrics, Tracing
@@ -81,7 +81,6 @@
             lambda: self.connections.links,
         )
         self.connections.on_notice = gossip.take_notice
-        self.connections.on_crash = self._note_crash
         self.connections.on_heartbeat = gossip.compare
         self.connections.on_opened = gossip.compare
         self.planner = Planner(
@@ -89,7 +88,6 @@
             self.identity,
             self.keeper,
             self.directory,
-            self.connections,
             self.hosts,
         )
         self.account = Account(self.metrics)
@@ -101,6 +99,7 @@
             self.planner,
         )
         self.quarantine = Quarantine(self.connections)
+        self.connections.on_crash = self.quarantine.take_notice
         self.deliver = Deliver(
             self.directory,
             self.connections,
@@ -108,7 +107,7 @@
             Chooser(self.directory, rng, policy),
             rng,
         )
-        self.admit = Admit(self.identity)
+        self.admit = Admit()
         self.claims = ClaimRouter(
             self.store,
             settings.name,
@@ -228,9 +227,6 @@
     async def _call_committer(self, process: str, body: bytes) -> Reply:
         return await self.connections.call(process, Topic.CLAIM, body)
 
-    def _note_crash(self, link: Link, notice: Notice) -> None:
-        self.quarantine.take_notice(link, notice)
-
     def _answer_call(self, link: Link, call: Call) -> None:
         if call.topic == Topic.CLAIM:
             work = self.claims.answer(link, call.call_id, call.body)
--- a/bramleybeam/entry/_filters.py
+++ b/bramleybeam/entry/_filters.py
@@ -9,7 +9,6 @@
 from bramleybeam.documents import ConfigurationKeeper, Document, WorkClass
 from bramleybeam.entry._exchange import Exchange
 from bramleybeam.errors import ErrorKind, Refusal, refuse
-from bramleybeam.links import LinkIdentity
 
 CLASS_HEADER = 'x-work-class'
 KEY_HEADER = 'idempotency-key'
@@ -119,10 +118,9 @@
 class Admit:
     """Refuses early what this entry cannot take."""
 
-    def __init__(self, identity: LinkIdentity) -> None:
-        """Store the identity, which says whether the entry leaves."""
+    def __init__(self) -> None:
+        """Start open."""
         self.closed = False
-        self._identity = identity
 
     async def apply(self, exchange: Exchange) -> Outcome:
         """Refuse new requests once the shutdown has closed the entry."""
--- a/bramleybeam/entry/_pipeline.py
+++ b/bramleybeam/entry/_pipeline.py
@@ -2,7 +2,6 @@
 
 from collections.abc import AsyncIterator, Sequence
 
-import structlog
 from expression import Error, Ok, Result
 
 from bramleybeam.entry._account import Account
@@ -13,16 +12,14 @@
 from bramleybeam.errors import Refusal
 from bramleybeam.telemetry import Tracing
 
-_log = structlog.get_logger('pipeline')
-
 Parts = AsyncIterator[Piece | Ending]
 
 
 class Pipeline:
     """Runs each exchange through the filters and delivers its answer.
 
-    The filters are, in order: identify, classify, check duplicates, admit.
-    Delivery chooses an upstream, dispatches and relays; account comes last,
+    The filters are, in order: identify, classify, admit, quarantine, check
+    duplicates. Delivery chooses an upstream, dispatches and relays; account comes last,
     however the exchange ends.
     """
 
--- a/bramleybeam/entry/_planner.py
+++ b/bramleybeam/entry/_planner.py
@@ -21,7 +21,6 @@
     share_limits,
 )
 from bramleybeam.documents import ConfigurationKeeper, Document
-from bramleybeam.entry._connections import Connections
 from bramleybeam.entry._directory import Directory
 from bramleybeam.entry._platform import HostList
 from bramleybeam.keyvalue import KeyValue, LeaseKeeper
@@ -69,7 +68,6 @@
         identity: LinkIdentity,
         keeper: ConfigurationKeeper,
         directory: Directory,
-        connections: Connections,
         hosts: HostList,
     ) -> None:
         """Store what plans are made from and where orders go."""
@@ -80,7 +78,6 @@
         self._identity = identity
         self._keeper = keeper
         self._directory = directory
-        self._connections = connections
         self._hosts = hosts
         self._shards: dict[str, ShardState] = {}
         self._numbers = itertools.count(1)
