--- /dev/null
+++ b/bramleybeam/catalog/__init__.py
@@ -0,0 +1,30 @@
+"""Routes, services and replicas, decoded from what the platform publishes."""
+
+from bramleybeam.catalog._configuration import (
+    EngineSpec,
+    ModelSpec,
+    RequestKind,
+    RequestLimits,
+    Route,
+    RouteTarget,
+    RoutingConfiguration,
+    Service,
+)
+from bramleybeam.catalog._host import HostSettings, TimeBounds
+from bramleybeam.catalog._replicas import Holdings, Replica, ReplicaState
+
+__all__ = [
+    'EngineSpec',
+    'Holdings',
+    'HostSettings',
+    'ModelSpec',
+    'Replica',
+    'ReplicaState',
+    'RequestKind',
+    'RequestLimits',
+    'Route',
+    'RouteTarget',
+    'RoutingConfiguration',
+    'Service',
+    'TimeBounds',
+]
--- a/bramleybeam/decisions/_prefixes.py
+++ b/bramleybeam/decisions/_prefixes.py
@@ -42,6 +42,13 @@
             cached += 0.5 ** ((now - moment) / _HALF_LIFE_S)
         return cached / len(blocks) if blocks else 0
 
+    def count_leading(self, upstream: str, blocks: Sequence[int]) -> int:
+        """Count the leading blocks that the upstream has run."""
+        for index, block in enumerate(blocks):
+            if (upstream, block) not in self._blocks:
+                return index
+        return len(blocks)
+
 
 def hash_blocks(target: str, prompt: bytes) -> list[int]:
     """Return a hash for each whole block of a prompt's beginning."""
--- a/bramleybeam/decisions/_routing.py
+++ b/bramleybeam/decisions/_routing.py
@@ -45,17 +45,19 @@
 def choose_upstream(
     candidates: Sequence[Candidate],
     rng: random.Random,
+    sampled: int = _SAMPLED,
 ) -> Candidate | None:
     """Choose among candidates with room; ``None`` when there are none.
 
-    Two are drawn at random, and the one with the best prefix cache joins
-    them; the lowest estimate wins. Drawing keeps many entries with the same
-    stale figures from all choosing the same upstream.
+    ``sampled`` are drawn at random, and the one with the best prefix cache
+    joins them; the lowest estimate wins. Drawing few keeps many entries with
+    the same stale figures from all choosing the same upstream; drawing all
+    is best where figures are fresh.
     """
     open_ones = [candidate for candidate in candidates if candidate.has_room]
     if not open_ones:
         return None
-    drawn = rng.sample(open_ones, min(_SAMPLED, len(open_ones)))
+    drawn = rng.sample(open_ones, min(sampled, len(open_ones)))
     best_cached = max(open_ones, key=lambda one: one.cached_share)
     if best_cached.cached_share > 0:
         drawn.append(best_cached)
--- /dev/null
+++ b/bramleybeam/gateway/_choose.py
@@ -0,0 +1,207 @@
+"""Chooses the replica of a request, waiting in order of slack for room."""
+
+import random
+from collections import defaultdict
+from typing import Final
+
+import xxhash
+
+from bramleybeam.catalog import Replica
+from bramleybeam.decisions import (
+    Candidate,
+    PrefixMemory,
+    Target,
+    Waiting,
+    choose_upstream,
+    is_next,
+)
+from bramleybeam.errors import ErrorKind, Refusal, refuse
+from bramleybeam.gateway._demand import DemandTable
+from bramleybeam.gateway._directory import Directory, Signal
+from bramleybeam.gateway._job import Job, RefusingError
+from bramleybeam.gateway._loads import LoadTable, Work
+
+_WAIT_STEP_S: Final = 0.25
+# Prompt tokens that a replica reads in a second.
+_PREFILL_TOKENS_PER_S: Final = 20_000.0
+# Time that each request in a batch adds to everyone's next token.
+_STEP_PER_REQUEST_S: Final = 0.000_4
+# Requests in a plain service's queue for each that it runs.
+_PLAIN_QUEUE_SHARE: Final = 2
+_RETRY_AFTER_S: Final = 1.0
+_PLAIN_RETRY_AFTER_S: Final = 0.1
+_MISSING_S: Final = 1.0
+
+
+class Chooser:
+    """Finds a replica that holds what a request needs and has room."""
+
+    def __init__(
+        self,
+        directory: Directory,
+        loads: LoadTable,
+        demand: DemandTable,
+        zone: str,
+        rng: random.Random,
+    ) -> None:
+        """Store what is known of replicas and their work."""
+        self.changed = Signal()
+        self._directory = directory
+        self._loads = loads
+        self._demand = demand
+        self._zone = zone
+        self._rng = rng
+        self._prefixes = PrefixMemory()
+        self._rooms: dict[Target, list[Waiting]] = defaultdict(list)
+        self._missing: dict[tuple[str, Target], float] = {}
+        directory.on_change.append(self.changed.fire)
+
+    async def choose(self, job: Job, now: float) -> tuple[Replica, Work]:
+        """Wait for a replica; raises ``RefusingError`` when there is none."""
+        chosen = self._try_choose(job, now)
+        if chosen is None:
+            chosen = await self._wait(job)
+        replica = self._directory.replicas[chosen.name]
+        return replica, self._make_work(job, replica)
+
+    def note_missing(
+        self, replica: Replica, target: Target, now: float
+    ) -> None:
+        """Remember that a replica said that it doesn't hold a target."""
+        self._missing[replica.name, target] = now + _MISSING_S
+
+    def _make_work(self, job: Job, replica: Replica) -> Work:
+        facts = job.facts
+        blocks = _hash_parts(job)
+        known = self._prefixes.count_leading(replica.name, blocks)
+        cached = sum(part.tokens for part in facts.parts[:known])
+        self._prefixes.note(replica.name, blocks, self._directory.now())
+        return Work(
+            job.target,
+            max(0, facts.prompt_tokens - cached),
+            facts.prompt_tokens + facts.output_tokens,
+        )
+
+    async def _wait(self, job: Job) -> Candidate:
+        room = self._rooms[job.target]
+        mine = job.waiting
+        room.append(mine)
+        is_absent = self._note_absence(job)
+        try:
+            while True:
+                now = self._directory.now()
+                left = job.received_at + job.patience_s - now
+                if left <= 0:
+                    raise RefusingError(_refuse(job))
+                await self.changed.wait(min(_WAIT_STEP_S, left))
+                now = self._directory.now()
+                if is_next(mine, room, now):
+                    chosen = self._try_choose(job, now)
+                    if chosen is not None:
+                        return chosen
+                if not is_absent:
+                    is_absent = self._note_absence(job)
+        finally:
+            room.remove(mine)
+            if not room:
+                self._rooms.pop(job.target, None)
+            if is_absent:
+                self._demand.end_waiting(job.target)
+            self.changed.fire()
+
+    def _note_absence(self, job: Job) -> bool:
+        """Count the request as waiting for a load when nobody holds it."""
+        if job.service.engine is None or self._holders(job):
+            return False
+        self._demand.begin_waiting(job.target)
+        return True
+
+    def _try_choose(self, job: Job, now: float) -> Candidate | None:
+        holders = self._holders(job)
+        fresh = [one for one in holders if one.name not in job.passed_over]
+        blocks = _hash_parts(job)
+        candidates = [
+            self._candidate(job, replica, blocks, now)
+            for replica in fresh or holders
+        ]
+        return choose_upstream(candidates, self._rng, sampled=len(candidates))
+
+    def _holders(self, job: Job) -> list[Replica]:
+        now = self._directory.now()
+        holders = [
+            replica
+            for replica in self._directory.replicas_of(job.service.name)
+            if self._holds(replica, job.target, now)
+        ]
+        reachable = [
+            replica
+            for replica in holders
+            if not self._directory.is_passed_over(replica.name)
+        ]
+        return reachable or holders
+
+    def _holds(self, replica: Replica, target: Target, now: float) -> bool:
+        until = self._missing.get((replica.name, target))
+        if until is not None:
+            if now < until:
+                return False
+            self._missing.pop((replica.name, target))
+        model, adapter = target
+        if not model:
+            return True
+        placed = self._directory.placed(replica)
+        adapters = placed.holdings.models.get(model)
+        if adapters is None or model == placed.leaving:
+            return False
+        return not adapter or adapter in adapters
+
+    def _candidate(
+        self,
+        job: Job,
+        replica: Replica,
+        blocks: list[int],
+        now: float,
+    ) -> Candidate:
+        load = self._loads.total(replica.name, now)
+        engine = job.service.engine
+        is_near = replica.zone == self._zone
+        if engine is None:
+            return Candidate(
+                replica.name,
+                load.requests,
+                replica.slots * _PLAIN_QUEUE_SHARE,
+                zone_distance=int(not is_near),
+            )
+        known = self._prefixes.count_leading(replica.name, blocks)
+        cached = sum(part.tokens for part in job.facts.parts[:known])
+        unread = load.unread_tokens + job.facts.prompt_tokens - cached
+        return Candidate(
+            replica.name,
+            load.requests,
+            replica.slots,
+            zone_distance=int(not is_near),
+            step_s=_STEP_PER_REQUEST_S,
+            first_token_s=unread / _PREFILL_TOKENS_PER_S,
+        )
+
+
+def _refuse(job: Job) -> Refusal:
+    if job.service.engine is None:
+        return refuse(
+            ErrorKind.TARGET_UNREACHABLE,
+            retry_after=_PLAIN_RETRY_AFTER_S,
+        )
+    return refuse(
+        ErrorKind.NO_READY_UPSTREAM,
+        f'Asked: {job.facts.model} {job.facts.adapter}.',
+        retry_after=_RETRY_AFTER_S,
+    )
+
+
+def _hash_parts(job: Job) -> list[int]:
+    """Hash the parts of a prompt, each with its model, as blocks."""
+    seed = '/'.join(job.target)
+    return [
+        xxhash.xxh64_intdigest(f'{seed} {part.name}'.encode())
+        for part in job.facts.parts
+    ]
--- /dev/null
+++ b/bramleybeam/gateway/_directory.py
@@ -0,0 +1,277 @@
+"""What a gateway believes of configuration, replicas and other gateways.
+
+The store's word is taken at once. Entries that vanish around an outage of
+the store are held for a moment after its return, since a live replica writes
+its entry again. A configuration is only ever replaced by a newer one.
+"""
+
+import asyncio
+from collections.abc import Callable, Mapping
+from typing import Final
+
+import attrs
+import structlog
+
+from bramleybeam import platform
+from bramleybeam.catalog import (
+    Holdings,
+    Replica,
+    ReplicaState,
+    RoutingConfiguration,
+)
+from bramleybeam.keyvalue import Changes, Item, Listing, Removal
+
+OWN_PREFIX: Final = 'bramleybeam/'
+PEER_PREFIX: Final = 'bramleybeam/peers/'
+PLANNER_NAME: Final = 'planner'
+# How long after the store's return a lapsed entry may come back.
+LAPSE_GRACE_S: Final = 2.0
+# A gateway whose entry is gone may only have lost the store.
+_PEER_GRACE_S: Final = 15.0
+# How long a replica that could not be reached is passed over, in seconds.
+_FIRST_PENALTY_S: Final = 0.25
+_LONGEST_PENALTY_S: Final = 4.0
+_log = structlog.get_logger('directory')
+
+
+@attrs.frozen
+class PlacedHoldings:
+    """What the planner says a replica holds, and what is being dropped.
+
+    ``started_ms`` tells which start of the replica is meant.
+    """
+
+    holdings: Holdings
+    leaving: str = ''
+    started_ms: int = 0
+
+
+@attrs.define
+class _Penalty:
+    until: float
+    period: float
+
+
+class Directory:
+    """Beliefs of one gateway; ``clock`` gives seconds that never go back."""
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        """Start without any knowledge."""
+        self.configuration: RoutingConfiguration | None = None
+        self.replicas: dict[str, Replica] = {}
+        self.peers: dict[str, str] = {}
+        self.planner_revision = 0
+        self.is_listed = False
+        self.on_change: list[Callable[[], None]] = []
+        self._clock = clock
+        self._lapsed: dict[str, float] = {}
+        self._lost_peers: dict[str, float] = {}
+        self._placement: Mapping[str, PlacedHoldings] = {}
+        self._placement_epoch = 0
+        self._placement_until = 0.0
+        self._penalties: dict[str, _Penalty] = {}
+        self._store_lost_at: float | None = None
+        self._store_back_at = float('-inf')
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether requests can be judged."""
+        return self.configuration is not None and self.is_listed
+
+    def now(self) -> float:
+        """Return the time by the directory's clock."""
+        return self._clock()
+
+    def replicas_of(self, service: str) -> list[Replica]:
+        """Return the replicas of a service that take new work."""
+        self._drop_lapsed()
+        return [
+            replica
+            for replica in self.replicas.values()
+            if replica.service == service
+            and replica.state == ReplicaState.READY
+        ]
+
+    def placed(self, replica: Replica) -> PlacedHoldings:
+        """Return what a replica holds, by the planner if it was heard."""
+        told = self._placement.get(replica.name)
+        if told is None or self._clock() > self._placement_until:
+            return PlacedHoldings(replica.holdings)
+        if told.started_ms != replica.started_ms:
+            return PlacedHoldings(replica.holdings)
+        return told
+
+    def hear_placement(
+        self,
+        epoch: int,
+        placement: Mapping[str, PlacedHoldings],
+        valid_s: float,
+    ) -> None:
+        """Take in the planner's word; that of an older planner is dropped."""
+        if epoch < self._placement_epoch:
+            return
+        self._placement_epoch = epoch
+        self._placement = placement
+        self._placement_until = self._clock() + valid_s
+        self.signal()
+
+    def is_passed_over(self, name: str) -> bool:
+        """Whether a replica could not be reached a moment ago."""
+        penalty = self._penalties.get(name)
+        return penalty is not None and self._clock() < penalty.until
+
+    def note_unreachable(self, name: str) -> None:
+        """Pass a replica over for a while, longer each time."""
+        known = self._penalties.get(name)
+        period = _FIRST_PENALTY_S
+        if known is not None:
+            period = min(_LONGEST_PENALTY_S, known.period * 2)
+        now = self._clock()
+        self._penalties[name] = _Penalty(now + period, period)
+        _log.info('replica_unreachable', replica=name, seconds=period)
+
+    def note_reachable(self, name: str) -> None:
+        """Forget that a replica could not be reached."""
+        self._penalties.pop(name, None)
+
+    def note_store(self, *, answers: bool) -> None:
+        """Note whether the store answers; a return starts a grace period."""
+        if not answers and self._store_lost_at is None:
+            self._store_lost_at = self._clock()
+            _log.warning('store_lost')
+        if answers and self._store_lost_at is not None:
+            lost_s = self._clock() - self._store_lost_at
+            self._store_lost_at = None
+            self._store_back_at = self._clock()
+            _log.info('store_regained', lost_s=round(lost_s, 3))
+
+    def replace(self, listing: Listing) -> None:
+        """Take in everything that the store holds."""
+        present = {item.key for item in listing.items}
+        known = [
+            *(platform.REPLICA_PREFIX + name for name in self.replicas),
+            *(PEER_PREFIX + name for name in self.peers),
+        ]
+        for key in known:
+            if key not in present:
+                self._remove(key)
+        if OWN_PREFIX + PLANNER_NAME not in present:
+            self.planner_revision = 0
+        for item in listing.items:
+            self._put(item)
+        self.is_listed = True
+        self.signal()
+
+    def apply(self, changes: Changes) -> None:
+        """Take in changes, in their order."""
+        for event in changes.events:
+            match event:
+                case Item():
+                    self._put(event)
+                case Removal(key=key):
+                    self._remove(key)
+        if changes.events:
+            self.signal()
+
+    def signal(self) -> None:
+        """Tell whoever waits for a change."""
+        for callback in self.on_change:
+            callback()
+
+    def _put(self, item: Item) -> None:
+        key = item.key
+        if key == platform.CONFIGURATION_KEY:
+            self._take_configuration(item.content)
+        elif key.startswith(platform.REPLICA_PREFIX):
+            self._take_replica(key, item.content)
+        elif key.startswith(PEER_PREFIX):
+            name = key.removeprefix(PEER_PREFIX)
+            self._lost_peers.pop(name, None)
+            self.peers[name] = item.content.decode('ascii', 'replace')
+        elif key == OWN_PREFIX + PLANNER_NAME:
+            self.planner_revision = item.revision
+
+    def _take_configuration(self, content: bytes) -> None:
+        newer = platform.decode_configuration(content)
+        if newer is None:
+            return
+        current = self.configuration
+        if current is not None and newer.version <= current.version:
+            return
+        self.configuration = newer
+        _log.info(
+            'configuration_in_force',
+            version=newer.version,
+            routes=len(newer.routes),
+        )
+
+    def _take_replica(self, key: str, content: bytes) -> None:
+        replica = platform.decode_replica(key, content)
+        if replica is None:
+            return
+        known = self.replicas.get(replica.name)
+        self._lapsed.pop(replica.name, None)
+        self.replicas[replica.name] = replica
+        if known is None or known.incarnation != replica.incarnation:
+            self._penalties.pop(replica.name, None)
+            _log.info(
+                'replica_seen', replica=replica.name, service=replica.service
+            )
+        if replica.state == ReplicaState.DRAINING:
+            _log.info('replica_draining', replica=replica.name)
+
+    def _remove(self, key: str) -> None:
+        if key == OWN_PREFIX + PLANNER_NAME:
+            self.planner_revision = 0
+        elif key.startswith(PEER_PREFIX):
+            name = key.removeprefix(PEER_PREFIX)
+            self._lost_peers.setdefault(name, self._clock())
+        elif key.startswith(platform.REPLICA_PREFIX):
+            self._remove_replica(key.removeprefix(platform.REPLICA_PREFIX))
+
+    def _remove_replica(self, name: str) -> None:
+        replica = self.replicas.get(name)
+        if replica is None:
+            return
+        held_until = self._store_back_at + LAPSE_GRACE_S
+        if replica.state == ReplicaState.READY and self._clock() < held_until:
+            self._lapsed[name] = held_until
+            _log.info('replica_lapsed', replica=name)
+            return
+        self.replicas.pop(name)
+        _log.info('replica_gone', replica=name)
+
+    def _drop_lapsed(self) -> None:
+        now = self._clock()
+        for name, until in tuple(self._lapsed.items()):
+            if now >= until:
+                self._lapsed.pop(name)
+                self.replicas.pop(name, None)
+                _log.info('replica_gone', replica=name, after='lapse')
+        for name, lost_at in tuple(self._lost_peers.items()):
+            if now - lost_at > _PEER_GRACE_S:
+                self._lost_peers.pop(name)
+                self.peers.pop(name, None)
+
+
+class Signal:
+    """Wakes everyone who waits, once for each change."""
+
+    def __init__(self) -> None:
+        """Start with nobody waiting."""
+        self._waiters: set[asyncio.Future[None]] = set()
+
+    def fire(self) -> None:
+        """Wake everyone who waits now."""
+        for waiter in self._waiters:
+            if not waiter.done():
+                waiter.set_result(None)
+
+    async def wait(self, timeout: float) -> None:
+        """Wait for the next change, at most ``timeout`` seconds."""
+        waiter = asyncio.get_running_loop().create_future()
+        self._waiters.add(waiter)
+        try:
+            await asyncio.wait({waiter}, timeout=timeout)
+        finally:
+            self._waiters.discard(waiter)
--- /dev/null
+++ b/bramleybeam/gateway/_forward.py
@@ -0,0 +1,327 @@
+"""Takes a caller's request to a replica, again where that is safe."""
+
+import asyncio
+import random
+from typing import Final
+
+import structlog
+
+from bramleybeam import platform
+from bramleybeam.catalog import HostSettings, Replica, Route, Service
+from bramleybeam.decisions import (
+    AttemptHistory,
+    AttemptLost,
+    Failure,
+    GiveUp,
+    NeverArrived,
+    RefusedByAgent,
+    RetryBudget,
+    TryAgain,
+    decide_retry,
+)
+from bramleybeam.errors import ErrorKind, Execution, Refusal, refuse
+from bramleybeam.gateway import _attempt as outcomes
+from bramleybeam.gateway._choose import Chooser
+from bramleybeam.gateway._demand import DemandTable
+from bramleybeam.gateway._directory import Directory
+from bramleybeam.gateway._job import Job, RefusingError
+from bramleybeam.gateway._loads import LoadTable, Work
+from bramleybeam.relay import CallerConnection, InboundRequest
+
+# Time after its deadline in which a replica's own last word may arrive.
+_LAST_WORD_S: Final = 0.1
+_SOON_S: Final = 0.5
+_log = structlog.get_logger('requests')
+
+
+class Forwarder:
+    """The request pipeline: match, describe, choose, send, retry, account."""
+
+    def __init__(
+        self,
+        settings: HostSettings,
+        directory: Directory,
+        chooser: Chooser,
+        loads: LoadTable,
+        demand: DemandTable,
+        rng: random.Random,
+    ) -> None:
+        """Store the parts that a request passes."""
+        self.is_stopping = False
+        self._settings = settings
+        self._directory = directory
+        self._chooser = chooser
+        self._loads = loads
+        self._demand = demand
+        self._rng = rng
+        self._budgets: dict[str, RetryBudget] = {}
+
+    async def handle(
+        self,
+        request: InboundRequest,
+        connection: CallerConnection,
+    ) -> None:
+        """Answer one request of a caller."""
+        facts = platform.describe_request(request)
+        request_id = facts.request_id if facts else ''
+        try:
+            job = self._admit(request, facts, connection)
+        except RefusingError as refusing:
+            _answer_refusal(request_id, connection, refusing.refusal)
+            return
+        try:
+            async with asyncio.timeout_at(job.give_up_at + _LAST_WORD_S):
+                await self._deliver(job)
+        except RefusingError as refusing:
+            self._refuse(job, refusing.refusal)
+        except TimeoutError:
+            self._refuse(job, _refuse_timeout(job))
+        except asyncio.CancelledError:
+            _log.info('caller_left', request=request_id, sends=job.sends)
+            raise
+
+    def _admit(
+        self,
+        request: InboundRequest,
+        facts: platform.RequestFacts | None,
+        connection: CallerConnection,
+    ) -> Job:
+        configuration = self._directory.configuration
+        if self.is_stopping:
+            raise RefusingError(
+                refuse(ErrorKind.SHUTTING_DOWN, retry_after=_SOON_S / 5),
+            )
+        if configuration is None or not self._directory.is_listed:
+            raise RefusingError(
+                refuse(ErrorKind.NOT_CONFIGURED, retry_after=_SOON_S),
+            )
+        route = configuration.match(request.host, request.path)
+        if route is None:
+            raise RefusingError(
+                refuse(ErrorKind.UNKNOWN_SERVICE, request.path),
+            )
+        if facts is None:
+            raise RefusingError(
+                refuse(ErrorKind.INVALID_REQUEST, 'The request id is missing.'),
+            )
+        service = configuration.services.get(self._pick_target(route))
+        if service is None:
+            raise RefusingError(
+                refuse(ErrorKind.NO_READY_UPSTREAM, retry_after=_SOON_S),
+            )
+        return self._make_job(request, facts, route, service, connection)
+
+    def _make_job(
+        self,
+        request: InboundRequest,
+        facts: platform.RequestFacts,
+        route: Route,
+        service: Service,
+        connection: CallerConnection,
+    ) -> Job:
+        patience = min(facts.deadline_s, route.timeout_s)
+        job = Job(
+            request,
+            facts,
+            route,
+            service,
+            connection,
+            request.received_at + patience,
+            last_event=facts.last_event,
+        )
+        now = self._directory.now()
+        self._budget(service.name).note_request(now)
+        if facts.model:
+            self._demand.note_request(facts.model, facts.prompt_tokens, now)
+        return job
+
+    def _pick_target(self, route: Route) -> str:
+        if len(route.targets) == 1:
+            return route.targets[0].service
+        names = [target.service for target in route.targets]
+        weights = [target.weight for target in route.targets]
+        return self._rng.choices(names, weights)[0]
+
+    async def _deliver(self, job: Job) -> None:
+        while True:
+            now = self._directory.now()
+            if job.sends and not self._take_repeat(job, now):
+                raise RefusingError(_refuse_unplaced(job))
+            replica, work = await self._chooser.choose(job, now)
+            outcome = await self._send(job, replica, work)
+            if isinstance(outcome, outcomes.Delivered):
+                _log.info('answered', **_describe(job, replica, outcome))
+                return
+            _log.info('attempt_failed', **_describe(job, replica, outcome))
+            if not await self._settle(job, replica, outcome):
+                return
+
+    async def _send(
+        self,
+        job: Job,
+        replica: Replica,
+        work: Work,
+    ) -> outcomes.Outcome:
+        attempt = outcomes.Attempt(job, replica)
+        self._loads.begin(replica.name, work)
+        reader = asyncio.create_task(self._note_read(attempt, replica, work))
+        time_left = job.give_up_at - self._directory.now()
+        try:
+            return await attempt.run(time_left)
+        finally:
+            reader.cancel()
+            self._loads.end(replica.name, work)
+            self._chooser.changed.fire()
+
+    async def _note_read(
+        self,
+        attempt: outcomes.Attempt,
+        replica: Replica,
+        work: Work,
+    ) -> None:
+        await attempt.has_begun.wait()
+        self._loads.note_read(replica.name, work)
+
+    async def _settle(
+        self,
+        job: Job,
+        replica: Replica,
+        outcome: outcomes.Outcome,
+    ) -> bool:
+        """Tell whether to try again, after a pause; may raise a refusal."""
+        self._note_outcome(job, replica, outcome)
+        history = self._history(job)
+        failure = _failure_of(outcome)
+        match decide_retry(failure, history, self._rng):
+            case TryAgain(wait=wait):
+                await asyncio.sleep(wait)
+                return True
+            case GiveUp(refusal=refusal):
+                if not isinstance(outcome, outcomes.FailedReply):
+                    raise RefusingError(refusal)
+        _pass_failure(job, outcome)
+        return False
+
+    def _history(self, job: Job) -> AttemptHistory:
+        now = self._directory.now()
+        return AttemptHistory(
+            attempts=job.sends,
+            idempotent=job.route.may_repeat,
+            started=job.connection.answer_started,
+            time_left=job.received_at + job.patience_s - now,
+            may_retry=job.runs < job.route.attempts,
+        )
+
+    def _note_outcome(
+        self,
+        job: Job,
+        replica: Replica,
+        outcome: outcomes.Outcome,
+    ) -> None:
+        job.passed_over.add(replica.name)
+        now = self._directory.now()
+        match outcome:
+            case outcomes.NotArrived():
+                self._directory.note_unreachable(replica.name)
+            case outcomes.NotRun(is_missing=True):
+                self._chooser.note_missing(replica, job.target, now)
+
+    def _take_repeat(self, job: Job, now: float) -> bool:
+        gateways = max(1, len(self._directory.peers))
+        return self._budget(job.service.name).take(now, gateways)
+
+    def _budget(self, service: str) -> RetryBudget:
+        if service not in self._budgets:
+            self._budgets[service] = RetryBudget(
+                self._settings.retry_ratio,
+                self._settings.retry_allowance,
+                self._settings.bounds.retry_window_s,
+            )
+        return self._budgets[service]
+
+    def _refuse(self, job: Job, refusal: Refusal) -> None:
+        _log.warning(
+            'refused',
+            request=job.facts.request_id,
+            route=job.route.name,
+            kind=refusal.kind,
+            status=refusal.status,
+            execution=refusal.execution,
+            sends=job.sends,
+            model=job.facts.model,
+            adapter=job.facts.adapter,
+            age_s=round(self._directory.now() - job.received_at, 3),
+        )
+        if job.connection.answer_started:
+            job.connection.break_off()
+            return
+        _answer_refusal(job.facts.request_id, job.connection, refusal)
+
+
+def _pass_failure(job: Job, outcome: outcomes.Outcome) -> None:
+    match outcome:
+        case outcomes.FailedReply(status=status, headers=headers, body=body):
+            if job.connection.answer_started:
+                job.connection.break_off()
+            else:
+                job.connection.respond(status, headers, body)
+
+
+def _failure_of(outcome: outcomes.Outcome) -> Failure:
+    match outcome:
+        case outcomes.NotArrived():
+            return NeverArrived()
+        case outcomes.NotRun(status=status):
+            return RefusedByAgent(
+                ErrorKind.NO_READY_UPSTREAM,
+                f'The replica answered {status}.',
+            )
+        case outcomes.Lost(reason=reason):
+            return AttemptLost(reason)
+    return AttemptLost('the replica answered with a failure')
+
+
+def _describe(
+    job: Job,
+    replica: Replica,
+    outcome: outcomes.Outcome,
+) -> dict[str, object]:
+    return {
+        'request': job.facts.request_id,
+        'route': job.route.name,
+        'replica': replica.name,
+        'model': job.facts.model,
+        'adapter': job.facts.adapter,
+        'sends': job.sends,
+        'outcome': type(outcome).__name__,
+        'detail': getattr(outcome, 'reason', getattr(outcome, 'status', '')),
+        'age_s': round(asyncio.get_running_loop().time() - job.received_at, 3),
+    }
+
+
+def _refuse_unplaced(job: Job) -> Refusal:
+    if job.runs:
+        return refuse(
+            ErrorKind.UPSTREAM_LOST,
+            execution=Execution.OUTCOME_UNKNOWN,
+        )
+    return refuse(ErrorKind.TARGET_UNREACHABLE, retry_after=_SOON_S)
+
+
+def _refuse_timeout(job: Job) -> Refusal:
+    if job.runs:
+        return refuse(
+            ErrorKind.DEADLINE_EXCEEDED,
+            execution=Execution.OUTCOME_UNKNOWN,
+        )
+    return refuse(ErrorKind.TARGET_UNREACHABLE, retry_after=_SOON_S)
+
+
+def _answer_refusal(
+    request_id: str,
+    connection: CallerConnection,
+    refusal: Refusal,
+) -> None:
+    body = f'{refusal.message} {refusal.remedy}\n'.encode()
+    headers = platform.refusal_headers(request_id, refusal.retry_after)
+    connection.respond(refusal.status, headers, body)
--- /dev/null
+++ b/bramleybeam/gateway/_job.py
@@ -0,0 +1,63 @@
+"""One caller's request on its way through a gateway."""
+
+import attrs
+
+from bramleybeam.catalog import Route, Service
+from bramleybeam.decisions import Target, Waiting
+from bramleybeam.errors import Refusal
+from bramleybeam.platform import RequestFacts
+from bramleybeam.relay import CallerConnection, InboundRequest
+
+
+class RefusingError(Exception):
+    """Ends a request with a refusal."""
+
+    def __init__(self, refusal: Refusal) -> None:
+        """Store the refusal to answer with."""
+        super().__init__(refusal.message)
+        self.refusal = refusal
+
+
+@attrs.define(eq=False)
+class Job:
+    """State of one request; moments are in loop seconds.
+
+    ``sends`` counts the times that it was handed to a replica, ``runs`` those
+    after which it may have run. ``last_event`` is the id of the last event
+    that the caller was given.
+    """
+
+    request: InboundRequest
+    facts: RequestFacts
+    route: Route
+    service: Service
+    connection: CallerConnection
+    give_up_at: float
+    sends: int = 0
+    runs: int = 0
+    last_event: str = ''
+    passed_over: set[str] = attrs.field(factory=set)
+
+    @property
+    def target(self) -> Target:
+        """The model and adapter that it asks for; empty for plain services."""
+        return self.facts.model, self.facts.adapter
+
+    @property
+    def received_at(self) -> float:
+        """When it began to arrive."""
+        return self.request.received_at
+
+    @property
+    def patience_s(self) -> float:
+        """How long it may wait for a replica, from its arrival."""
+        return (self.give_up_at - self.received_at) / 2
+
+    @property
+    def waiting(self) -> Waiting:
+        """Its place among those that wait."""
+        return Waiting(
+            self.received_at,
+            self.route.objective_s,
+            self.give_up_at - self.received_at,
+        )
--- /dev/null
+++ b/bramleybeam/gateway/_ledger.py
@@ -0,0 +1,154 @@
+"""What the planner knows of one replica, kept in step with its orders.
+
+Every order names the sequence that it expects, so that a replica takes it
+only in the state that it was planned for: an order that arrives late, or
+twice, is refused. The ledger follows the replica's own count.
+"""
+
+from typing import Final
+
+import attrs
+
+from bramleybeam.catalog import Holdings, Replica
+from bramleybeam.decisions import (
+    LoadAdapter,
+    LoadModel,
+    ModelOrder,
+    UnloadAdapter,
+    UnloadModel,
+)
+
+# Time in which an adapter has arrived at most replicas.
+_ADAPTER_ARRIVAL_S: Final = 0.04
+# Time after which a model order that shows no effect is looked into.
+_ORDER_PATIENCE_S: Final = 4.0
+
+
+@attrs.define
+class ReplicaLedger:
+    """Holdings of one start of a replica; moments are in seconds.
+
+    ``is_giving`` is set while an order is on its way, ``check_at`` is when
+    the replica has to be asked before it may be given further orders.
+    """
+
+    replica: Replica
+    holdings: Holdings
+    loading: str = ''
+    leaving: str = ''
+    ordered_at: float = 0
+    is_giving: bool = False
+    check_at: float | None = None
+    _arrivals: list[tuple[float, str, str]] = attrs.field(factory=list)
+
+    @property
+    def is_open(self) -> bool:
+        """Whether an order for a model may be given."""
+        is_idle = not (self.loading or self.leaving or self.is_giving)
+        return is_idle and self.check_at is None
+
+    def see_entry(self, replica: Replica, now: float) -> None:
+        """Take in what the replica wrote of itself."""
+        before = self.replica.holdings.models.keys()
+        self.replica = replica
+        shown = replica.holdings.models.keys()
+        if shown == before or self.is_giving:
+            return
+        if self.loading and self.loading in shown:
+            self._note_loaded()
+        elif self.leaving and self.leaving not in shown:
+            self._note_left()
+        elif shown != self.holdings.models.keys():
+            self.check_at = now
+        self._note_at_hand(replica.holdings)
+
+    def see_report(self, shown: Holdings, now: float) -> None:
+        """Take in a report that was asked for; it may be a little old."""
+        if shown.sequence < self.holdings.sequence:
+            self.check_at = now + 0.3
+            return
+        self.check_at = None
+        self._adopt(shown)
+        if shown.is_busy:
+            self.check_at = now + 0.5
+
+    def note_accepted(
+        self, order: ModelOrder, now: float, *, done: bool
+    ) -> None:
+        """Count an accepted order and its effect."""
+        advances = not done or isinstance(order, UnloadAdapter)
+        if advances:
+            self.holdings = attrs.evolve(
+                self.holdings, sequence=self.holdings.sequence + 1
+            )
+        match order:
+            case LoadModel(model=model) if not done:
+                self.loading = model
+                self.ordered_at = now
+            case UnloadModel(model=model) if not done:
+                self.leaving = model
+                self.ordered_at = now
+            case LoadAdapter(model=model, adapter=adapter):
+                self._expect_adapter(model, adapter, now)
+            case UnloadAdapter(model=model, adapter=adapter):
+                self._drop_adapter(model, adapter)
+            case _:
+                self.check_at = now
+
+    def advance(self, now: float) -> bool:
+        """Let time pass; tell whether adapters have arrived."""
+        if (self.loading or self.leaving) and self.check_at is None:
+            if now > self.ordered_at + _ORDER_PATIENCE_S:
+                self.check_at = now
+        ready = [row for row in self._arrivals if row[0] <= now]
+        for row in ready:
+            self._arrivals.remove(row)
+            self._settle_adapter(row[1], row[2])
+        return bool(ready)
+
+    def _adopt(self, shown: Holdings) -> None:
+        self.holdings = shown
+        self._note_at_hand(self.replica.holdings)
+        self._arrivals.clear()
+        if not shown.is_busy:
+            self.loading = ''
+            self.leaving = ''
+
+    def _note_at_hand(self, shown: Holdings) -> None:
+        self.holdings = attrs.evolve(
+            self.holdings,
+            in_memory=shown.in_memory or self.holdings.in_memory,
+            on_disk=shown.on_disk or self.holdings.on_disk,
+        )
+
+    def _note_loaded(self) -> None:
+        models = dict(self.holdings.models)
+        models.setdefault(self.loading, frozenset())
+        self.holdings = attrs.evolve(self.holdings, models=models)
+        self.loading = ''
+
+    def _note_left(self) -> None:
+        models = dict(self.holdings.models)
+        models.pop(self.leaving, None)
+        self.holdings = attrs.evolve(self.holdings, models=models)
+        self.leaving = ''
+
+    def _expect_adapter(self, model: str, adapter: str, now: float) -> None:
+        arriving = self.holdings.arriving | {(model, adapter)}
+        self.holdings = attrs.evolve(self.holdings, arriving=arriving)
+        self._arrivals.append((now + _ADAPTER_ARRIVAL_S, model, adapter))
+
+    def _settle_adapter(self, model: str, adapter: str) -> None:
+        models = dict(self.holdings.models)
+        if model in models:
+            models[model] = models[model] | {adapter}
+        self.holdings = attrs.evolve(
+            self.holdings,
+            models=models,
+            arriving=self.holdings.arriving - {(model, adapter)},
+        )
+
+    def _drop_adapter(self, model: str, adapter: str) -> None:
+        models = dict(self.holdings.models)
+        models[model] = models.get(model, frozenset()) - {adapter}
+        self.holdings = attrs.evolve(self.holdings, models=models)
--- /dev/null
+++ b/bramleybeam/gateway/_planner.py
@@ -0,0 +1,259 @@
+"""The one giver of orders: holds the lease, plans, and gives orders.
+
+Any gateway may become the planner. A new one waits until no order of the
+last one can count as its rival's, and gives none once its lease may have run
+out, by a clock that goes on while the host is suspended.
+"""
+
+import asyncio
+import random
+from typing import Final
+
+import structlog
+
+from bramleybeam import platform
+from bramleybeam.catalog import EngineSpec, HostSettings, ReplicaState
+from bramleybeam.decisions import (
+    Demand,
+    EngineView,
+    LoadModel,
+    ModelOrder,
+    TokenBucket,
+    plan_model_orders,
+)
+from bramleybeam.gateway._demand import DemandTable
+from bramleybeam.gateway._directory import (
+    PLANNER_NAME,
+    Directory,
+    PlacedHoldings,
+)
+from bramleybeam.gateway._ledger import ReplicaLedger
+from bramleybeam.gateway._loads import LoadTable
+from bramleybeam.keyvalue import LeaseKeeper
+from bramleybeam.timers import TaskSet
+
+LEASE_TTL_S: Final = 2.0
+_RENEW_S: Final = 0.5
+# Share of the weight store's rate that is used.
+_STORE_SHARE: Final = 0.9
+_STORE_BURST: Final = 2.0
+_CHECK_AGAIN_S: Final = 0.4
+_MAX_TRIES: Final = 3
+_log = structlog.get_logger('planner')
+
+
+class Planner:
+    """Plans and gives orders while this gateway holds the lease."""
+
+    def __init__(
+        self,
+        settings: HostSettings,
+        store: platform.PlatformStore,
+        directory: Directory,
+        loads: LoadTable,
+        demand: DemandTable,
+        rng: random.Random,
+    ) -> None:
+        """Store what plans are made from."""
+        self.has_news = False
+        self._settings = settings
+        self._store = store
+        self._directory = directory
+        self._loads = loads
+        self._demand = demand
+        self._rng = rng
+        self._keeper = LeaseKeeper(
+            store,
+            PLANNER_NAME,
+            settings.name,
+            platform.boot_time,
+            LEASE_TTL_S,
+        )
+        self._orders = platform.ReplicaOrders()
+        self._tasks = TaskSet()
+        self._ledgers: dict[str, ReplicaLedger] = {}
+        self._buckets: dict[str, TokenBucket] = {}
+        self._epoch = 0
+        self._active_from = 0.0
+        self._renewed_at = float('-inf')
+
+    @property
+    def epoch(self) -> int:
+        """The epoch while orders may be given, else 0."""
+        epoch = self._keeper.epoch
+        if epoch is None or platform.boot_time() < self._active_from:
+            return 0
+        return epoch
+
+    async def keep_lease(self) -> None:
+        """Renew the lease, or take it when nobody holds it."""
+        now = platform.boot_time()
+        if self._keeper.epoch is None:
+            await self._try_to_take()
+        elif now - self._renewed_at >= _RENEW_S:
+            self._renewed_at = now
+            await self._keeper.renew()
+
+    async def plan(self) -> None:
+        """Look at every replica and start the orders that are due."""
+        if not self.epoch:
+            return
+        configuration = self._directory.configuration
+        if configuration is None:
+            return
+        self._sync_ledgers()
+        demand = self._demand.total(self._directory.now())
+        for service in configuration.services.values():
+            if service.engine is not None:
+                self._plan_service(service.name, service.engine, demand)
+
+    def placement(self) -> dict[str, PlacedHoldings]:
+        """Return what each replica holds, for the other gateways."""
+        return {
+            name: PlacedHoldings(
+                ledger.holdings,
+                ledger.leaving,
+                ledger.replica.started_ms,
+            )
+            for name, ledger in self._ledgers.items()
+        }
+
+    async def close(self) -> None:
+        """Stop giving orders and hand the lease over."""
+        await self._tasks.close()
+        await self._keeper.release()
+
+    async def _try_to_take(self) -> None:
+        if self._directory.planner_revision or not self._directory.is_ready:
+            self._store.forget(PLANNER_NAME)
+            return
+        await asyncio.sleep(self._rng.uniform(0, _RENEW_S / 2))
+        if self._directory.planner_revision:
+            return
+        await self._keeper.renew()
+        epoch = self._keeper.epoch
+        if epoch is not None and epoch != self._epoch:
+            self._begin(epoch)
+
+    def _begin(self, epoch: int) -> None:
+        self._epoch = epoch
+        self._renewed_at = platform.boot_time()
+        pause = self._settings.bounds.order_pause_s
+        self._active_from = self._renewed_at + pause
+        self._ledgers.clear()
+        self._buckets.clear()
+        _log.info('planner_elected', epoch=epoch, first_order_in_s=pause)
+
+    def _sync_ledgers(self) -> None:
+        """Follow the directory, and ask replicas whose state is not known."""
+        now = self._directory.now()
+        seen = self._directory.replicas
+        for name in tuple(self._ledgers):
+            if name not in seen:
+                self._ledgers.pop(name)
+        for name, replica in seen.items():
+            ledger = self._ledgers.get(name)
+            if ledger and ledger.replica.incarnation == replica.incarnation:
+                ledger.see_entry(replica, now)
+            elif replica.holdings.models or self._is_engine(replica.service):
+                ledger = ReplicaLedger(replica, replica.holdings, check_at=now)
+                self._ledgers[name] = ledger
+        for ledger in self._ledgers.values():
+            self.has_news |= ledger.advance(now)
+            if ledger.check_at is not None and ledger.check_at <= now:
+                ledger.check_at = now + _CHECK_AGAIN_S
+                self._tasks.spawn(self._check(ledger))
+
+    def _is_engine(self, service: str) -> bool:
+        configuration = self._directory.configuration
+        known = configuration.services.get(service) if configuration else None
+        return known is not None and known.engine is not None
+
+    async def _check(self, ledger: ReplicaLedger) -> None:
+        if ledger.is_giving:
+            return
+        shown = await self._orders.read_holdings(ledger.replica)
+        if shown is not None and not ledger.is_giving:
+            ledger.see_report(shown, self._directory.now())
+            self.has_news = True
+
+    def _plan_service(
+        self,
+        service: str,
+        spec: EngineSpec,
+        demand: Demand,
+    ) -> None:
+        now = self._directory.now()
+        bucket = self._buckets.setdefault(
+            service,
+            TokenBucket(spec.loads_per_s * _STORE_SHARE, _STORE_BURST),
+        )
+        views = [
+            self._view(ledger, now)
+            for ledger in self._ledgers.values()
+            if ledger.replica.service == service
+            and ledger.replica.state == ReplicaState.READY
+        ]
+        allowed = int(bucket.level(now))
+        for order in plan_model_orders(views, spec, demand, allowed):
+            if isinstance(order, LoadModel) and order.from_store:
+                bucket.take(now)
+            ledger = self._ledgers[order.replica]
+            ledger.is_giving = True
+            self._tasks.spawn(self._give(ledger, order))
+
+    def _view(self, ledger: ReplicaLedger, now: float) -> EngineView:
+        name = ledger.replica.name
+        reachable = not self._directory.is_passed_over(name)
+        return EngineView(
+            name,
+            ledger.holdings,
+            self._loads.total(name, now).by_target,
+            ledger.is_open and reachable,
+            ledger.loading,
+            ledger.leaving,
+        )
+
+    async def _give(self, ledger: ReplicaLedger, order: ModelOrder) -> None:
+        """Give an order until it is answered; a repeat is taken only once."""
+        try:
+            for _ in range(_MAX_TRIES):
+                epoch = self.epoch
+                if not epoch:
+                    return
+                terms = platform.OrderTerms(
+                    self._settings.name, epoch, ledger.holdings.sequence
+                )
+                outcome = await self._orders.give(ledger.replica, order, terms)
+                _log.info(
+                    'order_given',
+                    order=repr(order),
+                    sequence=terms.sequence,
+                    outcome=repr(outcome),
+                )
+                if not isinstance(outcome, platform.OrderUnanswered):
+                    self._settle(ledger, order, outcome)
+                    return
+            ledger.check_at = self._directory.now() + _CHECK_AGAIN_S
+        finally:
+            ledger.is_giving = False
+            self.has_news = True
+
+    def _settle(
+        self,
+        ledger: ReplicaLedger,
+        order: ModelOrder,
+        outcome: platform.OrderOutcome,
+    ) -> None:
+        now = self._directory.now()
+        match outcome:
+            case platform.OrderAccepted(done=done):
+                ledger.note_accepted(order, now, done=done)
+            case platform.OrderRefused(fenced=True):
+                _log.warning('planner_fenced', epoch=self._epoch)
+                self._keeper.give_up()
+                self._store.forget(PLANNER_NAME)
+            case platform.OrderRefused(status=0):
+                self._directory.note_unreachable(ledger.replica.name)
+            case _:
+                ledger.check_at = now + _CHECK_AGAIN_S
--- a/bramleybeam/keyvalue/__init__.py
+++ b/bramleybeam/keyvalue/__init__.py
@@ -2,6 +2,14 @@
 
 from bramleybeam.keyvalue._http import HttpKeyValue
 from bramleybeam.keyvalue._lease import LeaseKeeper
+from bramleybeam.keyvalue._listing import (
+    Changes,
+    HistoryLost,
+    Item,
+    Listing,
+    ListingStore,
+    Removal,
+)
 from bramleybeam.keyvalue._port import (
     Ambiguous,
     Conflict,
@@ -9,19 +17,27 @@
     KeyValueError,
     Lease,
     LeaseHeld,
+    LeaseStore,
     Unavailable,
     Versioned,
 )
 
 __all__ = [
     'Ambiguous',
+    'Changes',
     'Conflict',
+    'HistoryLost',
     'HttpKeyValue',
+    'Item',
     'KeyValue',
     'KeyValueError',
     'Lease',
     'LeaseHeld',
     'LeaseKeeper',
+    'LeaseStore',
+    'Listing',
+    'ListingStore',
+    'Removal',
     'Unavailable',
     'Versioned',
 ]
--- a/bramleybeam/keyvalue/_lease.py
+++ b/bramleybeam/keyvalue/_lease.py
@@ -7,10 +7,11 @@
 import structlog
 from expression import Result
 
-from bramleybeam.keyvalue._port import KeyValue, Lease
+from bramleybeam.keyvalue._port import Lease, LeaseStore
 
 LEASE_TTL_S: Final = 6.0
-_SAFETY_MARGIN_S: Final = 1.0
+# Share of the time to live that is left unused before its end.
+_SAFETY_SHARE: Final = 1 / 6
 _log = structlog.get_logger('leases')
 
 
@@ -24,12 +25,14 @@
 
     def __init__(
         self,
-        store: KeyValue,
+        store: LeaseStore,
         name: str,
         holder: str,
         clock: Callable[[], float] = time.monotonic,
+        ttl: float = LEASE_TTL_S,
     ) -> None:
         """Store what to hold, for whom, and the clock to judge by."""
+        self._ttl = ttl
         self.name = name
         self._store = store
         self._holder = holder
@@ -42,13 +45,13 @@
         lease = self._lease
         if lease is None:
             return None
-        if self._clock() >= lease.expires - _SAFETY_MARGIN_S:
+        if self._clock() >= lease.expires - self._ttl * _SAFETY_SHARE:
             return None
         return lease.epoch
 
     async def renew(self) -> None:
         """Take or renew the lease; a failure leaves the old expiry."""
-        reply = await self._store.lease(self.name, self._holder, LEASE_TTL_S)
+        reply = await self._store.lease(self.name, self._holder, self._ttl)
         match reply:
             case Result(tag='ok', ok=lease):
                 self._note_change(lease)
@@ -56,6 +59,10 @@
             case Result(error=error):
                 _log.debug('lease_not_taken', lease=self.name, error=error)
 
+    def give_up(self) -> None:
+        """Stop holding the lease at once: another process has it."""
+        self._lease = None
+
     async def release(self) -> None:
         """Hand the lease over to whoever asks next."""
         if self._lease is not None:
--- a/bramleybeam/keyvalue/_port.py
+++ b/bramleybeam/keyvalue/_port.py
@@ -64,7 +64,22 @@
 KeyValueError = Conflict | Unavailable | Ambiguous
 
 
-class KeyValue(Protocol):
+class LeaseStore(Protocol):
+    """What grants leases; never raises for what the service does."""
+
+    async def lease(
+        self,
+        name: str,
+        holder: str,
+        ttl: float,
+    ) -> Result[Lease, LeaseHeld | Unavailable]:
+        """Take or renew a lease for ``ttl`` seconds."""
+
+    async def release(self, name: str, holder: str) -> None:
+        """Give a lease up, if it is still held."""
+
+
+class KeyValue(LeaseStore, Protocol):
     """The port; implementations never raise for what the service does."""
 
     async def get(self, key: str) -> Result[Versioned | None, Unavailable]:
@@ -85,14 +100,3 @@
         wait: float,
     ) -> Result[Versioned | None, Unavailable]:
         """Wait until the version passes ``after``; ``None`` on time out."""
-
-    async def lease(
-        self,
-        name: str,
-        holder: str,
-        ttl: float,
-    ) -> Result[Lease, LeaseHeld | Unavailable]:
-        """Take or renew a lease for ``ttl`` seconds."""
-
-    async def release(self, name: str, holder: str) -> None:
-        """Give a lease up, if it is still held."""
--- /dev/null
+++ b/bramleybeam/platform/_requests.py
@@ -0,0 +1,188 @@
+"""Headers of requests and answers, translated to typed facts and back."""
+
+from typing import Final
+
+import attrs
+
+from bramleybeam.catalog import Replica
+from bramleybeam.relay import (
+    Headers,
+    InboundRequest,
+    ReplyHead,
+    end_to_end_headers,
+    find_header,
+)
+
+READINESS_PATH: Final = '/api/readiness'
+_REQUEST_ID: Final = b'Bramleybeam-Request-Id'
+_DEADLINE: Final = b'Bramleybeam-Request-Deadline'
+_EXPECT_INSTANCE: Final = b'Bramleybeam-Expect-Instance'
+_PRIORITY: Final = b'Bramleybeam-Request-Priority'
+_MODEL: Final = b'bramleybeam-model'
+_TOKENS: Final = b'bramleybeam-token-counts'
+_PROMPT_PARTS: Final = b'bramleybeam-prompt-prefix'
+_LAST_EVENT: Final = b'Last-Event-Id'
+_SEAL: Final = b'bramleybeam-response-seal'
+_NOT_EXECUTED: Final = b'bramleybeam-not-executed'
+_LENGTH_HINT: Final = b'bramleybeam-length-hint'
+_MISDIRECTED: Final = 421
+_DEFAULT_DEADLINE_S: Final = 30.0
+# Headers that this system sets itself; a caller's own are dropped.
+_RESERVED: Final = frozenset(
+    (
+        _DEADLINE.lower(),
+        _EXPECT_INSTANCE.lower(),
+        _PRIORITY.lower(),
+        b'bramleybeam-expect-version',
+        b'bramleybeam-hold',
+        b'bramleybeam-pin-duration',
+        b'bramleybeam-kv-backup',
+        b'kv-from',
+        b'kv-fetch',
+    ),
+)
+
+
+@attrs.frozen
+class PromptPart:
+    """A part of a prompt that other requests may share."""
+
+    name: str
+    tokens: int
+
+
+@attrs.frozen
+class RequestFacts:
+    """What the routing needs of a request.
+
+    ``deadline_s`` is the time that the caller will wait, from its arrival.
+    ``model`` is empty for plain services, ``adapter`` for the bare model.
+    ``last_event`` is set where the caller resumes a stream.
+    """
+
+    request_id: str
+    deadline_s: float
+    model: str = ''
+    adapter: str = ''
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    parts: tuple[PromptPart, ...] = ()
+    last_event: str = ''
+
+
+@attrs.frozen
+class SendTerms:
+    """What is added to a request for one replica.
+
+    ``time_left_s`` bounds the replica's work. ``urgency`` runs from 0, the
+    first, to 9. ``after_event`` resumes a stream after that event.
+    """
+
+    replica: Replica
+    time_left_s: float
+    urgency: int | None = None
+    after_event: str = ''
+
+
+def describe_request(request: InboundRequest) -> RequestFacts | None:
+    """Decode a caller's headers; ``None`` when it names no request id."""
+    headers = request.headers
+    request_id = _text(headers, _REQUEST_ID.lower())
+    if not request_id:
+        return None
+    model, _, adapter = _text(headers, _MODEL).partition('/')
+    counts = _text(headers, _TOKENS).partition(',')
+    hint = _number(_text(headers, _LENGTH_HINT))
+    deadline_ms = _number(_text(headers, _DEADLINE.lower()))
+    return RequestFacts(
+        request_id=request_id,
+        deadline_s=deadline_ms / 1000 if deadline_ms else _DEFAULT_DEADLINE_S,
+        model=model,
+        adapter=adapter,
+        prompt_tokens=_number(counts[0]),
+        output_tokens=hint or _number(counts[2]),
+        parts=_decode_parts(_text(headers, _PROMPT_PARTS)),
+        last_event=_text(headers, _LAST_EVENT.lower()),
+    )
+
+
+def outgoing_headers(request: InboundRequest, terms: SendTerms) -> Headers:
+    """Return the headers for one replica."""
+    dropped = _RESERVED
+    added = [
+        (_DEADLINE, b'%d' % max(1, round(terms.time_left_s * 1000))),
+        (_EXPECT_INSTANCE, terms.replica.name.encode()),
+    ]
+    if terms.urgency is not None:
+        added.append((_PRIORITY, b'%d' % terms.urgency))
+    if terms.after_event:
+        dropped = dropped | {_LAST_EVENT.lower()}
+        added.append((_LAST_EVENT, terms.after_event.encode()))
+    passed = (
+        pair
+        for pair in end_to_end_headers(request.headers)
+        if pair[0].lower() not in dropped
+    )
+    return (*passed, *added)
+
+
+@attrs.frozen
+class ReplyFacts:
+    """What a replica says about an answer.
+
+    ``never_ran`` is its word that it did not run the request; ``is_sealed``
+    marks an answer that came of a run.
+    """
+
+    status: int
+    never_ran: bool
+    is_misdirected: bool
+    is_sealed: bool
+    is_own: bool
+    content_type: str
+
+
+def describe_reply(head: ReplyHead, request_id: str) -> ReplyFacts:
+    """Decode the head of an answer to the request of ``request_id``."""
+    headers = head.headers
+    echoed = _text(headers, _REQUEST_ID.lower())
+    misdirected = head.status == _MISDIRECTED
+    refused = find_header(headers, _NOT_EXECUTED) is not None
+    return ReplyFacts(
+        status=head.status,
+        never_ran=misdirected or refused,
+        is_misdirected=misdirected,
+        is_sealed=find_header(headers, _SEAL) is not None,
+        is_own=not echoed or echoed == request_id,
+        content_type=_text(headers, b'content-type'),
+    )
+
+
+def refusal_headers(request_id: str, retry_after_s: float | None) -> Headers:
+    """Return the headers of a refusal of the system's own."""
+    headers = [(b'Content-Type', b'text/plain')]
+    if request_id:
+        headers.append((_REQUEST_ID, request_id.encode()))
+    if retry_after_s is not None:
+        headers.append((b'Retry-After', b'%.2f' % retry_after_s))
+    return tuple(headers)
+
+
+def _text(headers: Headers, name: bytes) -> str:
+    found = find_header(headers, name)
+    return found.decode('latin-1').strip() if found else ''
+
+
+def _number(text: str) -> int:
+    try:
+        return max(0, int(float(text)))
+    except (ValueError, OverflowError):
+        return 0
+
+
+def _decode_parts(text: str) -> tuple[PromptPart, ...]:
+    parts = []
+    for listed in text.split(',') if text else ():
+        name, _, tokens = listed.partition(':')
+        parts.append(PromptPart(name.strip(), _number(tokens)))
+    return tuple(parts)
--- /dev/null
+++ b/bramleybeam/platform/_store.py
@@ -0,0 +1,237 @@
+"""The one client of the platform's store.
+
+Each call takes a connection of its own, since an open one may have gone
+silent for good. Calls never raise for what the store does.
+"""
+
+import asyncio
+import base64
+import json
+import time
+from typing import Any, Final
+from urllib.parse import urlencode
+
+import attrs
+from expression import Error, Ok, Result
+
+from bramleybeam.keyvalue import (
+    Changes,
+    HistoryLost,
+    Item,
+    Lease,
+    LeaseHeld,
+    Listing,
+    Removal,
+    Unavailable,
+)
+from bramleybeam.relay import BrokenReplyError, open_call
+
+_CONNECT_TIMEOUT_S: Final = 0.5
+_CALL_TIMEOUT_S: Final = 1.5
+_MAX_ANSWER_BYTES: Final = 1 << 24
+_OK: Final = 200
+_MAX_PAGES: Final = 40
+
+
+@attrs.frozen
+class _Answer:
+    status: int
+    content: Any
+
+
+@attrs.define
+class _OwnLease:
+    """A lease in the store and the key that was written under it."""
+
+    lease_id: int
+    epoch: int
+
+
+class PlatformStore:
+    """Reads, follows and writes keys, and keeps leases by name."""
+
+    def __init__(self, address: str, key_prefix: str = 'bramleybeam/') -> None:
+        """Store the address ``IP:PORT`` and the prefix of own keys."""
+        self.calls = 0
+        self._address = address
+        self._key_prefix = key_prefix
+        self._own: dict[str, _OwnLease] = {}
+
+    async def list_items(self, prefix: str) -> Result[Listing, Unavailable]:
+        """Read all items of a prefix, page by page.
+
+        The revision is that of the first page, so that changes made between
+        two pages are followed from there and never missed.
+        """
+        items: list[Item] = []
+        revision = 0
+        after = ''
+        for _ in range(_MAX_PAGES):
+            reply = await self._get(
+                '/api/kv-range', {'prefix': prefix, 'after': after}
+            )
+            if not isinstance(reply, _Answer) or reply.status != _OK:
+                return Error(Unavailable(str(reply)))
+            page = [_decode_item(row) for row in reply.content['items']]
+            items.extend(page)
+            revision = revision or int(reply.content['as-of'])
+            if not page or not reply.content.get('truncated'):
+                break
+            after = page[-1].key
+        return Ok(Listing(tuple(items), revision))
+
+    async def follow(
+        self,
+        prefix: str,
+        after: int,
+        wait: float,
+    ) -> Result[Changes, HistoryLost | Unavailable]:
+        """Wait up to ``wait`` seconds for changes after a revision."""
+        query = {
+            'prefix': prefix,
+            'after': after,
+            'wait-ms': round(wait * 1000),
+        }
+        reply = await self._get('/api/kv-watch', query, extra_wait=wait)
+        match reply:
+            case _Answer(status=200, content=content):
+                events = tuple(map(_decode_event, content['events']))
+                return Ok(Changes(events, int(content['as-of'])))
+            case _Answer(status=410):
+                return Error(HistoryLost())
+        return Error(Unavailable(str(reply)))
+
+    async def lease(
+        self,
+        name: str,
+        holder: str,
+        ttl: float,
+    ) -> Result[Lease, LeaseHeld | Unavailable]:
+        """Take or renew a lease; its epoch is the revision of its key."""
+        before = boot_time()
+        own = self._own.get(name)
+        if own is not None:
+            renewal = await self._post(f'/api/kv-keep/{own.lease_id}', None)
+            match renewal:
+                case _Answer(status=200):
+                    return Ok(Lease(name, holder, own.epoch, before + ttl))
+                case _Answer(status=404):
+                    self._own.pop(name, None)
+            return Error(Unavailable(str(renewal)))
+        return await self._take(name, holder, ttl)
+
+    async def release(self, name: str, holder: str) -> None:
+        """Give a lease up, if it is still held."""
+        own = self._own.pop(name, None)
+        if own is not None:
+            await self._call('DELETE', f'/api/kv-lease-end/{own.lease_id}')
+
+    def forget(self, name: str) -> None:
+        """Drop a lease whose key was taken away."""
+        self._own.pop(name, None)
+
+    async def _take(
+        self,
+        name: str,
+        holder: str,
+        ttl: float,
+    ) -> Result[Lease, LeaseHeld | Unavailable]:
+        before = boot_time()
+        granted = await self._post(
+            '/api/kv-lease', {'ttl-ms': round(ttl * 1000)}
+        )
+        if not isinstance(granted, _Answer) or granted.status != _OK:
+            return Error(Unavailable(str(granted)))
+        lease_id = int(granted.content['lease'])
+        key = f'{self._key_prefix}{name}'
+        row = {
+            'key': key,
+            'value': base64.b64encode(holder.encode()).decode(),
+            'lease': lease_id,
+        }
+        written = await self._post(
+            '/api/kv-txn',
+            {
+                'expected': [{'key': key, 'revision': 0}],
+                'writes': [row],
+                'deletes': [],
+            },
+        )
+        match written:
+            case _Answer(status=200, content=content):
+                epoch = int(content['revision'])
+                self._own[name] = _OwnLease(lease_id, epoch)
+                return Ok(Lease(name, holder, epoch, before + ttl))
+            case _Answer(status=412):
+                await self._call('DELETE', f'/api/kv-lease-end/{lease_id}')
+                return Error(LeaseHeld('', ttl))
+        # An unanswered write may take effect; its key ends with the lease.
+        return Error(Unavailable(str(written)))
+
+    async def _get(
+        self,
+        path: str,
+        query: dict[str, Any],
+        extra_wait: float = 0,
+    ) -> _Answer | str:
+        shown = {key: named for key, named in query.items() if named != ''}
+        return await self._call(
+            'GET', f'{path}?{urlencode(shown)}', extra_wait=extra_wait
+        )
+
+    async def _post(self, path: str, body: Any) -> _Answer | str:
+        encoded = b'' if body is None else json.dumps(body).encode()
+        return await self._call('POST', path, encoded)
+
+    async def _call(
+        self,
+        method: str,
+        target: str,
+        body: bytes = b'',
+        extra_wait: float = 0,
+    ) -> _Answer | str:
+        self.calls += 1
+        try:
+            async with asyncio.timeout(_CALL_TIMEOUT_S + extra_wait):
+                return await self._exchange(method, target, body)
+        except (OSError, TimeoutError, BrokenReplyError, ValueError) as error:
+            return f'no answer: {error!r}'
+
+    async def _exchange(
+        self,
+        method: str,
+        target: str,
+        body: bytes,
+    ) -> _Answer:
+        call = await open_call(self._address, _CONNECT_TIMEOUT_S)
+        try:
+            call.send(
+                f'{method} {target} HTTP/1.1'.encode(),
+                (
+                    (b'Host', self._address.encode()),
+                    (b'Content-Type', b'application/json'),
+                ),
+                body,
+            )
+            head = await call.read_head()
+            raw = await call.read_body(_MAX_ANSWER_BYTES)
+        finally:
+            call.close()
+        is_json = head.status == _OK and raw
+        return _Answer(head.status, json.loads(raw) if is_json else None)
+
+
+def boot_time() -> float:
+    """Return seconds that go on while the host is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def _decode_item(row: dict[str, Any]) -> Item:
+    content = base64.b64decode(row['value'])
+    return Item(str(row['key']), content, int(row['revision']))
+
+
+def _decode_event(row: dict[str, Any]) -> Item | Removal:
+    if row.get('removed'):
+        return Removal(str(row['key']), int(row['revision']))
+    return _decode_item(row)
--- /dev/null
+++ b/bramleybeam/relay/__init__.py
@@ -0,0 +1,30 @@
+"""HTTP/1.1 as it is passed on: callers' connections and calls to peers."""
+
+from bramleybeam.relay._call import PeerCall, open_call
+from bramleybeam.relay._caller import (
+    CallerConnection,
+    CallerLimits,
+    CallerServer,
+)
+from bramleybeam.relay._messages import (
+    BrokenReplyError,
+    Headers,
+    InboundRequest,
+    ReplyHead,
+    end_to_end_headers,
+    find_header,
+)
+
+__all__ = [
+    'BrokenReplyError',
+    'CallerConnection',
+    'CallerLimits',
+    'CallerServer',
+    'Headers',
+    'InboundRequest',
+    'PeerCall',
+    'ReplyHead',
+    'end_to_end_headers',
+    'find_header',
+    'open_call',
+]
--- /dev/null
+++ b/bramleybeam/relay/_caller.py
@@ -0,0 +1,333 @@
+"""The server's side of one caller's connection.
+
+Requests of one connection are handled one after the other. The handler's
+task is cancelled when the caller closes the connection.
+"""
+
+import asyncio
+from collections import deque
+from collections.abc import Awaitable, Callable
+from http import HTTPStatus
+from typing import Final
+
+import attrs
+import httptools
+import structlog
+
+from bramleybeam.relay._messages import (
+    Headers,
+    InboundRequest,
+    end_to_end_headers,
+    render_head,
+)
+
+_MAX_QUEUED_REQUESTS: Final = 4
+_END_OF_CHUNKS: Final = b'0\r\n\r\n'
+_log = structlog.get_logger('callers')
+
+
+@attrs.frozen
+class CallerLimits:
+    """What a caller may send, and how long it may take or stay idle."""
+
+    header_bytes: int = 16_384
+    body_bytes: int = 4_194_304
+    header_timeout_s: float = 5
+    idle_timeout_s: float = 60
+
+
+Handler = Callable[[InboundRequest, 'CallerConnection'], Awaitable[None]]
+
+
+class CallerConnection(asyncio.Protocol):
+    """Parses requests, runs the handler for each, and writes its answer."""
+
+    def __init__(self, owner: 'CallerServer') -> None:
+        """Store the server that holds the handler and the limits."""
+        self._owner = owner
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._queue: deque[InboundRequest] = deque()
+        self._task: asyncio.Task[None] | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._writable = asyncio.Event()
+        self._writable.set()
+        self._answer_started = False
+        self._closing = False
+        self._chunked = False
+        self._reset_message()
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is being handled or waits to be."""
+        return self._task is not None or bool(self._queue)
+
+    @property
+    def answer_started(self) -> bool:
+        """Whether a part of the current answer has been written."""
+        return self._answer_started
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the connection."""
+        self._transport = transport  # type: ignore[assignment]
+        self._owner.connections.add(self)
+        self._start_timer(self._owner.limits.idle_timeout_s)
+
+    def data_received(self, received: bytes) -> None:
+        """Parse what the caller sent."""
+        if self._closing:
+            return
+        try:
+            self._parser.feed_data(received)
+        except httptools.HttpParserUpgrade:
+            self._reject(HTTPStatus.BAD_REQUEST, 'upgrade')
+        except httptools.HttpParserError as error:
+            self._reject(HTTPStatus.BAD_REQUEST, repr(error))
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Cancel the work for a caller that has left."""
+        self._owner.connections.discard(self)
+        self._stop_timer()
+        self._closing = True
+        self._queue.clear()
+        self._writable.set()
+        if self._task is not None:
+            self._task.cancel()
+
+    def pause_writing(self) -> None:
+        """Hold pieces back: the caller doesn't read."""
+        self._writable.clear()
+
+    def resume_writing(self) -> None:
+        """Let pieces pass again."""
+        self._writable.set()
+
+    def on_message_begin(self) -> None:
+        """Start a new request."""
+        self._reset_message()
+        self._start_timer(self._owner.limits.header_timeout_s)
+
+    def on_url(self, target: bytes) -> None:
+        """Collect the request target, which can come in parts."""
+        self._target += target
+
+    def on_header(self, name: bytes, field: bytes) -> None:
+        """Collect a header."""
+        self._headers.append((name, field))
+        self._header_bytes += len(name) + len(field) + 4
+
+    def on_headers_complete(self) -> None:
+        """Check the size of the head."""
+        if self._header_bytes > self._owner.limits.header_bytes:
+            self._reject(
+                HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+                f'{self._header_bytes} bytes of headers',
+            )
+
+    def on_body(self, piece: bytes) -> None:
+        """Collect the body within its limit."""
+        self._body += piece
+        if len(self._body) > self._owner.limits.body_bytes:
+            self._reject(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, 'body too long')
+
+    def on_message_complete(self) -> None:
+        """Queue a whole request."""
+        self._stop_timer()
+        if self._closing:
+            return
+        self._queue.append(
+            InboundRequest(
+                self._parser.get_method(),
+                self._target,
+                tuple(self._headers),
+                bytes(self._body),
+                self._begun_at,
+                self._parser.should_keep_alive(),
+            ),
+        )
+        self._reset_message()
+        if len(self._queue) > _MAX_QUEUED_REQUESTS and self._transport:
+            self._transport.pause_reading()
+        self._start_next()
+
+    def respond(self, status: int, headers: Headers, body: bytes) -> None:
+        """Write a whole answer."""
+        self._chunked = False
+        length = (b'content-length', str(len(body)).encode())
+        self._write(self._render(status, (*headers, length)) + body)
+
+    def start(self, status: int, headers: Headers) -> None:
+        """Write the head of an answer that is sent in pieces."""
+        self._chunked = True
+        framing = (b'transfer-encoding', b'chunked')
+        self._write(self._render(status, (*headers, framing)))
+
+    async def write_piece(self, piece: bytes) -> None:
+        """Write a piece, waiting while the caller doesn't read."""
+        await self._writable.wait()
+        size = b'%x\r\n' % len(piece)
+        self._write(b''.join((size, piece, b'\r\n')))
+
+    def finish(self) -> None:
+        """Mark an answer sent in pieces as whole."""
+        self._write(_END_OF_CHUNKS)
+
+    def break_off(self) -> None:
+        """Close without the mark of a whole answer."""
+        self._closing = True
+        if self._transport is not None:
+            self._transport.abort()
+
+    def close_when_idle(self) -> None:
+        """Close now, or after the answer that is under way."""
+        self._closing = True
+        if not self.is_busy and self._transport is not None:
+            self._transport.close()
+
+    def _render(self, status: int, headers: Headers) -> bytes:
+        self._answer_started = True
+        passed = end_to_end_headers(headers[:-1])
+        ending = (b'connection', b'close') if self._is_last() else None
+        extra = (headers[-1], ending) if ending else (headers[-1],)
+        phrase = _phrase_of(status)
+        return render_head(
+            b'HTTP/1.1 %d %s' % (status, phrase), (*passed, *extra)
+        )
+
+    def _is_last(self) -> bool:
+        if self._owner.is_closing or not self._keep_alive:
+            self._closing = True
+        return self._closing
+
+    def _write(self, written: bytes) -> None:
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write(written)
+
+    def _reset_message(self) -> None:
+        self._target = b''
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._header_bytes = 0
+        self._body = bytearray()
+        self._keep_alive = True
+        self._begun_at = self._owner.now()
+
+    def _reject(self, status: int, reason: str) -> None:
+        if self._closing:
+            return
+        _log.warning('request_unreadable', status=int(status), reason=reason)
+        self._closing = True
+        if not self.is_busy and self._transport is not None:
+            self.respond(status, (), b'')
+            self._transport.close()
+
+    def _start_next(self) -> None:
+        if self._task is not None or not self._queue:
+            return
+        request = self._queue.popleft()
+        if self._transport is not None and not self._queue:
+            self._transport.resume_reading()
+        self._keep_alive = request.keep_alive
+        self._answer_started = False
+        self._task = asyncio.create_task(self._run(request))
+
+    async def _run(self, request: InboundRequest) -> None:
+        try:
+            await self._owner.handler(request, self)
+        except asyncio.CancelledError:
+            if not self._closing:
+                self.break_off()
+        except Exception:
+            _log.exception('handler_failed', target=request.path)
+            self.break_off()
+        finally:
+            self._task = None
+            self._after_answer()
+
+    def _after_answer(self) -> None:
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return
+        if self._closing and not self._queue:
+            transport.close()
+            return
+        self._start_timer(self._owner.limits.idle_timeout_s)
+        self._start_next()
+
+    def _start_timer(self, delay: float) -> None:
+        self._stop_timer()
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(delay, self._on_timeout)
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _on_timeout(self) -> None:
+        if self.is_busy or self._transport is None:
+            return
+        if self._headers or self._target:
+            self._reject(HTTPStatus.REQUEST_TIMEOUT, 'request not read whole')
+        else:
+            self._transport.close()
+
+
+class CallerServer:
+    """Listens at one address and hands requests to one handler.
+
+    ``limits`` may be replaced while it runs; open connections follow.
+    """
+
+    def __init__(self, address: str, handler: Handler) -> None:
+        """Store where to listen, ``IP:PORT``, and who answers."""
+        self.address = address
+        self.handler = handler
+        self.limits = CallerLimits()
+        self.connections: set[CallerConnection] = set()
+        self.is_closing = False
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Open the port; ``address`` then holds the chosen one."""
+        host, _, port = self.address.rpartition(':')
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: CallerConnection(self), host, int(port), backlog=1024
+        )
+        chosen = self._server.sockets[0].getsockname()
+        self.address = f'{chosen[0]}:{chosen[1]}'
+
+    def now(self) -> float:
+        """Return the time of the running loop, in seconds."""
+        return asyncio.get_running_loop().time()
+
+    def announce_close(self) -> None:
+        """Let each further answer be the last on its connection."""
+        self.is_closing = True
+
+    def stop_listening(self) -> None:
+        """Take no new connections and close idle ones."""
+        if self._server is not None:
+            self._server.close()
+        for connection in tuple(self.connections):
+            connection.close_when_idle()
+
+    async def close(self, grace: float) -> None:
+        """Wait up to ``grace`` seconds for answers under way, then end."""
+        self.announce_close()
+        self.stop_listening()
+        deadline = self.now() + grace
+        while self.connections and self.now() < deadline:
+            await asyncio.sleep(_CLOSE_POLL_S)
+        for connection in tuple(self.connections):
+            connection.break_off()
+
+
+_CLOSE_POLL_S: Final = 0.02
+
+
+def _phrase_of(status: int) -> bytes:
+    try:
+        return HTTPStatus(status).phrase.encode()
+    except ValueError:
+        return b'Unknown'
