Refuse before callers leave, fetch adapters ahead, shorten the planner's gap

Cause: streams that show nothing for 2.4 s are left by their callers, and were held to 4 s; adapters could not be loaded for 5 s after a planner was cut off.

--- a/bramleybeam/catalog/_configuration.py
+++ b/bramleybeam/catalog/_configuration.py
@@ -29,7 +29,8 @@
 
     ``timeout_s`` is the longest time that a request is kept waiting,
     ``objective_s`` the time to the answer, or to its first event, that earns
-    full credit. Priority 0 is the most urgent. ``attempts`` bounds the
+    full credit. ``longest_gap_s`` is the longest pause between events of a
+    stream that is still on time. Priority 0 is the most urgent. ``attempts`` bounds the
     replicas that may run one request.
     """
 
@@ -43,6 +44,7 @@
     priority: int = 5
     attempts: int = 1
     is_resumable: bool = False
+    longest_gap_s: float = 0
 
     @property
     def may_repeat(self) -> bool:
@@ -68,8 +70,14 @@
     load_s: float
     disk_load_s: float
     memory_load_s: float
+    adapters: int = 0
     adapter_mb: float = 0
 
+    @property
+    def adapter_names(self) -> tuple[str, ...]:
+        """The names of its adapters, from ``a1`` on."""
+        return tuple(f'a{number + 1}' for number in range(self.adapters))
+
 
 @attrs.frozen
 class EngineSpec:
--- a/bramleybeam/decisions/__init__.py
+++ b/bramleybeam/decisions/__init__.py
@@ -35,6 +35,7 @@
     memory_in_use,
     plan_model_orders,
 )
+from bramleybeam.decisions._patience import patience_of, quiet_limit
 from bramleybeam.decisions._placement import (
     PlacedUpstream,
     PlacementSnapshot,
@@ -131,8 +132,10 @@
     'decide_retry',
     'estimate_first_token',
     'memory_in_use',
+    'patience_of',
     'plan_model_orders',
     'plan_placement',
+    'quiet_limit',
     'rank_by_hash',
     'share_limits',
 ]
--- a/bramleybeam/decisions/_model_orders.py
+++ b/bramleybeam/decisions/_model_orders.py
@@ -24,6 +24,10 @@
 _FAINT_RATE: Final = 0.002
 # Adapters that may be on their way to one replica at a time.
 _ADAPTERS_IN_TRANSIT: Final = 4
+# Places that stay free for adapters that are asked for, at each replica.
+_SPARE_PLACES: Final = 1
+# Requests a second from which a model's adapters are fetched ahead.
+_FETCH_AHEAD_RATE: Final = 0.3
 # Loss, in requests, that another copy of a busy model is worth at least.
 _COPY_GAIN_FLOOR: Final = 0.5
 
@@ -120,6 +124,7 @@
     plan.place_waiting_models()
     plan.place_adapters()
     plan.add_copies()
+    plan.fetch_adapters()
     return plan.orders
 
 
@@ -137,6 +142,7 @@
         self._demand = demand
         self._store_loads = store_loads
         self._ordered: set[str] = set()
+        self._fetched: set[Target] = set()
         self._copies = _count_copies(engines)
 
     def place_waiting_models(self) -> None:
@@ -144,7 +150,7 @@
         counts: dict[str, int] = {}
         for (model, _), count in self._demand.waiting.items():
             counts[model] = counts.get(model, 0) + count
-        for model in sorted(counts, key=lambda name: -counts[name]):
+        for model in _most_first(counts):
             if model in self._spec.models and not self._copies.get(model):
                 self._bring_in(model, float('inf'))
 
@@ -164,7 +170,7 @@
             for model, rate in self._demand.token_rates.items()
             if model in self._spec.models
         }
-        for model in sorted(loads, key=lambda name: -loads[name]):
+        for model in _most_first(loads):
             copies = self._copies.get(model, 0)
             if not copies or self._is_loading(model):
                 continue
@@ -174,6 +180,40 @@
                 self._bring_in(model, gain)
                 return
 
+    def fetch_adapters(self) -> None:
+        """Fill free places with adapters of busy models, ahead of demand."""
+        for engine in self._engines:
+            places = self._spec.adapter_places - _SPARE_PLACES
+            if engine.holdings.arriving or _places(engine) >= places:
+                continue
+            target = self._next_adapter(engine)
+            if target is not None and self._may_take_adapter(
+                engine, target[0], {}
+            ):
+                self.orders.append(LoadAdapter(engine.name, *target))
+                self._fetched.add(target)
+
+    def _next_adapter(self, engine: EngineView) -> Target | None:
+        rates = {
+            model: self._demand.rates.get(model, 0)
+            for model in engine.holdings.models
+            if self._is_busy_model(model)
+        }
+        for model in _most_first(rates):
+            for adapter in self._spec.models[model].adapter_names:
+                target = (model, adapter)
+                if target in self._fetched or self._is_coming(*target):
+                    continue
+                return target
+        return None
+
+    def _is_busy_model(self, model: str) -> bool:
+        if model not in self._spec.models:
+            return False
+        if self._demand.rates:
+            return self._rate(model) >= _FETCH_AHEAD_RATE
+        return self._copies.get(model, 0) > 1
+
     def _bring_in(self, model: str, gain: float) -> None:
         """Load where it costs least, or first make room there."""
         choices = [
@@ -280,6 +320,8 @@
     ) -> bool:
         if engine.name in taken or engine.name in self._ordered:
             return False
+        if any(order.replica == engine.name for order in self.orders):
+            return False
         if not engine.is_open or model == engine.leaving:
             return False
         if len(engine.holdings.arriving) >= _ADAPTERS_IN_TRANSIT:
@@ -327,6 +369,11 @@
     return copies
 
 
+def _most_first(amounts: Mapping[str, float]) -> list[str]:
+    """Return the names by falling amount, equal ones by name."""
+    return sorted(amounts, key=lambda name: (-amounts[name], name))
+
+
 def _is_at_hand(holdings: Holdings, model: str) -> bool:
     return model in holdings.in_memory or model in holdings.on_disk
 
--- a/bramleybeam/gateway/_choose.py
+++ b/bramleybeam/gateway/_choose.py
@@ -25,7 +25,7 @@
 # Prompt tokens that a replica reads in a second.
 _PREFILL_TOKENS_PER_S: Final = 20_000.0
 # Time that each request in a batch adds to everyone's next token.
-_STEP_PER_REQUEST_S: Final = 0.000_4
+_STEP_PER_REQUEST_S: Final = 0.0004
 # Requests in a plain service's queue for each that it runs.
 _PLAIN_QUEUE_SHARE: Final = 2
 _RETRY_AFTER_S: Final = 1.0
@@ -89,6 +89,8 @@
         is_absent = self._note_absence(job)
         try:
             while True:
+                if is_absent and not self._directory.hears_planner():
+                    raise RefusingError(_refuse(job))
                 now = self._directory.now()
                 left = job.received_at + job.patience_s - now
                 if left <= 0:
--- a/bramleybeam/gateway/_daemon.py
+++ b/bramleybeam/gateway/_daemon.py
@@ -26,7 +26,7 @@
 
 _BEAT_S: Final = 0.2
 _PLAN_S: Final = 0.05
-_LEASE_CHECK_S: Final = 0.25
+_LEASE_CHECK_S: Final = 0.1
 _PLACEMENT_EVERY_S: Final = 1.0
 _PLACEMENT_VALID_S: Final = 2.5
 _PEER_TTL_S: Final = 10.0
@@ -140,12 +140,11 @@
         connection: CallerConnection,
     ) -> None:
         ready = self._directory.is_ready and not self._is_stopping
-        if request.path != platform.READINESS_PATH:
-            connection.respond(HTTPStatus.NOT_FOUND, (), b'')
-        elif ready:
-            connection.respond(HTTPStatus.OK, (), b'ready\n')
+        if request.path == platform.READINESS_PATH:
+            status = HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE
+            connection.respond(status, (), b'')
         else:
-            connection.respond(HTTPStatus.SERVICE_UNAVAILABLE, (), b'wait\n')
+            connection.respond(HTTPStatus.NOT_FOUND, (), b'')
 
     def _take_limits(self) -> None:
         configuration = self._directory.configuration
--- a/bramleybeam/gateway/_directory.py
+++ b/bramleybeam/gateway/_directory.py
@@ -115,6 +115,10 @@
         self._placement_until = self._clock() + valid_s
         self.signal()
 
+    def hears_planner(self) -> bool:
+        """Whether a planner has told of its placement a moment ago."""
+        return self._clock() <= self._placement_until
+
     def is_passed_over(self, name: str) -> bool:
         """Whether a replica could not be reached a moment ago."""
         penalty = self._penalties.get(name)
--- a/bramleybeam/gateway/_job.py
+++ b/bramleybeam/gateway/_job.py
@@ -3,7 +3,7 @@
 import attrs
 
 from bramleybeam.catalog import Route, Service
-from bramleybeam.decisions import Target, Waiting
+from bramleybeam.decisions import Target, Waiting, patience_of
 from bramleybeam.errors import Refusal
 from bramleybeam.platform import RequestFacts
 from bramleybeam.relay import CallerConnection, InboundRequest
@@ -51,7 +51,7 @@
     @property
     def patience_s(self) -> float:
         """How long it may wait for a replica, from its arrival."""
-        return (self.give_up_at - self.received_at) / 2
+        return patience_of(self.route, self.give_up_at - self.received_at)
 
     @property
     def waiting(self) -> Waiting:
--- a/bramleybeam/gateway/_peers.py
+++ b/bramleybeam/gateway/_peers.py
@@ -162,7 +162,7 @@
 
 
 def _encode_counts(counts: Mapping[Target, int]) -> dict[str, int]:
-    return {f'{model}/{name}': n for (model, name), n in counts.items()}
+    return {f'{model}/{name}': count for (model, name), count in counts.items()}
 
 
 def _decode_counts(counts: Mapping[str, int]) -> dict[Target, int]:
--- a/bramleybeam/gateway/_planner.py
+++ b/bramleybeam/gateway/_planner.py
@@ -32,8 +32,11 @@
 from bramleybeam.keyvalue import LeaseKeeper
 from bramleybeam.timers import TaskSet
 
-LEASE_TTL_S: Final = 2.0
-_RENEW_S: Final = 0.5
+LEASE_TTL_S: Final = 1.2
+# A holder that hears nothing for this long gives no orders, well before its
+# lease ends, so that the next holder's wait can begin earlier.
+_VALID_S: Final = 0.7
+_RENEW_S: Final = 0.25
 # Share of the weight store's rate that is used.
 _STORE_SHARE: Final = 0.9
 _STORE_BURST: Final = 2.0
@@ -68,12 +71,14 @@
             settings.name,
             platform.boot_time,
             LEASE_TTL_S,
+            LEASE_TTL_S - _VALID_S,
         )
         self._orders = platform.ReplicaOrders()
         self._tasks = TaskSet()
         self._ledgers: dict[str, ReplicaLedger] = {}
         self._buckets: dict[str, TokenBucket] = {}
         self._epoch = 0
+        self._has_seen_own = False
         self._active_from = 0.0
         self._renewed_at = float('-inf')
 
@@ -87,12 +92,13 @@
 
     async def keep_lease(self) -> None:
         """Renew the lease, or take it when nobody holds it."""
-        now = platform.boot_time()
-        if self._keeper.epoch is None:
+        if self._is_superseded():
+            _log.warning('planner_superseded', epoch=self._epoch)
+            self._give_up()
+        elif self._epoch:
+            await self._renew()
+        elif not self._directory.planner_revision:
             await self._try_to_take()
-        elif now - self._renewed_at >= _RENEW_S:
-            self._renewed_at = now
-            await self._keeper.renew()
 
     async def plan(self) -> None:
         """Look at every replica and start the orders that are due."""
@@ -123,22 +129,45 @@
         await self._tasks.close()
         await self._keeper.release()
 
+    def _is_superseded(self) -> bool:
+        """Whether the store shows that the lease's key is no longer ours."""
+        if not self._epoch:
+            return False
+        shown = self._directory.planner_revision
+        if shown == self._epoch:
+            self._has_seen_own = True
+        return shown > self._epoch or (self._has_seen_own and not shown)
+
+    def _give_up(self) -> None:
+        self._keeper.give_up()
+        self._store.forget(PLANNER_NAME)
+        self._epoch = 0
+
+    async def _renew(self) -> None:
+        """Renew in time; a lease that ended in the store is given up."""
+        now = platform.boot_time()
+        if now - self._renewed_at < _RENEW_S:
+            return
+        self._renewed_at = now
+        if not await self._keeper.renew():
+            self._give_up()
+
     async def _try_to_take(self) -> None:
-        if self._directory.planner_revision or not self._directory.is_ready:
-            self._store.forget(PLANNER_NAME)
+        if not self._directory.is_ready:
             return
         await asyncio.sleep(self._rng.uniform(0, _RENEW_S / 2))
         if self._directory.planner_revision:
             return
         await self._keeper.renew()
         epoch = self._keeper.epoch
-        if epoch is not None and epoch != self._epoch:
+        if epoch is not None:
             self._begin(epoch)
 
     def _begin(self, epoch: int) -> None:
         self._epoch = epoch
+        self._has_seen_own = False
         self._renewed_at = platform.boot_time()
-        pause = self._settings.bounds.order_pause_s
+        pause = self._settings.bounds.order_pause_s - (LEASE_TTL_S - _VALID_S)
         self._active_from = self._renewed_at + pause
         self._ledgers.clear()
         self._buckets.clear()
@@ -251,8 +280,7 @@
                 ledger.note_accepted(order, now, done=done)
             case platform.OrderRefused(fenced=True):
                 _log.warning('planner_fenced', epoch=self._epoch)
-                self._keeper.give_up()
-                self._store.forget(PLANNER_NAME)
+                self._give_up()
             case platform.OrderRefused(status=0):
                 self._directory.note_unreachable(ledger.replica.name)
             case _:
--- a/bramleybeam/keyvalue/_lease.py
+++ b/bramleybeam/keyvalue/_lease.py
@@ -7,11 +7,10 @@
 import structlog
 from expression import Result
 
-from bramleybeam.keyvalue._port import Lease, LeaseStore
+from bramleybeam.keyvalue._port import Lease, LeaseHeld, LeaseStore
 
 LEASE_TTL_S: Final = 6.0
-# Share of the time to live that is left unused before its end.
-_SAFETY_SHARE: Final = 1 / 6
+_SAFETY_MARGIN_S: Final = 1.0
 _log = structlog.get_logger('leases')
 
 
@@ -30,9 +29,14 @@
         holder: str,
         clock: Callable[[], float] = time.monotonic,
         ttl: float = LEASE_TTL_S,
+        margin: float = _SAFETY_MARGIN_S,
     ) -> None:
-        """Store what to hold, for whom, and the clock to judge by."""
+        """Store what to hold, for whom, and the clock to judge by.
+
+        The lease counts as lost ``margin`` seconds before its expiry.
+        """
         self._ttl = ttl
+        self._margin = margin
         self.name = name
         self._store = store
         self._holder = holder
@@ -45,12 +49,15 @@
         lease = self._lease
         if lease is None:
             return None
-        if self._clock() >= lease.expires - self._ttl * _SAFETY_SHARE:
+        if self._clock() >= lease.expires - self._margin:
             return None
         return lease.epoch
 
-    async def renew(self) -> None:
-        """Take or renew the lease; a failure leaves the old expiry."""
+    async def renew(self) -> bool:
+        """Take or renew the lease; a failure leaves the old expiry.
+
+        Returns whether the lease may still be held.
+        """
         reply = await self._store.lease(self.name, self._holder, self._ttl)
         match reply:
             case Result(tag='ok', ok=lease):
@@ -58,6 +65,8 @@
                 self._lease = lease
             case Result(error=error):
                 _log.debug('lease_not_taken', lease=self.name, error=error)
+                return not isinstance(error, LeaseHeld)
+        return True
 
     def give_up(self) -> None:
         """Stop holding the lease at once: another process has it."""
--- a/bramleybeam/platform/_entries.py
+++ b/bramleybeam/platform/_entries.py
@@ -92,6 +92,7 @@
         priority=raw.get('priority', _DEFAULT_PRIORITY),
         attempts=raw.get('attempts', 1),
         is_resumable=raw.get('resumable', False) is True,
+        longest_gap_s=raw.get('gap-aim-ms', 0) / _MS,
     )
 
 
@@ -132,6 +133,7 @@
         load_s=load_s,
         disk_load_s=float(raw.get('disk-s', load_s)),
         memory_load_s=float(raw.get('warm-s', load_s)),
+        adapters=_whole(raw.get('adapters', 0)),
         adapter_mb=float(raw.get('adapter-mb', 0)),
     )
 
--- a/bramleybeam/platform/_store.py
+++ b/bramleybeam/platform/_store.py
@@ -117,6 +117,7 @@
                     return Ok(Lease(name, holder, own.epoch, before + ttl))
                 case _Answer(status=404):
                     self._own.pop(name, None)
+                    return Error(LeaseHeld('', 0))
             return Error(Unavailable(str(renewal)))
         return await self._take(name, holder, ttl)
 
--- a/bramleybeam/relay/__init__.py
+++ b/bramleybeam/relay/__init__.py
@@ -1,11 +1,7 @@
 """HTTP/1.1 as it is passed on: callers' connections and calls to peers."""
 
 from bramleybeam.relay._call import PeerCall, open_call
-from bramleybeam.relay._caller import (
-    CallerConnection,
-    CallerLimits,
-    CallerServer,
-)
+from bramleybeam.relay._caller import CallerConnection, CallerServer
 from bramleybeam.relay._messages import (
     BrokenReplyError,
     Headers,
@@ -14,6 +10,7 @@
     end_to_end_headers,
     find_header,
 )
+from bramleybeam.relay._parser import CallerLimits
 
 __all__ = [
     'BrokenReplyError',
--- a/bramleybeam/relay/_caller.py
+++ b/bramleybeam/relay/_caller.py
@@ -10,8 +10,6 @@
 from http import HTTPStatus
 from typing import Final
 
-import attrs
-import httptools
 import structlog
 
 from bramleybeam.relay._messages import (
@@ -20,42 +18,36 @@
     end_to_end_headers,
     render_head,
 )
+from bramleybeam.relay._parser import (
+    CallerLimits,
+    RequestParser,
+    UnreadableRequestError,
+)
 
 _MAX_QUEUED_REQUESTS: Final = 4
+_CLOSE_POLL_S: Final = 0.02
 _END_OF_CHUNKS: Final = b'0\r\n\r\n'
 _log = structlog.get_logger('callers')
 
-
-@attrs.frozen
-class CallerLimits:
-    """What a caller may send, and how long it may take or stay idle."""
-
-    header_bytes: int = 16_384
-    body_bytes: int = 4_194_304
-    header_timeout_s: float = 5
-    idle_timeout_s: float = 60
-
-
 Handler = Callable[[InboundRequest, 'CallerConnection'], Awaitable[None]]
 
 
 class CallerConnection(asyncio.Protocol):
-    """Parses requests, runs the handler for each, and writes its answer."""
+    """Runs the handler for each request and writes its answer."""
 
     def __init__(self, owner: 'CallerServer') -> None:
         """Store the server that holds the handler and the limits."""
         self._owner = owner
         self._transport: asyncio.Transport | None = None
-        self._parser = httptools.HttpRequestParser(self)
+        self._parser = RequestParser(owner.limits, owner.now)
         self._queue: deque[InboundRequest] = deque()
         self._task: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._writable = asyncio.Event()
         self._writable.set()
         self._answer_started = False
+        self._keep_alive = True
         self._closing = False
-        self._chunked = False
-        self._reset_message()
 
     @property
     def is_busy(self) -> bool:
@@ -71,18 +63,23 @@
         """Take the connection."""
         self._transport = transport  # type: ignore[assignment]
         self._owner.connections.add(self)
-        self._start_timer(self._owner.limits.idle_timeout_s)
+        self._start_timer()
 
     def data_received(self, received: bytes) -> None:
-        """Parse what the caller sent."""
+        """Queue the requests that have come whole."""
         if self._closing:
             return
+        self._parser.limits = self._owner.limits
         try:
-            self._parser.feed_data(received)
-        except httptools.HttpParserUpgrade:
-            self._reject(HTTPStatus.BAD_REQUEST, 'upgrade')
-        except httptools.HttpParserError as error:
-            self._reject(HTTPStatus.BAD_REQUEST, repr(error))
+            requests = self._parser.feed(received)
+        except UnreadableRequestError as error:
+            self._reject(error.status, str(error))
+            return
+        self._queue.extend(requests)
+        if len(self._queue) > _MAX_QUEUED_REQUESTS and self._transport:
+            self._transport.pause_reading()
+        self._start_timer()
+        self._start_next()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the work for a caller that has left."""
@@ -102,65 +99,15 @@
         """Let pieces pass again."""
         self._writable.set()
 
-    def on_message_begin(self) -> None:
-        """Start a new request."""
-        self._reset_message()
-        self._start_timer(self._owner.limits.header_timeout_s)
-
-    def on_url(self, target: bytes) -> None:
-        """Collect the request target, which can come in parts."""
-        self._target += target
-
-    def on_header(self, name: bytes, field: bytes) -> None:
-        """Collect a header."""
-        self._headers.append((name, field))
-        self._header_bytes += len(name) + len(field) + 4
-
-    def on_headers_complete(self) -> None:
-        """Check the size of the head."""
-        if self._header_bytes > self._owner.limits.header_bytes:
-            self._reject(
-                HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
-                f'{self._header_bytes} bytes of headers',
-            )
-
-    def on_body(self, piece: bytes) -> None:
-        """Collect the body within its limit."""
-        self._body += piece
-        if len(self._body) > self._owner.limits.body_bytes:
-            self._reject(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, 'body too long')
-
-    def on_message_complete(self) -> None:
-        """Queue a whole request."""
-        self._stop_timer()
-        if self._closing:
-            return
-        self._queue.append(
-            InboundRequest(
-                self._parser.get_method(),
-                self._target,
-                tuple(self._headers),
-                bytes(self._body),
-                self._begun_at,
-                self._parser.should_keep_alive(),
-            ),
-        )
-        self._reset_message()
-        if len(self._queue) > _MAX_QUEUED_REQUESTS and self._transport:
-            self._transport.pause_reading()
-        self._start_next()
-
     def respond(self, status: int, headers: Headers, body: bytes) -> None:
         """Write a whole answer."""
-        self._chunked = False
         length = (b'content-length', str(len(body)).encode())
-        self._write(self._render(status, (*headers, length)) + body)
+        self._write(self._render(status, headers, length) + body)
 
     def start(self, status: int, headers: Headers) -> None:
         """Write the head of an answer that is sent in pieces."""
-        self._chunked = True
         framing = (b'transfer-encoding', b'chunked')
-        self._write(self._render(status, (*headers, framing)))
+        self._write(self._render(status, headers, framing))
 
     async def write_piece(self, piece: bytes) -> None:
         """Write a piece, waiting while the caller doesn't read."""
@@ -184,37 +131,29 @@
         if not self.is_busy and self._transport is not None:
             self._transport.close()
 
-    def _render(self, status: int, headers: Headers) -> bytes:
+    def _render(
+        self,
+        status: int,
+        headers: Headers,
+        framing: tuple[bytes, bytes],
+    ) -> bytes:
         self._answer_started = True
-        passed = end_to_end_headers(headers[:-1])
-        ending = (b'connection', b'close') if self._is_last() else None
-        extra = (headers[-1], ending) if ending else (headers[-1],)
-        phrase = _phrase_of(status)
-        return render_head(
-            b'HTTP/1.1 %d %s' % (status, phrase), (*passed, *extra)
-        )
-
-    def _is_last(self) -> bool:
+        passed = (*end_to_end_headers(headers), framing)
         if self._owner.is_closing or not self._keep_alive:
             self._closing = True
-        return self._closing
+        if self._closing:
+            passed = (*passed, (b'connection', b'close'))
+        return render_head(
+            b'HTTP/1.1 %d %s' % (status, _phrase_of(status)),
+            passed,
+        )
 
     def _write(self, written: bytes) -> None:
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write(written)
 
-    def _reset_message(self) -> None:
-        self._target = b''
-        self._headers: list[tuple[bytes, bytes]] = []
-        self._header_bytes = 0
-        self._body = bytearray()
-        self._keep_alive = True
-        self._begun_at = self._owner.now()
-
     def _reject(self, status: int, reason: str) -> None:
-        if self._closing:
-            return
-        _log.warning('request_unreadable', status=int(status), reason=reason)
+        _log.warning('request_unreadable', status=status, reason=reason)
         self._closing = True
         if not self.is_busy and self._transport is not None:
             self.respond(status, (), b'')
@@ -234,8 +173,7 @@
         try:
             await self._owner.handler(request, self)
         except asyncio.CancelledError:
-            if not self._closing:
-                self.break_off()
+            self.break_off()
         except Exception:
             _log.exception('handler_failed', target=request.path)
             self.break_off()
@@ -250,11 +188,16 @@
         if self._closing and not self._queue:
             transport.close()
             return
-        self._start_timer(self._owner.limits.idle_timeout_s)
+        self._start_timer()
         self._start_next()
 
-    def _start_timer(self, delay: float) -> None:
+    def _start_timer(self) -> None:
+        """Bound the wait for a request, or for the rest of one."""
         self._stop_timer()
+        limits = self._owner.limits
+        delay = limits.idle_timeout_s
+        if self._parser.is_within:
+            delay = limits.header_timeout_s
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(delay, self._on_timeout)
 
@@ -266,7 +209,7 @@
     def _on_timeout(self) -> None:
         if self.is_busy or self._transport is None:
             return
-        if self._headers or self._target:
+        if self._parser.is_within:
             self._reject(HTTPStatus.REQUEST_TIMEOUT, 'request not read whole')
         else:
             self._transport.close()
@@ -292,7 +235,10 @@
         host, _, port = self.address.rpartition(':')
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: CallerConnection(self), host, int(port), backlog=1024
+            lambda: CallerConnection(self),
+            host,
+            int(port),
+            backlog=1024,
         )
         chosen = self._server.sockets[0].getsockname()
         self.address = f'{chosen[0]}:{chosen[1]}'
@@ -323,9 +269,6 @@
             connection.break_off()
 
 
-_CLOSE_POLL_S: Final = 0.02
-
-
 def _phrase_of(status: int) -> bytes:
     try:
         return HTTPStatus(status).phrase.encode()
