--- a/bramleybeam/decisions/__init__.py
+++ b/bramleybeam/decisions/__init__.py
@@ -23,19 +23,7 @@
     UNLOADING,
     MemoryLedger,
 )
-from bramleybeam.decisions._model_orders import (
-    Demand,
-    EngineView,
-    LoadAdapter,
-    LoadModel,
-    ModelOrder,
-    Target,
-    UnloadAdapter,
-    UnloadModel,
-    memory_in_use,
-    plan_model_orders,
-)
-from bramleybeam.decisions._patience import patience_of, quiet_limit
+from bramleybeam.decisions._patience import patience_of
 from bramleybeam.decisions._placement import (
     PlacedUpstream,
     PlacementSnapshot,
@@ -88,15 +76,10 @@
     'ClaimState',
     'Verdict',
     'Candidate',
-    'Demand',
-    'EngineView',
     'EstimatePolicy',
     'Failure',
     'GiveUp',
-    'LoadAdapter',
-    'LoadModel',
     'MemoryLedger',
-    'ModelOrder',
     'NeverArrived',
     'PlacedUpstream',
     'PlacementSnapshot',
@@ -108,9 +91,6 @@
     'RetryBudget',
     'RoundRobinPolicy',
     'StaleLeastPolicy',
-    'Target',
-    'UnloadAdapter',
-    'UnloadModel',
     'Waiting',
     'expected_wait',
     'hash_blocks',
@@ -131,11 +111,8 @@
     'count_ready',
     'decide_retry',
     'estimate_first_token',
-    'memory_in_use',
     'patience_of',
-    'plan_model_orders',
     'plan_placement',
-    'quiet_limit',
     'rank_by_hash',
     'share_limits',
 ]
--- a/bramleybeam/gateway/_attempt.py
+++ b/bramleybeam/gateway/_attempt.py
@@ -1,6 +1,6 @@
 """One send of a request to one replica, and what became of it."""
 
-import asyncio
+from collections.abc import Callable
 from typing import Final
 
 import attrs
@@ -72,9 +72,14 @@
 class Attempt:
     """Sends a job to a replica and passes its answer on."""
 
-    def __init__(self, job: Job, replica: Replica) -> None:
-        """Store what goes where; ``has_begun`` tells of the first bytes."""
-        self.has_begun = asyncio.Event()
+    def __init__(
+        self,
+        job: Job,
+        replica: Replica,
+        on_first_event: Callable[[], None],
+    ) -> None:
+        """Store what goes where, and whom the first event is told to."""
+        self._on_first_event = on_first_event
         self._job = job
         self._replica = replica
 
@@ -138,7 +143,7 @@
             events = splitter.feed(piece)
             if not events:
                 continue
-            self.has_begun.set()
+            self._on_first_event()
             if not connection.answer_started:
                 connection.start(head.status, head.headers)
             await connection.write_piece(events)
--- a/bramleybeam/gateway/_choose.py
+++ b/bramleybeam/gateway/_choose.py
@@ -2,7 +2,9 @@
 
 import random
 from collections import defaultdict
-from typing import Final
+from collections.abc import Iterator
+from contextlib import contextmanager
+from typing import Final, Self
 
 import xxhash
 
@@ -10,7 +12,6 @@
 from bramleybeam.decisions import (
     Candidate,
     PrefixMemory,
-    Target,
     Waiting,
     choose_upstream,
     is_next,
@@ -20,6 +21,9 @@
 from bramleybeam.gateway._directory import Directory, Signal
 from bramleybeam.gateway._job import Job, RefusingError
 from bramleybeam.gateway._loads import LoadTable, Work
+from bramleybeam.orders import (
+    Target,
+)
 
 _WAIT_STEP_S: Final = 0.25
 # Prompt tokens that a replica reads in a second.
@@ -83,40 +87,46 @@
         )
 
     async def _wait(self, job: Job) -> Candidate:
-        room = self._rooms[job.target]
-        mine = job.waiting
-        room.append(mine)
-        is_absent = self._note_absence(job)
-        try:
+        with self._in_room(job) as (room, mine), _Absence(self._demand) as gone:
             while True:
-                if is_absent and not self._directory.hears_planner():
-                    raise RefusingError(_refuse(job))
-                now = self._directory.now()
-                left = job.received_at + job.patience_s - now
-                if left <= 0:
-                    raise RefusingError(_refuse(job))
-                await self.changed.wait(min(_WAIT_STEP_S, left))
+                if self._is_absent(job):
+                    gone.note(job.target)
+                self._check_patience(job, is_absent=gone.is_noted)
+                await self.changed.wait(_WAIT_STEP_S)
                 now = self._directory.now()
                 if is_next(mine, room, now):
                     chosen = self._try_choose(job, now)
                     if chosen is not None:
                         return chosen
-                if not is_absent:
-                    is_absent = self._note_absence(job)
+
+    @contextmanager
+    def _in_room(self, job: Job) -> Iterator[tuple[list[Waiting], Waiting]]:
+        """Keep a request among those that wait for the same target."""
+        room = self._rooms[job.target]
+        mine = job.waiting
+        room.append(mine)
+        try:
+            yield room, mine
         finally:
-            room.remove(mine)
-            if not room:
-                self._rooms.pop(job.target, None)
-            if is_absent:
-                self._demand.end_waiting(job.target)
-            self.changed.fire()
-
-    def _note_absence(self, job: Job) -> bool:
-        """Count the request as waiting for a load when nobody holds it."""
-        if job.service.engine is None or self._holders(job):
-            return False
-        self._demand.begin_waiting(job.target)
-        return True
+            self._leave_room(job.target, mine)
+
+    def _leave_room(self, target: Target, mine: Waiting) -> None:
+        room = self._rooms[target]
+        room.remove(mine)
+        if not room:
+            self._rooms.pop(target)
+        self.changed.fire()
+
+    def _check_patience(self, job: Job, *, is_absent: bool) -> None:
+        """Refuse when waiting has lasted too long or can't help."""
+        waited = self._directory.now() - job.received_at
+        is_helpless = is_absent and not self._directory.hears_planner()
+        if is_helpless or waited >= job.patience_s:
+            raise RefusingError(_refuse(job))
+
+    def _is_absent(self, job: Job) -> bool:
+        """Whether no replica holds what a request needs."""
+        return job.service.engine is not None and not self._holders(job)
 
     def _try_choose(self, job: Job, now: float) -> Candidate | None:
         holders = self._holders(job)
@@ -187,6 +197,30 @@
         )
 
 
+class _Absence:
+    """Counts a request as waiting for a load, once, while it waits."""
+
+    def __init__(self, demand: DemandTable) -> None:
+        self._demand = demand
+        self._target: Target | None = None
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(self, *_failure: object) -> None:
+        if self._target is not None:
+            self._demand.end_waiting(self._target)
+
+    @property
+    def is_noted(self) -> bool:
+        return self._target is not None
+
+    def note(self, target: Target) -> None:
+        if self._target is None:
+            self._target = target
+            self._demand.begin_waiting(target)
+
+
 def _refuse(job: Job) -> Refusal:
     if job.service.engine is None:
         return refuse(
--- a/bramleybeam/gateway/_daemon.py
+++ b/bramleybeam/gateway/_daemon.py
@@ -10,18 +10,24 @@
 
 from bramleybeam import platform
 from bramleybeam.catalog import HostSettings
-from bramleybeam.decisions import Demand
 from bramleybeam.gateway._choose import Chooser
 from bramleybeam.gateway._demand import DemandTable
-from bramleybeam.gateway._directory import PEER_PREFIX, OWN_PREFIX, Directory
+from bramleybeam.gateway._directory import OWN_PREFIX, PEER_PREFIX, Directory
 from bramleybeam.gateway._follower import StoreFollower
 from bramleybeam.gateway._forward import Forwarder
 from bramleybeam.gateway._loads import LoadTable
 from bramleybeam.gateway._peers import Beat, PeerLink
 from bramleybeam.gateway._planner import Planner
 from bramleybeam.keyvalue import LeaseKeeper
-from bramleybeam.relay import CallerConnection, CallerLimits, CallerServer
-from bramleybeam.relay import InboundRequest
+from bramleybeam.orders import (
+    Demand,
+)
+from bramleybeam.relay import (
+    CallerConnection,
+    CallerLimits,
+    CallerServer,
+    InboundRequest,
+)
 from bramleybeam.timers import TaskSet, TimerService
 
 _BEAT_S: Final = 0.2
@@ -108,7 +114,7 @@
             platform.boot_time,
             _PEER_TTL_S,
         )
-        self._timers.subscribe('listing', _PEER_RENEW_S, listed.renew)
+        self._timers.subscribe('listing', _PEER_RENEW_S, listed.keep)
         self._timers.subscribe('beat', _BEAT_S, self._send_beat)
         self._timers.subscribe(
             'lease', _LEASE_CHECK_S, self._planner.keep_lease
--- a/bramleybeam/gateway/_demand.py
+++ b/bramleybeam/gateway/_demand.py
@@ -7,7 +7,10 @@
 
 import attrs
 
-from bramleybeam.decisions import Demand, Target
+from bramleybeam.orders import (
+    Demand,
+    Target,
+)
 
 # Time constant of the rates, in seconds.
 _FADE_S: Final = 6.0
--- a/bramleybeam/gateway/_forward.py
+++ b/bramleybeam/gateway/_forward.py
@@ -2,12 +2,19 @@
 
 import asyncio
 import random
+from functools import partial
 from typing import Final
 
 import structlog
 
 from bramleybeam import platform
-from bramleybeam.catalog import HostSettings, Replica, Route, Service
+from bramleybeam.catalog import (
+    HostSettings,
+    Replica,
+    Route,
+    RoutingConfiguration,
+    Service,
+)
 from bramleybeam.decisions import (
     AttemptHistory,
     AttemptLost,
@@ -31,6 +38,7 @@
 # Time after its deadline in which a replica's own last word may arrive.
 _LAST_WORD_S: Final = 0.1
 _SOON_S: Final = 0.5
+_MOMENT_S: Final = 0.1
 _log = structlog.get_logger('requests')
 
 
@@ -86,15 +94,7 @@
         facts: platform.RequestFacts | None,
         connection: CallerConnection,
     ) -> Job:
-        configuration = self._directory.configuration
-        if self.is_stopping:
-            raise RefusingError(
-                refuse(ErrorKind.SHUTTING_DOWN, retry_after=_SOON_S / 5),
-            )
-        if configuration is None or not self._directory.is_listed:
-            raise RefusingError(
-                refuse(ErrorKind.NOT_CONFIGURED, retry_after=_SOON_S),
-            )
+        configuration = self._check_state()
         route = configuration.match(request.host, request.path)
         if route is None:
             raise RefusingError(
@@ -111,6 +111,19 @@
             )
         return self._make_job(request, facts, route, service, connection)
 
+    def _check_state(self) -> RoutingConfiguration:
+        """Return the configuration, unless requests can't be taken now."""
+        if self.is_stopping:
+            raise RefusingError(
+                refuse(ErrorKind.SHUTTING_DOWN, retry_after=_MOMENT_S),
+            )
+        configuration = self._directory.configuration
+        if configuration is None or not self._directory.is_listed:
+            raise RefusingError(
+                refuse(ErrorKind.NOT_CONFIGURED, retry_after=_SOON_S),
+            )
+        return configuration
+
     def _make_job(
         self,
         request: InboundRequest,
@@ -162,25 +175,16 @@
         replica: Replica,
         work: Work,
     ) -> outcomes.Outcome:
-        attempt = outcomes.Attempt(job, replica)
-        self._loads.begin(replica.name, work)
-        reader = asyncio.create_task(self._note_read(attempt, replica, work))
         time_left = job.give_up_at - self._directory.now()
-        try:
-            return await attempt.run(time_left)
-        finally:
-            reader.cancel()
-            self._loads.end(replica.name, work)
-            self._chooser.changed.fire()
-
-    async def _note_read(
-        self,
-        attempt: outcomes.Attempt,
-        replica: Replica,
-        work: Work,
-    ) -> None:
-        await attempt.has_begun.wait()
-        self._loads.note_read(replica.name, work)
+        with self._loads.track(replica.name, work):
+            attempt = outcomes.Attempt(
+                job,
+                replica,
+                partial(self._loads.note_read, replica.name, work),
+            )
+            outcome = await attempt.run(time_left)
+        self._chooser.changed.fire()
+        return outcome
 
     async def _settle(
         self,
@@ -199,7 +203,7 @@
             case GiveUp(refusal=refusal):
                 if not isinstance(outcome, outcomes.FailedReply):
                     raise RefusingError(refusal)
-        _pass_failure(job, outcome)
+                _pass_failure(job, outcome)
         return False
 
     def _history(self, job: Job) -> AttemptHistory:
@@ -258,13 +262,11 @@
         _answer_refusal(job.facts.request_id, job.connection, refusal)
 
 
-def _pass_failure(job: Job, outcome: outcomes.Outcome) -> None:
-    match outcome:
-        case outcomes.FailedReply(status=status, headers=headers, body=body):
-            if job.connection.answer_started:
-                job.connection.break_off()
-            else:
-                job.connection.respond(status, headers, body)
+def _pass_failure(job: Job, failed: outcomes.FailedReply) -> None:
+    if job.connection.answer_started:
+        job.connection.break_off()
+    else:
+        job.connection.respond(failed.status, failed.headers, failed.body)
 
 
 def _failure_of(outcome: outcomes.Outcome) -> Failure:
--- a/bramleybeam/gateway/_job.py
+++ b/bramleybeam/gateway/_job.py
@@ -3,8 +3,14 @@
 import attrs
 
 from bramleybeam.catalog import Route, Service
-from bramleybeam.decisions import Target, Waiting, patience_of
+from bramleybeam.decisions import (
+    Waiting,
+    patience_of,
+)
 from bramleybeam.errors import Refusal
+from bramleybeam.orders import (
+    Target,
+)
 from bramleybeam.platform import RequestFacts
 from bramleybeam.relay import CallerConnection, InboundRequest
 
--- a/bramleybeam/gateway/_ledger.py
+++ b/bramleybeam/gateway/_ledger.py
@@ -10,7 +10,7 @@
 import attrs
 
 from bramleybeam.catalog import Holdings, Replica
-from bramleybeam.decisions import (
+from bramleybeam.orders import (
     LoadAdapter,
     LoadModel,
     ModelOrder,
@@ -140,8 +140,9 @@
 
     def _settle_adapter(self, model: str, adapter: str) -> None:
         models = dict(self.holdings.models)
-        if model in models:
-            models[model] = models[model] | {adapter}
+        held = models.get(model)
+        if held is not None:
+            models[model] = held | {adapter}
         self.holdings = attrs.evolve(
             self.holdings,
             models=models,
--- a/bramleybeam/gateway/_loads.py
+++ b/bramleybeam/gateway/_loads.py
@@ -1,12 +1,15 @@
 """Work in flight at each replica, own and as other gateways tell."""
 
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
+from contextlib import contextmanager
 from typing import Final
 
 import attrs
 
-from bramleybeam.decisions import Target
+from bramleybeam.orders import (
+    Target,
+)
 
 # Age at which what another gateway told of its load no longer counts.
 _STALE_S: Final = 1.5
@@ -65,24 +68,21 @@
         self._own: dict[str, _OwnLoad] = {}
         self._told: dict[str, _Told] = {}
 
-    def begin(self, replica: str, work: Work) -> None:
-        """Count a request that is about to be sent."""
-        self._own.setdefault(replica, _OwnLoad()).add(work, 1)
+    @contextmanager
+    def track(self, replica: str, work: Work) -> Iterator[None]:
+        """Count a request while it is at a replica."""
+        own = self._own.setdefault(replica, _OwnLoad())
+        own.add(work, 1)
+        try:
+            yield
+        finally:
+            own.add(work, -1)
 
     def note_read(self, replica: str, work: Work) -> None:
-        """Note that a request's prompt has been read."""
-        own = self._own.get(replica)
-        if own is not None:
-            own.unread_tokens -= work.unread_tokens
+        """Note that a request's prompt has been read; repeats do nothing."""
+        self._own[replica].unread_tokens -= work.unread_tokens
         work.unread_tokens = 0
 
-    def end(self, replica: str, work: Work) -> None:
-        """Stop counting a request."""
-        own = self._own[replica]
-        own.add(work, -1)
-        if not own.requests:
-            self._own.pop(replica)
-
     def hear(
         self,
         gateway: str,
@@ -94,7 +94,11 @@
 
     def own_reports(self) -> dict[str, LoadReport]:
         """Return this gateway's own work, to be told to the others."""
-        return {name: _freeze(own) for name, own in self._own.items()}
+        return {
+            name: _freeze(own)
+            for name, own in self._own.items()
+            if own.requests
+        }
 
     def total(self, replica: str, now: float) -> LoadReport:
         """Return the work of all gateways at a replica."""
--- a/bramleybeam/gateway/_peers.py
+++ b/bramleybeam/gateway/_peers.py
@@ -14,11 +14,13 @@
 import structlog
 
 from bramleybeam.catalog import Holdings
-from bramleybeam.decisions import Target
 from bramleybeam.gateway._directory import Directory, PlacedHoldings
 from bramleybeam.gateway._loads import LoadReport
 from bramleybeam.links import FrameDecoder, FrameError, encode_frame
 from bramleybeam.links import _frames as frames
+from bramleybeam.orders import (
+    Target,
+)
 
 _TOPIC: Final = 'gateway-beat'
 _BAD_BEAT: Final = (
@@ -109,9 +111,8 @@
         decoder = FrameDecoder()
         decoder.raise_limit()
         for frame in decoder.feed(received):
-            match frame:
-                case frames.Notice(topic='gateway-beat', body=body):
-                    self._hear(decode_beat(body, sender))
+            if isinstance(frame, frames.Notice) and frame.topic == _TOPIC:
+                self._hear(decode_beat(frame.body, sender))
 
 
 def encode_beat(beat: Beat) -> bytes:
--- a/bramleybeam/gateway/_planner.py
+++ b/bramleybeam/gateway/_planner.py
@@ -14,12 +14,7 @@
 from bramleybeam import platform
 from bramleybeam.catalog import EngineSpec, HostSettings, ReplicaState
 from bramleybeam.decisions import (
-    Demand,
-    EngineView,
-    LoadModel,
-    ModelOrder,
     TokenBucket,
-    plan_model_orders,
 )
 from bramleybeam.gateway._demand import DemandTable
 from bramleybeam.gateway._directory import (
@@ -30,6 +25,13 @@
 from bramleybeam.gateway._ledger import ReplicaLedger
 from bramleybeam.gateway._loads import LoadTable
 from bramleybeam.keyvalue import LeaseKeeper
+from bramleybeam.orders import (
+    Demand,
+    EngineView,
+    LoadModel,
+    ModelOrder,
+    plan_orders,
+)
 from bramleybeam.timers import TaskSet
 
 LEASE_TTL_S: Final = 1.2
@@ -224,7 +226,7 @@
             and ledger.replica.state == ReplicaState.READY
         ]
         allowed = int(bucket.level(now))
-        for order in plan_model_orders(views, spec, demand, allowed):
+        for order in plan_orders(views, spec, demand, allowed):
             if isinstance(order, LoadModel) and order.from_store:
                 bucket.take(now)
             ledger = self._ledgers[order.replica]
--- a/bramleybeam/keyvalue/_lease.py
+++ b/bramleybeam/keyvalue/_lease.py
@@ -68,6 +68,10 @@
                 return not isinstance(error, LeaseHeld)
         return True
 
+    async def keep(self) -> None:
+        """Renew as often as a timer says; what became of it is logged."""
+        await self.renew()
+
     def give_up(self) -> None:
         """Stop holding the lease at once: another process has it."""
         self._lease = None
--- /dev/null
+++ b/bramleybeam/orders/__init__.py
@@ -0,0 +1,25 @@
+"""Orders for models and adapters: what replicas are told to hold."""
+
+from bramleybeam.orders._messages import (
+    Demand,
+    EngineView,
+    LoadAdapter,
+    LoadModel,
+    ModelOrder,
+    Target,
+    UnloadAdapter,
+    UnloadModel,
+)
+from bramleybeam.orders._plan import plan_orders
+
+__all__ = [
+    'Demand',
+    'EngineView',
+    'LoadAdapter',
+    'LoadModel',
+    'ModelOrder',
+    'Target',
+    'UnloadAdapter',
+    'UnloadModel',
+    'plan_orders',
+]
--- /dev/null
+++ b/bramleybeam/orders/_models.py
@@ -0,0 +1,182 @@
+"""Decides which models the replicas of a service hold.
+
+Answers this load: a few models carry nearly all requests, many share a
+trickle, not all fit, and which ones are busy moves on. A model that requests
+wait for is brought in at once, where its weights are at hand if possible, in
+place of what is expected to be missed least. Busy models get further copies
+while that costs nothing that is asked for.
+"""
+
+from collections.abc import Iterable, Sequence
+from typing import Final
+
+import attrs
+
+from bramleybeam.catalog import EngineSpec, Holdings
+from bramleybeam.orders._messages import (
+    Demand,
+    EngineView,
+    LoadModel,
+    ModelOrder,
+    UnloadModel,
+)
+from bramleybeam.orders._ranking import most_first
+
+# Prompt tokens that one replica reads in a second, for shares of its time.
+_PREFILL_TOKENS_PER_S: Final = 20_000.0
+# Share of a copy's time from which prompts queue noticeably.
+_BUSY_SHARE: Final = 0.3
+# Seconds of demand over which a dropped model is expected to be missed.
+_HORIZON_S: Final = 10.0
+# Requests that a model without recent demand is taken to get, per second.
+_FAINT_RATE: Final = 0.002
+# Loss, in requests, that another copy of a busy model is worth at least.
+_COPY_GAIN_FLOOR: Final = 0.5
+# Loss of a spare copy, as a share of the model's requests.
+_SPARE_COPY_SHARE: Final = 0.01
+
+
+@attrs.frozen
+class _Choice:
+    """A way to bring a model in; ``cost`` is in requests served late."""
+
+    cost: float
+    engine: EngineView
+    victim: str = ''
+
+    @property
+    def rank(self) -> tuple[float, str]:
+        return self.cost, self.engine.name
+
+
+class ModelPlacement:
+    """Plans at most one model order a replica.
+
+    ``store_loads`` is how many loads from the weight store may begin now.
+    """
+
+    def __init__(
+        self,
+        engines: Sequence[EngineView],
+        spec: EngineSpec,
+        demand: Demand,
+        store_loads: int,
+    ) -> None:
+        """Count the copies that there are."""
+        self.orders: list[ModelOrder] = []
+        self._engines = engines
+        self._spec = spec
+        self._demand = demand
+        self._store_loads = store_loads
+        self._ordered: set[str] = set()
+        self._waiting = demand.waiting_by_model()
+        self._copies = count_copies(engines)
+
+    def place_waiting(self) -> None:
+        """Bring in each model that requests wait for, most waiting first."""
+        for model in most_first(self._waiting):
+            if model in self._spec.models and not self._copies.get(model):
+                self._bring_in(model, float('inf'))
+
+    def add_copies(self) -> None:
+        """Give the busiest model a further copy while that pays."""
+        shares = {
+            model: self._share(model)
+            for model in self._demand.token_rates
+            if self._may_copy(model)
+        }
+        for model in most_first(shares):
+            excess = shares[model] - _BUSY_SHARE
+            gain = self._rate(model) * _HORIZON_S * excess
+            if gain > _COPY_GAIN_FLOOR:
+                self._bring_in(model, gain)
+                return
+
+    def _may_copy(self, model: str) -> bool:
+        if model not in self._spec.models or not self._copies.get(model):
+            return False
+        return all(engine.loading != model for engine in self._engines)
+
+    def _share(self, model: str, dropped: int = 0) -> float:
+        """Return the share of its time that a copy reads prompts."""
+        tokens = self._demand.token_rates.get(model, 0)
+        copies = self._copies.get(model, 1) - dropped
+        return tokens / _PREFILL_TOKENS_PER_S / max(1, copies)
+
+    def _bring_in(self, model: str, gain: float) -> None:
+        """Load where it costs least, or first make room there."""
+        choices = [
+            choice
+            for engine in self._engines
+            for choice in self._choices(engine, model)
+        ]
+        if not choices:
+            return
+        best = min(choices, key=_rank_of)
+        if best.cost >= gain:
+            return
+        if best.victim:
+            self.orders.append(UnloadModel(best.engine.name, best.victim))
+            self._copies[best.victim] -= 1
+        else:
+            self._load(best.engine, model)
+        self._ordered.add(best.engine.name)
+
+    def _load(self, engine: EngineView, model: str) -> None:
+        from_store = not _is_at_hand(engine.holdings, model)
+        if from_store:
+            self._store_loads -= 1
+        self.orders.append(LoadModel(engine.name, model, from_store))
+
+    def _choices(self, engine: EngineView, model: str) -> Iterable[_Choice]:
+        held = engine.holdings.models
+        if not engine.is_open or engine.name in self._ordered or model in held:
+            return
+        load_s = self._load_time(engine, model)
+        if load_s is None:
+            return
+        used = engine.memory_in_use(self._spec)
+        needed = self._spec.models[model].memory_mb
+        if used + needed <= self._spec.memory_mb:
+            yield _Choice(load_s / _HORIZON_S, engine)
+            return
+        for victim in held:
+            loss = self._loss(victim) + engine.runs_of(victim)
+            yield _Choice(loss + load_s / _HORIZON_S, engine, victim)
+
+    def _load_time(self, engine: EngineView, model: str) -> float | None:
+        spec = self._spec.models[model]
+        if model in engine.holdings.in_memory:
+            return spec.memory_load_s
+        if model in engine.holdings.on_disk:
+            return spec.disk_load_s
+        return spec.load_s if self._store_loads > 0 else None
+
+    def _loss(self, victim: str) -> float:
+        """Requests that are served late for want of a dropped copy."""
+        rate = self._rate(victim)
+        if self._copies.get(victim, 1) <= 1:
+            return rate * _HORIZON_S + self._waiting.get(victim, 0)
+        excess = self._share(victim, dropped=1) - _BUSY_SHARE
+        return rate * _HORIZON_S * max(_SPARE_COPY_SHARE, excess)
+
+    def _rate(self, model: str) -> float:
+        return self._demand.rates.get(model, 0) + _FAINT_RATE
+
+
+def count_copies(engines: Iterable[EngineView]) -> dict[str, int]:
+    """Count the copies of each model that are here to stay, or coming."""
+    copies: dict[str, int] = {}
+    for engine in engines:
+        present = {*engine.holdings.models, engine.loading} - {engine.leaving}
+        for model in present - {''}:
+            copies[model] = copies.get(model, 0) + 1
+    return copies
+
+
+def _rank_of(choice: _Choice) -> tuple[float, str]:
+    return choice.rank
+
+
+def _is_at_hand(holdings: Holdings, model: str) -> bool:
+    return model in holdings.in_memory or model in holdings.on_disk
--- a/bramleybeam/platform/_orders.py
+++ b/bramleybeam/platform/_orders.py
@@ -9,7 +9,7 @@
 import structlog
 
 from bramleybeam.catalog import Holdings, Replica
-from bramleybeam.decisions import (
+from bramleybeam.orders import (
     LoadAdapter,
     LoadModel,
     ModelOrder,
--- a/bramleybeam/platform/_settings.py
+++ b/bramleybeam/platform/_settings.py
@@ -14,6 +14,7 @@
 from bramleybeam.checks import Problem
 
 SETTINGS_VARIABLE: Final = 'BRAMLEYBEAM_NODE_FILE'
+_BAD_FIELD: Final = (KeyError, TypeError, ValueError, IndexError)
 _REMEDY: Final = f'{SETTINGS_VARIABLE} must name the settings of this host.'
 
 
@@ -28,7 +29,7 @@
         return Error(Problem(place, str(error), 'readable TOML', _REMEDY))
     try:
         return Ok(_decode(raw))
-    except (KeyError, TypeError, ValueError, IndexError) as error:
+    except _BAD_FIELD as error:
         return Error(
             Problem(place, repr(error), 'present and well typed', _REMEDY),
         )
--- a/bramleybeam/platform/_store.py
+++ b/bramleybeam/platform/_store.py
@@ -8,6 +8,7 @@
 import base64
 import json
 import time
+from contextlib import closing
 from typing import Any, Final
 from urllib.parse import urlencode
 
@@ -31,6 +32,7 @@
 _MAX_ANSWER_BYTES: Final = 1 << 24
 _OK: Final = 200
 _MAX_PAGES: Final = 40
+_NO_ANSWER: Final = (OSError, TimeoutError, BrokenReplyError, ValueError)
 
 
 @attrs.frozen
@@ -195,7 +197,7 @@
         try:
             async with asyncio.timeout(_CALL_TIMEOUT_S + extra_wait):
                 return await self._exchange(method, target, body)
-        except (OSError, TimeoutError, BrokenReplyError, ValueError) as error:
+        except _NO_ANSWER as error:
             return f'no answer: {error!r}'
 
     async def _exchange(
@@ -204,20 +206,15 @@
         target: str,
         body: bytes,
     ) -> _Answer:
+        headers = (
+            (b'Host', self._address.encode()),
+            (b'Content-Type', b'application/json'),
+        )
         call = await open_call(self._address, _CONNECT_TIMEOUT_S)
-        try:
-            call.send(
-                f'{method} {target} HTTP/1.1'.encode(),
-                (
-                    (b'Host', self._address.encode()),
-                    (b'Content-Type', b'application/json'),
-                ),
-                body,
-            )
+        with closing(call):
+            call.send(f'{method} {target} HTTP/1.1'.encode(), headers, body)
             head = await call.read_head()
             raw = await call.read_body(_MAX_ANSWER_BYTES)
-        finally:
-            call.close()
         is_json = head.status == _OK and raw
         return _Answer(head.status, json.loads(raw) if is_json else None)
 
--- a/bramleybeam/relay/_caller.py
+++ b/bramleybeam/relay/_caller.py
@@ -42,7 +42,7 @@
         self._parser = RequestParser(owner.limits, owner.now)
         self._queue: deque[InboundRequest] = deque()
         self._task: asyncio.Task[None] | None = None
-        self._timer: asyncio.TimerHandle | None = None
+        self._timer = _Timer(self._on_timeout)
         self._writable = asyncio.Event()
         self._writable.set()
         self._answer_started = False
@@ -84,7 +84,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the work for a caller that has left."""
         self._owner.connections.discard(self)
-        self._stop_timer()
+        self._timer.stop()
         self._closing = True
         self._queue.clear()
         self._writable.set()
@@ -193,18 +193,11 @@
 
     def _start_timer(self) -> None:
         """Bound the wait for a request, or for the rest of one."""
-        self._stop_timer()
         limits = self._owner.limits
         delay = limits.idle_timeout_s
         if self._parser.is_within:
             delay = limits.header_timeout_s
-        loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(delay, self._on_timeout)
-
-    def _stop_timer(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
+        self._timer.start(delay)
 
     def _on_timeout(self) -> None:
         if self.is_busy or self._transport is None:
@@ -215,6 +208,24 @@
             self._transport.close()
 
 
+class _Timer:
+    """Calls back once, unless it is started again or stopped before."""
+
+    def __init__(self, callback: Callable[[], None]) -> None:
+        self._callback = callback
+        self._handle: asyncio.TimerHandle | None = None
+
+    def start(self, delay: float) -> None:
+        self.stop()
+        loop = asyncio.get_running_loop()
+        self._handle = loop.call_later(delay, self._callback)
+
+    def stop(self) -> None:
+        if self._handle is not None:
+            self._handle.cancel()
+            self._handle = None
+
+
 class CallerServer:
     """Listens at one address and hands requests to one handler.
 
