Test the gateway between stand-ins of the store and of replicas

Real processes: both kinds of service, lost, false, cut and extra answers, draining, lost history, a store that is away, loads on demand, SIGTERM. Logs go to standard output and never block: lines that the reader doesn't take are dropped and counted.

--- a/bramleybeam/demo/_command.py
+++ b/bramleybeam/demo/_command.py
@@ -47,7 +47,7 @@
     time_scale: float,
 ) -> None:
     """Run whole deployments in one process, from their documents."""
-    configure_logs('error', process='demo')
+    configure_logs('error', sys.stderr, process='demo')
     for path in documents:
         match read_document_file(path):
             case Result(tag='ok', ok=document):
--- a/bramleybeam/gateway/_daemon.py
+++ b/bramleybeam/gateway/_daemon.py
@@ -120,7 +120,11 @@
             'lease', _LEASE_CHECK_S, self._planner.keep_lease
         )
         self._timers.subscribe('plan', _PLAN_S, self._plan)
-        _log.info('started', callers=self._callers.address)
+        _log.info(
+            'started',
+            callers=self._callers.address,
+            readiness=self._readiness.address,
+        )
 
     async def shut_down(self) -> None:
         """Leave the balancer, answer what has come, then end."""
--- /dev/null
+++ b/bramleybeam/orders/tests/test_plan.py
@@ -0,0 +1,192 @@
+"""Plans of orders: by table, and by random demand against a replica's room."""
+
+import attrs
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from bramleybeam.catalog import EngineSpec, Holdings, ModelSpec
+from bramleybeam.orders import (
+    Demand,
+    EngineView,
+    LoadAdapter,
+    LoadModel,
+    UnloadAdapter,
+    UnloadModel,
+    plan_orders,
+)
+
+MODELS = ('m1', 'm2', 'm3', 'm4', 'm5')
+SPEC = EngineSpec(
+    slots=4,
+    cache_tokens=1000,
+    memory_mb=215,
+    adapter_places=2,
+    loads_per_s=2,
+    models={
+        name: ModelSpec(name, 70, 2.4, 1.6, 1.2, adapters=4, adapter_mb=1)
+        for name in MODELS
+    },
+)
+
+
+def make_engine(name, *models, **changed):
+    """Return a replica that holds models, given as ``m1`` or ``m1/a1``."""
+    held = {}
+    for model in models:
+        base, _, adapter = model.partition('/')
+        held.setdefault(base, set())
+        if adapter:
+            held[base].add(adapter)
+    frozen = {base: frozenset(names) for base, names in held.items()}
+    holdings = Holdings(0, frozen, **changed.pop('at_hand', {}))
+    return EngineView(name, holdings, **changed)
+
+
+FULL = ('m1', 'm2', 'm3')
+PLANS = (
+    # What is asked for goes where there is room.
+    (
+        [make_engine('e1', 'm1'), make_engine('e2', *FULL)],
+        Demand(rates={'m1': 0.1}, waiting={('m4', ''): 1}),
+        [LoadModel('e1', 'm4')],
+    ),
+    # Where its weights are at hand, when there is a choice.
+    (
+        [
+            make_engine('e1', 'm1'),
+            make_engine('e2', 'm2', at_hand={'on_disk': frozenset(('m4',))}),
+        ],
+        Demand(waiting={('m4', ''): 1}),
+        [LoadModel('e2', 'm4', from_store=False)],
+    ),
+    # What is asked for least makes room, the spare copy before the last one.
+    (
+        [make_engine('e1', 'm1', 'm2', 'm3'), make_engine('e2', 'm1', 'm4')],
+        Demand(
+            rates={'m1': 0.02, 'm2': 0.1, 'm3': 0.2},
+            waiting={('m5', ''): 1},
+        ),
+        [LoadModel('e2', 'm5')],
+    ),
+    (
+        [make_engine('e1', *FULL)],
+        Demand(
+            rates={'m1': 3, 'm2': 1, 'm3': 2},
+            waiting={('m4', ''): 1},
+        ),
+        [UnloadModel('e1', 'm2')],
+    ),
+    # A model that is on its way is not ordered again.
+    (
+        [make_engine('e1', 'm1', loading='m4', is_open=False)],
+        Demand(waiting={('m4', ''): 1}),
+        [],
+    ),
+    # An adapter goes where its model is, and places are free.
+    (
+        [make_engine('e1', 'm1/a1', 'm1/a2'), make_engine('e2', 'm1')],
+        Demand(waiting={('m1', 'a3'): 1}, rates={'m1': 0.1}),
+        [LoadAdapter('e2', 'm1', 'a3')],
+    ),
+    # An idle adapter makes room, one that runs does not.
+    (
+        [
+            make_engine('e1', 'm1/a1', 'm1/a2', running={('m1', 'a1'): 1}),
+        ],
+        Demand(waiting={('m1', 'a3'): 1}),
+        [UnloadAdapter('e1', 'm1', 'a2')],
+    ),
+    # Adapters of a busy model are fetched before they are asked for.
+    (
+        [make_engine('e1', 'm1', 'm2')],
+        Demand(rates={'m1': 5}),
+        [LoadAdapter('e1', 'm1', 'a1')],
+    ),
+    # A model whose copies are busy gets another in place of an idle one.
+    (
+        [make_engine('e1', 'm1'), make_engine('e2', 'm2/a1', 'm3', 'm4')],
+        Demand(rates={'m1': 20}, token_rates={'m1': 20_000}),
+        [UnloadModel('e2', 'm2'), LoadAdapter('e1', 'm1', 'a1')],
+    ),
+    # An unknown model at a replica counts as all of its memory.
+    (
+        [make_engine('e1', 'odd')],
+        Demand(waiting={('m4', ''): 1}),
+        [UnloadModel('e1', 'odd')],
+    ),
+)
+
+
+@pytest.mark.parametrize(('engines', 'demand', 'expected'), PLANS)
+def test_plans(engines, demand, expected):
+    assert plan_orders(engines, SPEC, demand, store_loads=3) == expected
+
+
+def test_store_rate_is_kept():
+    engines = [make_engine(f'e{number}', 'm1') for number in range(4)]
+    waiting = {(name, ''): 1 for name in MODELS[1:]}
+    orders = plan_orders(engines, SPEC, Demand(waiting=waiting), 2)
+    loads = [order for order in orders if isinstance(order, LoadModel)]
+    assert len(loads) == 2
+
+
+@attrs.define
+class Room:
+    """A replica that crashes when it is ordered past its room."""
+
+    models: dict
+    adapters: set
+
+    def take(self, order):
+        match order:
+            case LoadModel(model=model):
+                self.models[model] = 70
+            case UnloadModel(model=model):
+                self.models.pop(model)
+                self.adapters = {
+                    one for one in self.adapters if one[0] != model
+                }
+            case LoadAdapter(model=model, adapter=adapter):
+                assert model in self.models
+                self.adapters.add((model, adapter))
+            case UnloadAdapter(model=model, adapter=adapter):
+                self.adapters.remove((model, adapter))
+        used = sum(self.models.values()) + len(self.adapters)
+        assert used <= SPEC.memory_mb
+        assert len(self.adapters) <= SPEC.adapter_places
+
+    def view(self, name):
+        models = {
+            model: frozenset(
+                name for base, name in self.adapters if base == model
+            )
+            for model in self.models
+        }
+        return EngineView(name, Holdings(0, models))
+
+
+TARGETS = st.tuples(
+    st.sampled_from(MODELS),
+    st.sampled_from(['', 'a1', 'a2', 'a3']),
+)
+
+
+@settings(max_examples=60, derandomize=True, deadline=None)
+@given(
+    st.lists(
+        st.tuples(
+            st.dictionaries(TARGETS, st.integers(1, 4), max_size=4),
+            st.dictionaries(st.sampled_from(MODELS), st.floats(0, 30)),
+        ),
+        max_size=12,
+    ),
+)
+def test_never_past_a_replicas_room(rounds):
+    rooms = {f'e{number}': Room({'m1': 70}, set()) for number in range(3)}
+    for waiting, rates in rounds:
+        views = [room.view(name) for name, room in rooms.items()]
+        tokens = {model: rate * 1500 for model, rate in rates.items()}
+        demand = Demand(rates, tokens, waiting)
+        for order in plan_orders(views, SPEC, demand, store_loads=2):
+            rooms[order.replica].take(order)
--- /dev/null
+++ b/bramleybeam/relay/tests/test_relay.py
@@ -0,0 +1,130 @@
+"""Parsing of callers' requests and of peers' answers."""
+
+import asyncio
+import socket
+import struct
+
+import pytest
+
+from bramleybeam.relay import (
+    BrokenReplyError,
+    CallerLimits,
+    CallerServer,
+    open_call,
+)
+from bramleybeam.relay._parser import RequestParser, UnreadableRequestError
+
+LIMITS = CallerLimits(header_bytes=200, body_bytes=20)
+# A linger time of 0 s: closing sends a reset.
+RESET = struct.pack('ii', 1, 0)
+CHUNKED = b'Transfer-Encoding: chunked\r\n'
+
+
+def make_parser():
+    return RequestParser(LIMITS, lambda: 1.0)
+
+
+@pytest.mark.parametrize('size', [1, 3, 1000])
+@pytest.mark.parametrize(
+    ('headers', 'sent', 'body'),
+    [
+        (b'Content-Length: 5\r\n', b'hello', b'hello'),
+        (CHUNKED, b'2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n', b'hello'),
+        (b'', b'', b''),
+    ],
+)
+def test_reads_whole_requests_in_any_pieces(headers, sent, body, size):
+    text = b'POST /a/b?c=%20 HTTP/1.1\r\nHost: Desk.Example:80\r\n'
+    text += headers + b'\r\n' + sent
+    parser = make_parser()
+    found = []
+    for start in range(0, len(text), size):
+        found.extend(parser.feed(text[start : start + size]))
+    (request,) = found
+    assert (request.target, request.body) == (b'/a/b?c=%20', body)
+    assert (request.host, request.path) == ('desk.example', '/a/b')
+    assert not parser.is_within
+
+
+@pytest.mark.parametrize(
+    ('text', 'status'),
+    [
+        (b'NONSENSE\r\n\r\n', 400),
+        (
+            b'POST / HTTP/1.1\r\nContent-Length: 3\r\n' + CHUNKED + b'\r\n',
+            400,
+        ),
+        (
+            b'POST / HTTP/1.1\r\nContent-Length: 3\r\n'
+            b'Content-Length: 4\r\n\r\n',
+            400,
+        ),
+        (b'GET / HTTP/1.1\r\nA: ' + b'x' * 300 + b'\r\n\r\n', 431),
+        (b'POST / HTTP/1.1\r\nContent-Length: 30\r\n\r\n' + b'x' * 30, 413),
+        (b'CONNECT a:1 HTTP/1.1\r\nHost: a:1\r\n\r\n', 400),
+    ],
+)
+def test_refuses_what_is_unreadable_or_too_long(text, status):
+    with pytest.raises(UnreadableRequestError) as caught:
+        make_parser().feed(text)
+    assert caught.value.status == status
+
+
+@pytest.mark.parametrize(
+    ('sent', 'reset', 'body'),
+    [
+        (b'Content-Length: 5\r\n\r\nhello', False, b'hello'),
+        (b'Content-Length: 5\r\n\r\nhello' + b'more', False, b'hello'),
+        (b'Content-Length: 5\r\n\r\nhel', False, None),
+        (CHUNKED + b'\r\n5\r\nhello\r\n0\r\n\r\n', False, b'hello'),
+        (CHUNKED + b'\r\n5\r\nhello\r\n', False, None),
+        (CHUNKED + b'\r\nzz\r\nhello\r\n', False, None),
+        (b'\r\nhello', False, b'hello'),
+        (b'\r\nhello', True, None),
+        (b'Content-Length: 0\r\n\r\n', False, b''),
+    ],
+)
+async def test_answer_counts_only_when_whole(sent, reset, body):
+    async def answer(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(b'HTTP/1.1 200 OK\r\n' + sent)
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        if reset:
+            sock = writer.get_extra_info('socket')
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            writer.transport.abort()
+        else:
+            writer.close()
+
+    server = await asyncio.start_server(answer, '127.0.0.1', 0)
+    port = server.sockets[0].getsockname()[1]
+    call = await open_call(f'127.0.0.1:{port}', 1)
+    call.send(b'GET / HTTP/1.1', (), b'')
+    await call.read_head()
+    if body is None:
+        with pytest.raises(BrokenReplyError):
+            await call.read_body(1000)
+    else:
+        assert await call.read_body(1000) == body
+    call.close()
+    server.close()
+
+
+async def test_answers_follow_requests_on_a_kept_connection():
+    async def echo(request, connection):
+        await asyncio.sleep(0.01)
+        connection.respond(200, (), request.body)
+
+    server = CallerServer('127.0.0.1:0', echo)
+    await server.start()
+    host, _, port = server.address.rpartition(':')
+    reader, writer = await asyncio.open_connection(host, int(port))
+    for body in (b'one', b'two'):
+        writer.write(b'POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\n' + body)
+    for body in (b'one', b'two'):
+        head = await reader.readuntil(b'\r\n\r\n')
+        assert b'200 OK' in head
+        assert await reader.readexactly(3) == body
+    writer.close()
+    await server.close(0)
--- a/bramleybeam/standins/__main__.py
+++ b/bramleybeam/standins/__main__.py
@@ -23,7 +23,7 @@
 @click.group()
 def main() -> None:
     """Run a small stand-in for a part of the platform."""
-    configure_logs('error')
+    configure_logs('error', sys.stderr)
 
 
 @main.command()
--- a/bramleybeam/telemetry/_logs.py
+++ b/bramleybeam/telemetry/_logs.py
@@ -1,13 +1,25 @@
-"""Configures structlog to write JSON lines to standard error."""
+"""Configures structlog to write JSON lines to standard output."""
 
 import logging
 import sys
+from typing import TextIO, cast
 
 import structlog
 
+from bramleybeam.telemetry._sink import LogSink
 
-def configure_logs(level: str = 'info', **bound: str) -> None:
-    """Write JSON lines at ``level`` and above, each with ``bound`` fields."""
+
+def configure_logs(
+    level: str = 'info',
+    stream: TextIO | None = None,
+    **bound: str,
+) -> None:
+    """Write JSON lines at ``level`` and above, each with ``bound`` fields.
+
+    They go to ``stream``, standard output by default. Lines that its reader
+    doesn't take are dropped and counted; logging never waits.
+    """
+    sink = cast(TextIO, LogSink((stream or sys.stdout).fileno()))
     structlog.configure(
         processors=[
             structlog.contextvars.merge_contextvars,
@@ -19,6 +31,6 @@
         wrapper_class=structlog.make_filtering_bound_logger(
             logging.getLevelNamesMapping()[level.upper()],
         ),
-        logger_factory=structlog.WriteLoggerFactory(file=sys.stderr),
+        logger_factory=structlog.WriteLoggerFactory(file=sink),
     )
     structlog.contextvars.bind_contextvars(**bound)
--- /dev/null
+++ b/tests/platform_replica.py
@@ -0,0 +1,189 @@
+"""Small stand-ins of the platform's replicas, with faults on demand."""
+
+import asyncio
+import json
+
+import attrs
+
+from bramleybeam.relay import CallerServer, find_header
+
+SEAL = b'Bramleybeam-Response-Seal'
+REQUEST_ID = b'Bramleybeam-Request-Id'
+
+
+@attrs.define
+class Run:
+    """One run of a request."""
+
+    request_id: str
+    path: str
+    headers: dict
+    body: bytes
+
+
+@attrs.define
+class ReplicaStandIn:
+    """A replica of a plain service or of a model service.
+
+    ``faults`` maps a request id to what goes wrong with it: ``lost`` (runs,
+    then resets), ``refuse`` (503, not run), ``error`` (500), ``other_id``,
+    ``cut`` (a stream breaks off after some events), ``torn`` (within an
+    event), ``unframed`` (no length), ``extra`` (bytes after the answer).
+    """
+
+    name: str
+    service: str
+    zone: str = 'zone-a'
+    models: dict = attrs.field(factory=dict)
+    sequence: int = 0
+    events: int = 4
+    pause_s: float = 0.01
+    load_s: float = 0.05
+    faults: dict = attrs.field(factory=dict)
+    runs: list = attrs.field(factory=list)
+    orders: list = attrs.field(factory=list)
+    cancelled: list = attrs.field(factory=list)
+    highest_fence: int = 0
+    on_models: object = None
+    _server: CallerServer | None = None
+
+    async def start(self) -> None:
+        """Open a port."""
+        self._server = CallerServer('127.0.0.1:0', self._answer)
+        await self._server.start()
+
+    async def close(self) -> None:
+        """Close the port."""
+        await self._server.close(0)
+
+    @property
+    def address(self) -> str:
+        """Where it listens."""
+        return self._server.address
+
+    def entry(self, **changed) -> dict:
+        """Return what it writes of itself in the store."""
+        return {
+            'service': self.service,
+            'address': self.address,
+            'zone': self.zone,
+            'version': 'v1',
+            'slots': 4,
+            'state': 'ready',
+            'cold-left-ms': 0,
+            'sequence': 99,
+            'born': 1,
+            'models': self._show_models(),
+            **changed,
+        }
+
+    def _show_models(self) -> list:
+        return [
+            {'name': name, 'version': 1, 'adapters': sorted(adapters)}
+            for name, adapters in self.models.items()
+        ]
+
+    async def _answer(self, request, connection) -> None:
+        expected = find_header(request.headers, b'bramleybeam-expect-instance')
+        if expected and expected.decode() != self.name:
+            connection.respond(421, (), b'')
+        elif request.path == '/api/order':
+            self._take_order(json.loads(request.body), connection)
+        elif request.path == '/api/report':
+            report = {
+                'models': self._show_models(),
+                'sequence': self.sequence,
+                'busy': False,
+            }
+            connection.respond(200, (), json.dumps(report).encode())
+        else:
+            await self._run(request, connection)
+
+    def _take_order(self, order: dict, connection) -> None:
+        self.orders.append(order)
+        fence = order['fencing-token']
+        if fence < self.highest_fence:
+            connection.respond(412, (), b'{}')
+            return
+        self.highest_fence = fence
+        if order.get('expected', self.sequence) != self.sequence:
+            connection.respond(409, (), b'{}')
+            return
+        self.sequence += 1
+        asyncio.get_running_loop().call_later(self.load_s, self._apply, order)
+        connection.respond(202, (), b'{}')
+
+    def _apply(self, order: dict) -> None:
+        model, adapter = order['model'], order.get('adapter')
+        if adapter:
+            self.models[model] = self.models[model] | {adapter}
+        elif order['op'] == 'load':
+            self.models[model] = frozenset()
+        else:
+            self.models.pop(model, None)
+        if self.on_models is not None:
+            self.on_models(self)
+
+    async def _run(self, request, connection) -> None:
+        headers = {
+            name.decode().lower(): field.decode()
+            for name, field in request.headers
+        }
+        request_id = headers['bramleybeam-request-id']
+        fault = self.faults.pop(request_id, '')
+        model, _, adapter = headers.get('bramleybeam-model', '').partition('/')
+        if model and model not in self.models:
+            connection.respond(421, (), b'')
+            return
+        if fault == 'refuse' or (adapter and adapter not in self.models[model]):
+            refused = (b'Bramleybeam-Not-Executed', b'1')
+            connection.respond(503, (refused,), b'')
+            return
+        run = Run(request_id, request.target.decode(), headers, request.body)
+        self.runs.append(run)
+        try:
+            await self._carry_out(run, fault, bool(model), connection)
+        except asyncio.CancelledError:
+            self.cancelled.append(request_id)
+            raise
+
+    async def _carry_out(self, run, fault, is_stream, connection) -> None:
+        shown = b'other' if fault == 'other_id' else run.request_id.encode()
+        head = ((REQUEST_ID, shown), (SEAL, b'seal-1'))
+        await asyncio.sleep(self.pause_s)
+        if is_stream and fault != 'lost':
+            await self._stream(run, fault, head, connection)
+            return
+        match fault:
+            case 'lost':
+                connection.break_off()
+            case 'hang':
+                await asyncio.sleep(60)
+            case 'error':
+                connection.respond(500, head, b'went wrong')
+            case 'unframed':
+                self._write_unframed(head, connection, b'whole answer')
+            case _:
+                connection.respond(200, head, b'whole answer')
+        if fault == 'extra':
+            connection.respond(200, head, b'second answer')
+
+    def _write_unframed(self, head, connection, body: bytes) -> None:
+        lines = b''.join(key + b': ' + field + b'\r\n' for key, field in head)
+        connection._write(b'HTTP/1.1 200 OK\r\n' + lines + b'\r\n' + body)
+        connection._transport.close()
+
+    async def _stream(self, run, fault, head, connection) -> None:
+        first = int(run.headers.get('last-event-id', -1)) + 1
+        kind = (b'Content-Type', b'text/event-stream')
+        connection.start(200, (*head, kind))
+        for number in range(first, self.events):
+            if fault in {'cut', 'torn'} and number == 2:
+                if fault == 'torn':
+                    await connection.write_piece(b'id: 2\nda')
+                await asyncio.sleep(self.pause_s)
+                connection.break_off()
+                return
+            await connection.write_piece(b'id: %d\ndata: piece\n\n' % number)
+            await asyncio.sleep(self.pause_s)
+        connection.finish()
--- /dev/null
+++ b/tests/platform_site.py
@@ -0,0 +1,277 @@
+"""A gateway process between stand-ins of the platform's store and replicas."""
+
+import asyncio
+import json
+import signal
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager, closing
+from pathlib import Path
+
+import attrs
+
+from bramleybeam.relay import BrokenReplyError, open_call
+from tests.platform_replica import ReplicaStandIn
+from tests.platform_store import StoreStandIn
+
+MODEL = {
+    'name': 'm1',
+    'weights-mb': 70_000.0,
+    'load-s': 0.05,
+    'adapters': 2,
+    'adapter-mb': 10.0,
+}
+SETTINGS = """
+node = "front-1"
+zone = "zone-a"
+ip-address = "127.0.0.1"
+port-range = [0, 0]
+unknown-field = "ignored"
+[listen-addrs]
+front = "127.0.0.1:0"
+ready = "127.0.0.1:0"
+[limits]
+max-fds = 4096
+[platform]
+address = "{store}"
+[bounds]
+drain-ms = 2000
+grace-period-s = 8
+config-apply-ms = 2000
+lease-ms = 600
+ceiling-window-s = 5
+ceiling-over = 1.1
+retry-ratio = 0.2
+retry-window-s = 10
+retry-slack = 50
+"""
+
+
+def make_route(name: str, service: str, kind: str, **changed) -> dict:
+    """Return a route under its own prefix of the test's host."""
+    return {
+        'name': name,
+        'host': 'desk.example',
+        'prefix': f'/{name}/',
+        'kind': kind,
+        'timeout-ms': 3000,
+        'goal-ms': 300,
+        'priority': 1,
+        'service': service,
+        'attempts': 2,
+        **changed,
+    }
+
+
+def make_configuration(version: int = 1, **changed) -> dict:
+    """Return an operator's configuration with a route of each kind."""
+    models = [{**MODEL, 'name': name} for name in ('m1', 'm2', 'm3', 'm4')]
+    engine = {
+        'slots': 4,
+        'kv-capacity': 1000,
+        'weights-mb': 215_000.0,
+        'adapter-slots': 4,
+        'loads-per-s': 5.0,
+        'models': models,
+    }
+    return {
+        'version': version,
+        'routes': [
+            make_route('post', 'ledger', 'non_idempotent', attempts=1),
+            make_route('look', 'ledger', 'idempotent'),
+            make_route('ask', 'engine', 'streaming', attempts=1),
+            make_route('digest', 'engine', 'streaming', resumable=True),
+        ],
+        'services': [
+            {'name': 'ledger', 'health-path': '/health', 'max-conns': 9},
+            {
+                'name': 'engine',
+                'health-path': '/health',
+                'max-conns': 9,
+                'engine': engine,
+            },
+        ],
+        'limits': {
+            'header-bytes': 4096,
+            'max-body-bytes': 65536,
+            'header-timeout-ms': 1000,
+            'idle-timeout-ms': 15000,
+        },
+        **changed,
+    }
+
+
+@attrs.frozen
+class Answer:
+    """What a caller got; ``broken`` tells that it ended early."""
+
+    status: int
+    headers: dict
+    body: bytes
+    broken: bool = False
+
+
+@attrs.define(eq=False)
+class GatewayProcess:
+    """A gateway as a process of its own, with the log that it wrote."""
+
+    process: asyncio.subprocess.Process
+    callers: str = ''
+    readiness: str = ''
+    log: list = attrs.field(factory=list)
+    _reader: asyncio.Task | None = None
+
+    async def read_log(self, started: asyncio.Event) -> None:
+        """Collect the JSON lines of standard output."""
+        async for line in self.process.stdout:
+            shown = json.loads(line)
+            self.log.append(shown)
+            if shown['event'] == 'started':
+                self.callers = shown['callers']
+                self.readiness = shown['readiness']
+                started.set()
+
+    def events(self, name: str) -> list:
+        """Return the log lines of one event."""
+        return [line for line in self.log if line['event'] == name]
+
+    async def stop(self) -> int:
+        """Send SIGTERM and wait for the end."""
+        self.process.send_signal(signal.SIGTERM)
+        return await self.process.wait()
+
+
+@attrs.define(eq=False)
+class Site:
+    """A store, replicas, and a gateway between them and the test."""
+
+    folder: Path
+    store: StoreStandIn = attrs.field(factory=StoreStandIn)
+    replicas: dict = attrs.field(factory=dict)
+    gateway: GatewayProcess | None = None
+    _count: int = 0
+
+    async def add_replica(self, replica: ReplicaStandIn) -> ReplicaStandIn:
+        """Start a replica and list it in the store."""
+        await replica.start()
+        replica.on_models = self.list_replica
+        self.replicas[replica.name] = replica
+        self.list_replica(replica)
+        return replica
+
+    def list_replica(self, replica: ReplicaStandIn, **changed) -> None:
+        """Write a replica's entry."""
+        self.store.put(f'servers/{replica.name}', replica.entry(**changed))
+
+    async def start_gateway(self) -> GatewayProcess:
+        """Start a gateway and wait until its ports are open."""
+        settings = self.folder / 'settings.toml'
+        settings.write_text(SETTINGS.format(store=self.store.address))
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-m',
+            'bramleybeam.gateway',
+            env={'BRAMLEYBEAM_NODE_FILE': str(settings)},
+            cwd=Path(__file__).parent.parent,
+            stdout=asyncio.subprocess.PIPE,
+        )
+        self.gateway = GatewayProcess(process)
+        started = asyncio.Event()
+        task = asyncio.create_task(self.gateway.read_log(started))
+        self.gateway._reader = task
+        await asyncio.wait_for(started.wait(), 30)
+        return self.gateway
+
+    async def wait_ready(self) -> None:
+        """Wait until the balancer would send callers here."""
+        async with asyncio.timeout(30):
+            while (await self.is_ready()) != 200:
+                await asyncio.sleep(0.02)
+
+    async def is_ready(self) -> int:
+        """Ask as the balancer does; 0 when nobody answers."""
+        try:
+            call = await open_call(self.gateway.readiness, 1)
+            with closing(call):
+                call.send(b'GET /api/readiness HTTP/1.1', (), b'')
+                return (await call.read_head()).status
+        except (OSError, BrokenReplyError):
+            return 0
+
+    async def ask(self, path: str, **headers) -> Answer:
+        """Send a request to the gateway and read its answer."""
+        self._count += 1
+        return await self.ask_as(f'q-{self._count}', path, **headers)
+
+    async def ask_as(
+        self, request_id: str, path: str, method='POST', **headers
+    ) -> Answer:
+        """Send a request under an id of the test's choice."""
+        named = {
+            'Host': 'desk.example',
+            'Bramleybeam-Request-Id': request_id,
+            'Bramleybeam-Request-Deadline': '4000',
+            **{key.replace('_', '-'): field for key, field in headers.items()},
+        }
+        encoded = tuple(
+            (key.encode(), field.encode()) for key, field in named.items()
+        )
+        call = await open_call(self.gateway.callers, 1)
+        with closing(call):
+            body = b'' if method == 'GET' else b'body'
+            call.send(f'{method} {path} HTTP/1.1'.encode(), encoded, body)
+            return await _read_answer(call)
+
+    def runs(self, request_id: str) -> list:
+        """Return all runs of a request, at any replica."""
+        return [
+            run
+            for replica in self.replicas.values()
+            for run in replica.runs
+            if run.request_id == request_id
+        ]
+
+    async def close(self) -> None:
+        """End the gateway, by its id, and the stand-ins."""
+        if self.gateway and self.gateway.process.returncode is None:
+            self.gateway.process.kill()
+            await self.gateway.process.wait()
+        for replica in self.replicas.values():
+            await replica.close()
+        await self.store.close()
+
+
+async def _read_answer(call) -> Answer:
+    head = await call.read_head()
+    headers = {
+        key.decode().lower(): field.decode() for key, field in head.headers
+    }
+    body = b''
+    try:
+        while piece := await call.read_piece():
+            body += piece
+    except BrokenReplyError:
+        return Answer(head.status, headers, body, broken=True)
+    return Answer(head.status, headers, body)
+
+
+@asynccontextmanager
+async def run_site(folder: Path) -> AsyncIterator[Site]:
+    """Run a store, two replicas of each service, and a gateway."""
+    site = Site(folder)
+    await site.store.start()
+    try:
+        site.store.put('op/config', make_configuration())
+        for number in (1, 2):
+            await site.add_replica(ReplicaStandIn(f'l{number}', 'ledger'))
+        await site.add_replica(
+            ReplicaStandIn('e1', 'engine', models={'m1': frozenset()}),
+        )
+        await site.add_replica(
+            ReplicaStandIn('e2', 'engine', models={'m1': frozenset()}),
+        )
+        await site.start_gateway()
+        await site.wait_ready()
+        yield site
+    finally:
+        await site.close()
--- /dev/null
+++ b/tests/test_gateway.py
@@ -0,0 +1,188 @@
+"""The gateway as a process, between stand-ins that speak the platform."""
+
+import asyncio
+
+import pytest
+import pytest_asyncio
+
+from tests.platform_site import make_configuration, run_site
+
+ASK = {
+    'Bramleybeam_Model': 'm1',
+    'Bramleybeam_Token_Counts': '100,8',
+    'Bramleybeam_Prompt_Prefix': 'aa:60,bb:40',
+}
+EVENTS = tuple(b'id: %d\ndata: piece\n\n' % number for number in range(4))
+WHOLE_STREAM = b''.join(EVENTS)
+
+
+@pytest_asyncio.fixture
+async def site(tmp_path):
+    async with run_site(tmp_path) as running:
+        yield running
+
+
+def set_fault(site, request_id, *faults):
+    """Let successive runs of a request fail, at whichever replica."""
+    for replica in site.replicas.values():
+        replica.faults[request_id] = faults[0]
+
+
+@pytest.mark.parametrize(
+    ('path', 'headers', 'body'),
+    [
+        ('/post/2f', {}, b'whole answer'),
+        ('/look/2f?x=%20y', {}, b'whole answer'),
+        ('/ask/2f', ASK, WHOLE_STREAM),
+        ('/digest/2f', ASK, WHOLE_STREAM),
+    ],
+)
+async def test_passes_on_unchanged(site, path, headers, body):
+    answer = await site.ask_as('r1', path, **headers)
+    assert (answer.status, answer.body, answer.broken) == (200, body, False)
+    assert answer.headers['bramleybeam-response-seal'] == 'seal-1'
+    (run,) = site.runs('r1')
+    assert (run.path, run.body) == (path, b'body')
+    for name, field in headers.items():
+        assert run.headers[name.lower().replace('_', '-')] == field
+    assert 0 < int(run.headers['bramleybeam-request-deadline']) <= 4000
+
+
+@pytest.mark.parametrize(
+    ('path', 'fault', 'status', 'runs'),
+    [
+        # A run whose answer is lost is repeated only where that is safe.
+        ('/post/2f', 'lost', 502, 1),
+        ('/post/2f', 'other_id', 502, 1),
+        ('/post/2f', 'error', 500, 1),
+        ('/look/2f', 'lost', 502, 2),
+        ('/look/2f', 'error', 500, 2),
+        ('/post/2f', 'extra', 200, 1),
+        ('/post/2f', 'unframed', 200, 1),
+        ('/post/2f', 'hang', 504, 1),
+    ],
+)
+async def test_faults_of_plain_replicas(site, path, fault, status, runs):
+    set_fault(site, 'r1', fault)
+    answer = await site.ask_as('r1', path)
+    assert answer.status == status
+    assert len(site.runs('r1')) == runs
+    if status == 200:
+        assert answer.body == b'whole answer'
+    if status in {502, 504}:
+        assert 'bramleybeam-response-seal' not in answer.headers
+
+
+async def test_refused_by_one_replica_runs_at_the_other(site):
+    site.replicas['l1'].faults['r1'] = 'refuse'
+    site.replicas['l2'].faults['r2'] = 'refuse'
+    for request_id in ('r1', 'r2'):
+        answer = await site.ask_as(request_id, '/post/2f')
+        assert answer.status == 200
+        assert len(site.runs(request_id)) == 1
+
+
+@pytest.mark.parametrize('fault', ['cut', 'torn'])
+async def test_broken_stream_never_looks_complete(site, fault):
+    set_fault(site, 'r1', fault)
+    answer = await site.ask_as('r1', '/ask/2f', **ASK)
+    assert answer.broken
+    assert answer.body == b''.join(EVENTS[:2])
+    assert len(site.runs('r1')) == 1
+
+
+@pytest.mark.parametrize('fault', ['cut', 'torn'])
+async def test_resumable_stream_goes_on_elsewhere(site, fault):
+    site.replicas['e1'].faults['r1'] = fault
+    site.replicas['e2'].faults['r2'] = fault
+    for request_id in ('r1', 'r2'):
+        answer = await site.ask_as(request_id, '/digest/2f', **ASK)
+        assert (answer.broken, answer.body) == (False, WHOLE_STREAM)
+
+
+async def test_absent_model_is_loaded_for_who_waits(site):
+    async with asyncio.timeout(20):
+        while not site.gateway.events('planner_elected'):
+            await asyncio.sleep(0.05)
+        await asyncio.sleep(1.5)
+    answer = await site.ask('/digest/2f', **{**ASK, 'Bramleybeam_Model': 'm2'})
+    assert answer.status == 200
+    answer = await site.ask(
+        '/digest/2f', **{**ASK, 'Bramleybeam_Model': 'm1/a2'}
+    )
+    assert answer.status == 200
+
+
+async def test_draining_replica_gets_no_new_work(site):
+    site.list_replica(site.replicas['l1'], state='draining')
+    await asyncio.sleep(0.5)
+    for _ in range(6):
+        await site.ask('/post/2f')
+    assert not site.replicas['l1'].runs
+
+
+async def test_unreadable_entry_names_no_replica(site):
+    site.store.put('servers/x1', b'{"service": 7')
+    site.store.put('servers/x2', {'service': 'ledger', 'state': 'odd'})
+    await asyncio.sleep(0.5)
+    for _ in range(4):
+        assert (await site.ask('/post/2f')).status == 200
+
+
+async def test_configuration_only_goes_forward(site):
+    newer = make_configuration(5)
+    newer['routes'] = newer['routes'][1:]
+    site.store.put('op/config', newer)
+    await asyncio.sleep(0.5)
+    assert (await site.ask('/post/2f')).status == 404
+    site.store.put('op/config', make_configuration(4))
+    await asyncio.sleep(0.5)
+    assert (await site.ask('/post/2f')).status == 404
+    assert (await site.ask('/look/2f')).status == 200
+
+
+@pytest.mark.parametrize('mode', ['silent', 'busy'])
+async def test_serves_while_the_store_is_away(site, mode):
+    site.store.mode = mode
+    await asyncio.sleep(1)
+    assert (await site.ask('/post/2f')).status == 200
+    assert await site.is_ready() == 200
+
+
+async def test_lost_history_is_read_anew(site):
+    site.store.remove('servers/l1')
+    site.store.forget_history()
+    await asyncio.sleep(1)
+    for _ in range(6):
+        assert (await site.ask('/post/2f')).status == 200
+    assert not site.replicas['l1'].runs
+
+
+async def test_caller_that_leaves_stops_the_run(site):
+    site.replicas['l1'].faults['r1'] = 'hang'
+    site.replicas['l2'].faults['r1'] = 'hang'
+    asking = asyncio.create_task(site.ask_as('r1', '/post/2f'))
+    async with asyncio.timeout(5):
+        while not site.runs('r1'):
+            await asyncio.sleep(0.01)
+    asking.cancel()
+    async with asyncio.timeout(5):
+        while not any(one.cancelled for one in site.replicas.values()):
+            await asyncio.sleep(0.01)
+
+
+async def test_sigterm_cuts_nothing(site):
+    for replica in site.replicas.values():
+        replica.pause_s = 0.4
+    asking = [asyncio.create_task(site.ask('/ask/2f', **ASK)) for _ in range(3)]
+    await asyncio.sleep(0.2)
+    stopping = asyncio.create_task(site.gateway.stop())
+    await asyncio.sleep(0.2)
+    assert await site.is_ready() == 503
+    late = await site.ask('/post/2f')
+    assert late.status == 200
+    assert late.headers['connection'] == 'close'
+    for answer in await asyncio.gather(*asking):
+        assert (answer.broken, answer.body) == (False, WHOLE_STREAM)
+    assert await stopping == 0
+    assert site.gateway.events('stopped')
