Make room for one model at a time and keep silent models; tell wants at once

Cause: room that was made for one model went to another that waited then, and models were unloaded while the weight store's rate allowed no load.

--- a/bramleybeam/decisions/__init__.py
+++ b/bramleybeam/decisions/__init__.py
@@ -23,7 +23,7 @@
     UNLOADING,
     MemoryLedger,
 )
-from bramleybeam.decisions._patience import patience_of
+from bramleybeam.decisions._patience import is_patient, patience_of
 from bramleybeam.decisions._placement import (
     PlacedUpstream,
     PlacementSnapshot,
@@ -96,6 +96,7 @@
     'hash_blocks',
     'is_hopeless',
     'is_next',
+    'is_patient',
     'priority_of',
     'share_of',
     'ShardLimits',
--- a/bramleybeam/decisions/_patience.py
+++ b/bramleybeam/decisions/_patience.py
@@ -19,6 +19,15 @@
 _PLAIN_SHARE: Final = 0.5
 
 
+# Objective, in seconds, from which a request can wait for a load.
+_PATIENT_FROM_S: Final = 1.5
+
+
+def is_patient(route: Route) -> bool:
+    """Whether its requests can wait for a load and be in time."""
+    return route.objective_s >= _PATIENT_FROM_S
+
+
 def quiet_limit(route: Route) -> float:
     """Return the seconds after which a caller leaves a quiet stream."""
     return max(
--- a/bramleybeam/gateway/_attempt.py
+++ b/bramleybeam/gateway/_attempt.py
@@ -8,6 +8,7 @@
 
 from bramleybeam import platform
 from bramleybeam.catalog import Replica, RequestKind
+from bramleybeam.decisions import is_patient
 from bramleybeam.gateway._job import Job
 from bramleybeam.gateway._stream import EventSplitter
 from bramleybeam.relay import (
@@ -23,8 +24,6 @@
 _SERVER_ERROR: Final = 500
 _OK: Final = 200
 _URGENCIES: Final = 9
-# Objective, in seconds, from which work yields to what is as important.
-_PATIENT_FROM_S: Final = 1.0
 _log = structlog.get_logger('attempts')
 
 
@@ -160,5 +159,5 @@
     """Return the urgency for an engine, 0 first; ``None`` elsewhere."""
     if job.service.engine is None:
         return None
-    yields = job.route.objective_s >= _PATIENT_FROM_S
+    yields = is_patient(job.route)
     return min(_URGENCIES, 2 * job.route.priority + 2 * yields)
--- a/bramleybeam/gateway/_daemon.py
+++ b/bramleybeam/gateway/_daemon.py
@@ -28,7 +28,7 @@
     CallerServer,
     InboundRequest,
 )
-from bramleybeam.timers import TaskSet, TimerService
+from bramleybeam.timers import Nudge, TaskSet, TimerService
 
 _BEAT_S: Final = 0.2
 _PLAN_S: Final = 0.05
@@ -89,6 +89,9 @@
         )
         self._placement_told_at = float('-inf')
         self._directory.on_change.append(self._take_limits)
+        self._nudge = Nudge(self._act)
+        self._demand.on_want.append(self._nudge.fire)
+        self._directory.on_change.append(self._nudge.fire)
 
     @property
     def callers_address(self) -> str:
@@ -167,6 +170,13 @@
                 limits.idle_timeout_s,
             )
 
+    def _act(self) -> None:
+        """Plan at once, or tell the planner what is wanted."""
+        if self._planner.epoch:
+            self._tasks.spawn(self._plan())
+        elif self._demand.has_waiting:
+            self._tasks.spawn(self._send_beat())
+
     async def _plan(self) -> None:
         if self._is_stopping:
             return
@@ -184,14 +194,11 @@
             self._planner.has_news = False
             placement = self._planner.placement()
             self._directory.hear_placement(epoch, placement, _PLACEMENT_VALID_S)
-        own = self._demand.own(now)
         self._peers.send(
             Beat(
                 sender=self._peers.address,
                 loads=self._loads.own_reports(),
-                rates=own.rates,
-                token_rates=own.token_rates,
-                waiting=own.waiting,
+                demand=self._demand.own(now),
                 epoch=epoch,
                 placement=placement,
             ),
@@ -200,8 +207,9 @@
     def _hear(self, beat: Beat) -> None:
         now = time.monotonic()
         self._loads.hear(beat.sender, beat.loads, now)
-        demand = Demand(beat.rates, beat.token_rates, beat.waiting)
-        self._demand.hear(beat.sender, demand, now)
+        self._demand.hear(beat.sender, beat.demand, now)
+        if beat.demand.waiting and self._planner.epoch:
+            self._nudge.fire()
         if beat.placement is not None:
             self._directory.hear_placement(
                 beat.epoch, beat.placement, _PLACEMENT_VALID_S
--- a/bramleybeam/gateway/_demand.py
+++ b/bramleybeam/gateway/_demand.py
@@ -2,21 +2,17 @@
 
 import math
 from collections import Counter
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable
 from typing import Final
 
 import attrs
 
-from bramleybeam.orders import (
-    Demand,
-    Target,
-)
+from bramleybeam.orders import Demand, ModelDemand, Target
 
 # Time constant of the rates, in seconds.
-_FADE_S: Final = 6.0
+_FADE_S: Final = 8.0
 # Age at which another gateway's word no longer counts.
 _STALE_S: Final = 3.0
-_FAINT: Final = 0.01
 
 
 @attrs.define
@@ -32,6 +28,22 @@
         return self.level * math.exp((self.moment - now) / _FADE_S)
 
 
+@attrs.define
+class _OwnDemand:
+    urgent: _FadingRate = attrs.field(factory=_FadingRate)
+    patient: _FadingRate = attrs.field(factory=_FadingRate)
+    tokens: _FadingRate = attrs.field(factory=_FadingRate)
+    was_urgent: bool = False
+
+    def read(self, now: float) -> ModelDemand:
+        return ModelDemand(
+            self.urgent.read(now),
+            self.patient.read(now),
+            self.tokens.read(now),
+            self.was_urgent,
+        )
+
+
 @attrs.frozen
 class _Told:
     moment: float
@@ -39,23 +51,43 @@
 
 
 class DemandTable:
-    """Own demand, and what the other gateways tell of theirs."""
+    """Own demand, and what the other gateways tell of theirs.
+
+    ``on_want`` is called when a request begins to wait for a load.
+    """
 
     def __init__(self) -> None:
         """Start without demand."""
-        self._requests: dict[str, _FadingRate] = {}
-        self._tokens: dict[str, _FadingRate] = {}
+        self.on_want: list[Callable[[], None]] = []
+        self._models: dict[str, _OwnDemand] = {}
         self._waiting: Counter[Target] = Counter()
         self._told: dict[str, _Told] = {}
 
-    def note_request(self, model: str, tokens: int, now: float) -> None:
+    @property
+    def has_waiting(self) -> bool:
+        """Whether a request waits for a load here."""
+        return bool(self._waiting)
+
+    def note_request(
+        self,
+        model: str,
+        tokens: int,
+        now: float,
+        *,
+        is_patient: bool,
+    ) -> None:
         """Count a request and its prompt."""
-        self._requests.setdefault(model, _FadingRate()).add(1, now)
-        self._tokens.setdefault(model, _FadingRate()).add(tokens, now)
+        own = self._models.setdefault(model, _OwnDemand())
+        rate = own.patient if is_patient else own.urgent
+        rate.add(1, now)
+        own.tokens.add(tokens, now)
+        own.was_urgent |= not is_patient
 
     def begin_waiting(self, target: Target) -> None:
         """Count a request that waits for its target to be loaded."""
         self._waiting[target] += 1
+        for callback in self.on_want:
+            callback()
 
     def end_waiting(self, target: Target) -> None:
         """Stop counting a request that waited."""
@@ -69,42 +101,18 @@
 
     def own(self, now: float) -> Demand:
         """Return this gateway's own demand."""
-        return Demand(
-            _read_all(self._requests, now),
-            _read_all(self._tokens, now),
-            dict(self._waiting),
-        )
+        models = {name: own.read(now) for name, own in self._models.items()}
+        return Demand(models, dict(self._waiting))
 
     def total(self, now: float) -> Demand:
         """Return the demand at all gateways."""
-        told = (
-            one.demand
-            for one in self._told.values()
-            if now - one.moment < _STALE_S
-        )
-        parts = [self.own(now), *told]
-        return Demand(
-            _add_up(part.rates for part in parts),
-            _add_up(part.token_rates for part in parts),
-            _count_up(part.waiting for part in parts),
-        )
-
-
-def _read_all(rates: Mapping[str, _FadingRate], now: float) -> dict[str, float]:
-    shown = {name: rate.read(now) for name, rate in rates.items()}
-    return {name: rate for name, rate in shown.items() if rate > _FAINT}
-
-
-def _add_up(parts: Iterable[Mapping[str, float]]) -> dict[str, float]:
-    total: dict[str, float] = {}
-    for part in parts:
-        for name, rate in part.items():
-            total[name] = total.get(name, 0) + rate
-    return total
-
-
-def _count_up(parts: Iterable[Mapping[Target, int]]) -> dict[Target, int]:
-    total: Counter[Target] = Counter()
-    for part in parts:
-        total.update(part)
-    return dict(total)
+        models = {name: own.read(now) for name, own in self._models.items()}
+        waiting = Counter(self._waiting)
+        for told in self._told.values():
+            if now - told.moment >= _STALE_S:
+                continue
+            waiting.update(told.demand.waiting)
+            for name, one in told.demand.models.items():
+                known = models.get(name)
+                models[name] = known.plus(one) if known else one
+        return Demand(models, dict(waiting))
--- a/bramleybeam/gateway/_follower.py
+++ b/bramleybeam/gateway/_follower.py
@@ -13,7 +13,7 @@
 # Longest wait of one call, so that a watch that died is found soon.
 _WATCH_S: Final = 1.0
 # Changes that come together are read by one call.
-_GATHER_S: Final = 0.1
+_GATHER_S: Final = 0.03
 _RETRY_S: Final = 0.2
 _log = structlog.get_logger('follower')
 
--- a/bramleybeam/gateway/_forward.py
+++ b/bramleybeam/gateway/_forward.py
@@ -25,6 +25,7 @@
     RetryBudget,
     TryAgain,
     decide_retry,
+    is_patient,
 )
 from bramleybeam.errors import ErrorKind, Execution, Refusal, refuse
 from bramleybeam.gateway import _attempt as outcomes
@@ -145,7 +146,12 @@
         now = self._directory.now()
         self._budget(service.name).note_request(now)
         if facts.model:
-            self._demand.note_request(facts.model, facts.prompt_tokens, now)
+            self._demand.note_request(
+                facts.model,
+                facts.prompt_tokens,
+                now,
+                is_patient=is_patient(route),
+            )
         return job
 
     def _pick_target(self, route: Route) -> str:
--- a/bramleybeam/gateway/_ledger.py
+++ b/bramleybeam/gateway/_ledger.py
@@ -36,6 +36,7 @@
     holdings: Holdings
     loading: str = ''
     leaving: str = ''
+    successor: str = ''
     ordered_at: float = 0
     is_giving: bool = False
     check_at: float | None = None
@@ -84,15 +85,18 @@
         match order:
             case LoadModel(model=model) if not done:
                 self.loading = model
+                self.successor = ''
                 self.ordered_at = now
-            case UnloadModel(model=model) if not done:
+            case UnloadModel(model=model, successor=successor) if not done:
                 self.leaving = model
+                self.successor = successor
                 self.ordered_at = now
             case LoadAdapter(model=model, adapter=adapter):
                 self._expect_adapter(model, adapter, now)
             case UnloadAdapter(model=model, adapter=adapter):
                 self._drop_adapter(model, adapter)
             case _:
+                self.successor = ''
                 self.check_at = now
 
     def advance(self, now: float) -> bool:
--- a/bramleybeam/gateway/_peers.py
+++ b/bramleybeam/gateway/_peers.py
@@ -18,9 +18,7 @@
 from bramleybeam.gateway._loads import LoadReport
 from bramleybeam.links import FrameDecoder, FrameError, encode_frame
 from bramleybeam.links import _frames as frames
-from bramleybeam.orders import (
-    Target,
-)
+from bramleybeam.orders import Demand, ModelDemand, Target
 
 _TOPIC: Final = 'gateway-beat'
 _BAD_BEAT: Final = (
@@ -38,16 +36,13 @@
 class Beat:
     """What one gateway tells all others.
 
-    ``rates`` and ``token_rates`` are requests and prompt tokens a second by
-    model, ``waiting`` counts requests by target. ``epoch`` is above 0 when
-    the sender is the planner; ``placement`` is then its word.
+    ``epoch`` is above 0 when the sender is the planner; ``placement`` is then
+    its word.
     """
 
     sender: str
     loads: Mapping[str, LoadReport] = attrs.field(factory=dict)
-    rates: Mapping[str, float] = attrs.field(factory=dict)
-    token_rates: Mapping[str, float] = attrs.field(factory=dict)
-    waiting: Mapping[Target, int] = attrs.field(factory=dict)
+    demand: Demand = attrs.field(factory=Demand)
     epoch: int = 0
     placement: Mapping[str, PlacedHoldings] | None = None
 
@@ -127,9 +122,16 @@
             ]
             for name, load in beat.loads.items()
         },
-        'rates': _round_all(beat.rates),
-        'token_rates': _round_all(beat.token_rates),
-        'waiting': _encode_counts(beat.waiting),
+        'demand': {
+            name: [
+                round(one.urgent, 2),
+                round(one.patient, 2),
+                round(one.tokens),
+                one.was_urgent,
+            ]
+            for name, one in beat.demand.models.items()
+        },
+        'waiting': _encode_counts(beat.demand.waiting),
         'epoch': beat.epoch,
     }
     if beat.placement is not None:
@@ -154,9 +156,10 @@
             name: LoadReport(row[0], row[1], row[2], _decode_counts(row[3]))
             for name, row in plain['loads'].items()
         },
-        rates=plain['rates'],
-        token_rates=plain['token_rates'],
-        waiting=_decode_counts(plain['waiting']),
+        demand=Demand(
+            {name: ModelDemand(*row) for name, row in plain['demand'].items()},
+            _decode_counts(plain['waiting']),
+        ),
         epoch=plain['epoch'],
         placement=placement,
     )
@@ -174,10 +177,6 @@
     return decoded
 
 
-def _round_all(rates: Mapping[str, float]) -> dict[str, float]:
-    return {name: round(rate, 2) for name, rate in rates.items()}
-
-
 def _encode_placed(placed: PlacedHoldings) -> list[Any]:
     models = {
         model: sorted(adapters)
--- a/bramleybeam/gateway/_planner.py
+++ b/bramleybeam/gateway/_planner.py
@@ -243,6 +243,7 @@
             ledger.is_open and reachable,
             ledger.loading,
             ledger.leaving,
+            ledger.successor,
         )
 
     async def _give(self, ledger: ReplicaLedger, order: ModelOrder) -> None:
--- a/bramleybeam/orders/_adapters.py
+++ b/bramleybeam/orders/_adapters.py
@@ -101,7 +101,7 @@
 
     def _next_target(self, engine: EngineView) -> Target | None:
         rates = {
-            model: self._demand.rates.get(model, 0)
+            model: self._demand.of(model).rate
             for model in engine.holdings.models
             if self._is_busy(model) and self._may_take(engine, model)
         }
@@ -115,8 +115,8 @@
         """Whether a model has demand; before any, whether it has copies."""
         if model not in self._spec.models:
             return False
-        if self._demand.rates:
-            return self._demand.rates.get(model, 0) >= _FETCH_AHEAD_RATE
+        if self._demand.models:
+            return self._demand.of(model).rate >= _FETCH_AHEAD_RATE
         return self._copies.get(model, 0) > 1
 
 
--- a/bramleybeam/orders/_messages.py
+++ b/bramleybeam/orders/_messages.py
@@ -21,10 +21,11 @@
 
 @attrs.frozen
 class UnloadModel:
-    """Drop a model from a replica."""
+    """Drop a model from a replica, to make room for ``successor``."""
 
     replica: str
     model: str
+    successor: str = ''
 
 
 @attrs.frozen
@@ -53,8 +54,9 @@
     """A replica as the orders are planned.
 
     ``running`` counts requests by target; ``is_open`` tells whether it may be
-    given an order for a model now; ``leaving`` names the model that is being
-    unloaded, ``loading`` the model that is on its way.
+    given an order now; ``leaving`` names the model that is being
+    unloaded, ``loading`` the model that is on its way, ``successor`` the one
+    for which room has been or is being made.
     """
 
     name: str
@@ -63,6 +65,7 @@
     is_open: bool = True
     loading: str = ''
     leaving: str = ''
+    successor: str = ''
 
     @property
     def adapter_places_used(self) -> int:
@@ -98,21 +101,56 @@
         return used
 
 
+@attrs.frozen
+class ModelDemand:
+    """Requests and prompt tokens a second for one model.
+
+    ``urgent`` requests want their first token sooner than a load takes,
+    ``patient`` ones can wait for one. ``was_urgent`` stays set once an urgent
+    request has come.
+    """
+
+    urgent: float = 0
+    patient: float = 0
+    tokens: float = 0
+    was_urgent: bool = False
+
+    @property
+    def rate(self) -> float:
+        """All requests a second."""
+        return self.urgent + self.patient
+
+    def plus(self, other: 'ModelDemand') -> 'ModelDemand':
+        """Return the sum of two gateways' demand."""
+        return ModelDemand(
+            self.urgent + other.urgent,
+            self.patient + other.patient,
+            self.tokens + other.tokens,
+            self.was_urgent or other.was_urgent,
+        )
+
+
 @attrs.frozen
 class Demand:
-    """What callers ask for: requests and prompt tokens a second by model.
+    """What callers ask for, by model.
 
-    ``waiting`` counts requests, by target, that wait since their target is
-    nowhere.
+    A model that nobody has asked for is not named. ``waiting`` counts
+    requests, by target, that wait since their target is nowhere.
     """
 
-    rates: Mapping[str, float] = attrs.field(factory=dict)
-    token_rates: Mapping[str, float] = attrs.field(factory=dict)
+    models: Mapping[str, ModelDemand] = attrs.field(factory=dict)
     waiting: Mapping[Target, int] = attrs.field(factory=dict)
 
+    def of(self, model: str) -> ModelDemand:
+        """Return the demand for a model, which may be none."""
+        return self.models.get(model, NO_DEMAND)
+
     def waiting_by_model(self) -> dict[str, int]:
         """Count the waiting requests of each model, whatever the adapter."""
         counts: dict[str, int] = {}
         for (model, _), count in self.waiting.items():
             counts[model] = counts.get(model, 0) + count
         return counts
+
+
+NO_DEMAND = ModelDemand()
--- a/bramleybeam/orders/_models.py
+++ b/bramleybeam/orders/_models.py
@@ -4,7 +4,9 @@
 trickle, not all fit, and which ones are busy moves on. A model that requests
 wait for is brought in at once, where its weights are at hand if possible, in
 place of what is expected to be missed least. Busy models get further copies
-while that costs nothing that is asked for.
+while that costs nothing that is asked for. A model that is silent now may be
+the next busy one: many requests would be late then, so it stays before one
+that only patient requests ask for, and that a disk can bring back in time.
 """
 
 from collections.abc import Iterable, Sequence
@@ -30,6 +32,14 @@
 _HORIZON_S: Final = 10.0
 # Requests that a model without recent demand is taken to get, per second.
 _FAINT_RATE: Final = 0.002
+# Requests that would be late when a silent model becomes busy, times the
+# chance that it does within the horizon.
+_SILENT_LOSS: Final = 1.0
+# Share of patient requests that are late though the weights are at hand.
+_AT_HAND_LATE: Final = 0.6
+# Share of a model's requests that ask for an adapter that isn't there; none
+# can be brought to a replica while it loads a model.
+_ADAPTER_SHARE: Final = 0.1
 # Loss, in requests, that another copy of a busy model is worth at least.
 _COPY_GAIN_FLOOR: Final = 0.5
 # Loss of a spare copy, as a share of the model's requests.
@@ -70,7 +80,23 @@
         self._store_loads = store_loads
         self._ordered: set[str] = set()
         self._waiting = demand.waiting_by_model()
+        self._reserve_loads()
         self._copies = count_copies(engines)
+        self._at_hand = {
+            model
+            for engine in engines
+            for model in engine.holdings.in_memory | engine.holdings.on_disk
+        }
+
+    def finish_swaps(self) -> None:
+        """Load the models for which room has been made."""
+        for engine in self._engines:
+            model = engine.successor
+            if not engine.is_open or model not in self._spec.models:
+                continue
+            self._ordered.add(engine.name)
+            if self._load_time(engine, model) is not None:
+                self._load(engine, model)
 
     def place_waiting(self) -> None:
         """Bring in each model that requests wait for, most waiting first."""
@@ -82,7 +108,7 @@
         """Give the busiest model a further copy while that pays."""
         shares = {
             model: self._share(model)
-            for model in self._demand.token_rates
+            for model in self._demand.models
             if self._may_copy(model)
         }
         for model in most_first(shares):
@@ -92,14 +118,24 @@
                 self._bring_in(model, gain)
                 return
 
+    def _reserve_loads(self) -> None:
+        """Set loads aside for the models for which room is being made."""
+        for engine in self._engines:
+            coming = engine.successor
+            if engine.leaving and not _is_at_hand(engine.holdings, coming):
+                self._store_loads -= 1
+
     def _may_copy(self, model: str) -> bool:
         if model not in self._spec.models or not self._copies.get(model):
             return False
-        return all(engine.loading != model for engine in self._engines)
+        return not any(
+            model in {engine.loading, engine.successor}
+            for engine in self._engines
+        )
 
     def _share(self, model: str, dropped: int = 0) -> float:
         """Return the share of its time that a copy reads prompts."""
-        tokens = self._demand.token_rates.get(model, 0)
+        tokens = self._demand.of(model).tokens
         copies = self._copies.get(model, 1) - dropped
         return tokens / _PREFILL_TOKENS_PER_S / max(1, copies)
 
@@ -116,12 +152,21 @@
         if best.cost >= gain:
             return
         if best.victim:
-            self.orders.append(UnloadModel(best.engine.name, best.victim))
-            self._copies[best.victim] -= 1
+            self._make_room(best, model)
         else:
             self._load(best.engine, model)
         self._ordered.add(best.engine.name)
 
+    def _make_room(self, choice: _Choice, model: str) -> None:
+        """Unload the victim; the load that follows counts already now."""
+        if not _is_at_hand(choice.engine.holdings, model):
+            self._store_loads -= 1
+        self.orders.append(
+            UnloadModel(choice.engine.name, choice.victim, model),
+        )
+        self._copies[choice.victim] -= 1
+        self._copies[model] = self._copies.get(model, 0) + 1
+
     def _load(self, engine: EngineView, model: str) -> None:
         from_store = not _is_at_hand(engine.holdings, model)
         if from_store:
@@ -137,12 +182,23 @@
             return
         used = engine.memory_in_use(self._spec)
         needed = self._spec.models[model].memory_mb
+        cost = load_s / _HORIZON_S + load_s * self._adapter_requests(engine)
         if used + needed <= self._spec.memory_mb:
-            yield _Choice(load_s / _HORIZON_S, engine)
+            yield _Choice(cost, engine)
             return
         for victim in held:
             loss = self._loss(victim) + engine.runs_of(victim)
-            yield _Choice(loss + load_s / _HORIZON_S, engine, victim)
+            yield _Choice(cost + loss, engine, victim)
+
+    def _adapter_requests(self, engine: EngineView) -> float:
+        """Requests a second that may ask this replica for a new adapter."""
+        rate = 0.0
+        for model in engine.holdings.models:
+            known = self._spec.models.get(model)
+            if known is not None and known.adapters:
+                share = _ADAPTER_SHARE / self._copies.get(model, 1)
+                rate += self._demand.of(model).urgent * share
+        return rate
 
     def _load_time(self, engine: EngineView, model: str) -> float | None:
         spec = self._spec.models[model]
@@ -154,22 +210,35 @@
 
     def _loss(self, victim: str) -> float:
         """Requests that are served late for want of a dropped copy."""
-        rate = self._rate(victim)
         if self._copies.get(victim, 1) <= 1:
-            return rate * _HORIZON_S + self._waiting.get(victim, 0)
+            return self._last_copy_loss(victim)
         excess = self._share(victim, dropped=1) - _BUSY_SHARE
-        return rate * _HORIZON_S * max(_SPARE_COPY_SHARE, excess)
+        share = max(_SPARE_COPY_SHARE, excess)
+        return self._rate(victim) * _HORIZON_S * share
+
+    def _last_copy_loss(self, victim: str) -> float:
+        demand = self._demand.of(victim)
+        urgent = demand.urgent * _HORIZON_S
+        if demand.was_urgent or not demand.patient:
+            urgent = max(urgent, _SILENT_LOSS)
+        late_share = _AT_HAND_LATE if victim in self._at_hand else 1
+        patient = demand.patient * _HORIZON_S * late_share
+        return urgent + patient + self._waiting.get(victim, 0)
 
     def _rate(self, model: str) -> float:
-        return self._demand.rates.get(model, 0) + _FAINT_RATE
+        return self._demand.of(model).rate + _FAINT_RATE
 
 
 def count_copies(engines: Iterable[EngineView]) -> dict[str, int]:
     """Count the copies of each model that are here to stay, or coming."""
     copies: dict[str, int] = {}
     for engine in engines:
-        present = {*engine.holdings.models, engine.loading} - {engine.leaving}
-        for model in present - {''}:
+        present = {
+            *engine.holdings.models,
+            engine.loading,
+            engine.successor,
+        }
+        for model in present - {engine.leaving, ''}:
             copies[model] = copies.get(model, 0) + 1
     return copies
 
--- a/bramleybeam/orders/_plan.py
+++ b/bramleybeam/orders/_plan.py
@@ -19,6 +19,7 @@
     ``store_loads`` is how many loads from the weight store may begin now.
     """
     models = ModelPlacement(engines, spec, demand, store_loads)
+    models.finish_swaps()
     models.place_waiting()
     waiting = AdapterPlacement(engines, spec, demand, _named(models.orders))
     waiting.place_waiting()
--- a/bramleybeam/orders/tests/test_plan.py
+++ b/bramleybeam/orders/tests/test_plan.py
@@ -11,6 +11,7 @@
     EngineView,
     LoadAdapter,
     LoadModel,
+    ModelDemand,
     UnloadAdapter,
     UnloadModel,
     plan_orders,
@@ -30,6 +31,15 @@
 )
 
 
+def ask(waiting=(), **rates):
+    """Return demand: requests a second, and targets waited for."""
+    models = {
+        name: ModelDemand(urgent=rate, tokens=1000 * rate, was_urgent=True)
+        for name, rate in rates.items()
+    }
+    return Demand(models, {tuple(target): 1 for target in waiting})
+
+
 def make_engine(name, *models, **changed):
     """Return a replica that holds models, given as ``m1`` or ``m1/a1``."""
     held = {}
@@ -44,11 +54,12 @@
 
 
 FULL = ('m1', 'm2', 'm3')
+PATIENT = ModelDemand(patient=0.2)
 PLANS = (
     # What is asked for goes where there is room.
     (
         [make_engine('e1', 'm1'), make_engine('e2', *FULL)],
-        Demand(rates={'m1': 0.1}, waiting={('m4', ''): 1}),
+        ask([('m4', '')], m1=0.1),
         [LoadModel('e1', 'm4')],
     ),
     # Where its weights are at hand, when there is a choice.
@@ -57,63 +68,79 @@
             make_engine('e1', 'm1'),
             make_engine('e2', 'm2', at_hand={'on_disk': frozenset(('m4',))}),
         ],
-        Demand(waiting={('m4', ''): 1}),
+        ask([('m4', '')], m1=0.1),
         [LoadModel('e2', 'm4', from_store=False)],
     ),
-    # What is asked for least makes room, the spare copy before the last one.
+    # The model that is asked for least makes room.
     (
-        [make_engine('e1', 'm1', 'm2', 'm3'), make_engine('e2', 'm1', 'm4')],
-        Demand(
-            rates={'m1': 0.02, 'm2': 0.1, 'm3': 0.2},
-            waiting={('m5', ''): 1},
-        ),
-        [LoadModel('e2', 'm5')],
+        [make_engine('e1', *FULL)],
+        ask([('m4', '')], m1=3, m2=0.5, m3=2),
+        [UnloadModel('e1', 'm2', 'm4')],
     ),
+    # A spare copy goes before a last one.
+    (
+        [make_engine('e1', *FULL), make_engine('e2', 'm1', 'm4', 'm2')],
+        ask([('m5', '')], m1=0.2, m2=0.25, m3=0.25, m4=0.25),
+        [UnloadModel('e1', 'm1', 'm5')],
+    ),
+    # What only patient requests ask for goes before a silent model.
     (
         [make_engine('e1', *FULL)],
-        Demand(
-            rates={'m1': 3, 'm2': 1, 'm3': 2},
-            waiting={('m4', ''): 1},
-        ),
-        [UnloadModel('e1', 'm2')],
+        Demand({'m1': PATIENT, 'm4': PATIENT}, {('m4', ''): 1}),
+        [UnloadModel('e1', 'm1', 'm4')],
     ),
     # A model that is on its way is not ordered again.
     (
         [make_engine('e1', 'm1', loading='m4', is_open=False)],
-        Demand(waiting={('m4', ''): 1}),
+        ask([('m4', '')]),
         [],
     ),
     # An adapter goes where its model is, and places are free.
     (
         [make_engine('e1', 'm1/a1', 'm1/a2'), make_engine('e2', 'm1')],
-        Demand(waiting={('m1', 'a3'): 1}, rates={'m1': 0.1}),
+        ask([('m1', 'a3')], m1=0.1),
         [LoadAdapter('e2', 'm1', 'a3')],
     ),
     # An idle adapter makes room, one that runs does not.
     (
-        [
-            make_engine('e1', 'm1/a1', 'm1/a2', running={('m1', 'a1'): 1}),
-        ],
-        Demand(waiting={('m1', 'a3'): 1}),
+        [make_engine('e1', 'm1/a1', 'm1/a2', running={('m1', 'a1'): 1})],
+        ask([('m1', 'a3')]),
         [UnloadAdapter('e1', 'm1', 'a2')],
     ),
     # Adapters of a busy model are fetched before they are asked for.
     (
         [make_engine('e1', 'm1', 'm2')],
-        Demand(rates={'m1': 5}),
+        ask(m1=5),
         [LoadAdapter('e1', 'm1', 'a1')],
     ),
     # A model whose copies are busy gets another in place of an idle one.
     (
         [make_engine('e1', 'm1'), make_engine('e2', 'm2/a1', 'm3', 'm4')],
-        Demand(rates={'m1': 20}, token_rates={'m1': 20_000}),
-        [UnloadModel('e2', 'm2'), LoadAdapter('e1', 'm1', 'a1')],
+        ask(m1=20),
+        [UnloadModel('e2', 'm2', 'm1'), LoadAdapter('e1', 'm1', 'a1')],
     ),
     # An unknown model at a replica counts as all of its memory.
     (
         [make_engine('e1', 'odd')],
-        Demand(waiting={('m4', ''): 1}),
-        [UnloadModel('e1', 'odd')],
+        ask([('m4', '')]),
+        [UnloadModel('e1', 'odd', 'm4')],
+    ),
+    # Room that was made for a model goes to it, whatever else waits now.
+    (
+        [make_engine('e1', 'm1', 'm2', successor='m4')],
+        ask([('m5', '')], m1=0.1),
+        [LoadModel('e1', 'm4')],
+    ),
+    # While room is being made for a model, no more is made for it.
+    (
+        [
+            make_engine(
+                'e1', *FULL, leaving='m3', successor='m4', is_open=False
+            ),
+            make_engine('e2', *FULL),
+        ],
+        ask([('m4', '')], m1=0.1),
+        [],
     ),
 )
 
@@ -126,7 +153,7 @@
 def test_store_rate_is_kept():
     engines = [make_engine(f'e{number}', 'm1') for number in range(4)]
     waiting = {(name, ''): 1 for name in MODELS[1:]}
-    orders = plan_orders(engines, SPEC, Demand(waiting=waiting), 2)
+    orders = plan_orders(engines, SPEC, ask(waiting), 2)
     loads = [order for order in orders if isinstance(order, LoadModel)]
     assert len(loads) == 2
 
@@ -186,7 +213,6 @@
     rooms = {f'e{number}': Room({'m1': 70}, set()) for number in range(3)}
     for waiting, rates in rounds:
         views = [room.view(name) for name, room in rooms.items()]
-        tokens = {model: rate * 1500 for model, rate in rates.items()}
-        demand = Demand(rates, tokens, waiting)
+        demand = attrs.evolve(ask(**rates), waiting=waiting)
         for order in plan_orders(views, SPEC, demand, store_loads=2):
             rooms[order.replica].take(order)
