--- a/benchmarks/propagation.py
+++ b/benchmarks/propagation.py
@@ -16,7 +16,7 @@
 import click
 
 from benchmarks.capacity import make_large_document, start
-from bramleybeam.keyvalue import HttpKeyValue
+from bramleybeam.keyvalue.http import HttpKeyValue
 from bramleybeam.operators import apply_document, format_table
 from tests.processes import ProcessCluster
 
--- a/bramleybeam/decisions/__init__.py
+++ b/bramleybeam/decisions/__init__.py
@@ -23,7 +23,6 @@
     UNLOADING,
     MemoryLedger,
 )
-from bramleybeam.decisions._patience import is_patient, patience_of
 from bramleybeam.decisions._placement import (
     PlacedUpstream,
     PlacementSnapshot,
@@ -49,7 +48,6 @@
     TryAgain,
     decide_retry,
 )
-from bramleybeam.decisions._retry_budget import RetryBudget
 from bramleybeam.decisions._routing import (
     Candidate,
     choose_upstream,
@@ -88,7 +86,6 @@
     'PrefixMemory',
     'RandomPolicy',
     'RefusedByAgent',
-    'RetryBudget',
     'RoundRobinPolicy',
     'StaleLeastPolicy',
     'Waiting',
@@ -96,7 +93,6 @@
     'hash_blocks',
     'is_hopeless',
     'is_next',
-    'is_patient',
     'priority_of',
     'share_of',
     'ShardLimits',
@@ -112,7 +108,6 @@
     'count_ready',
     'decide_retry',
     'estimate_first_token',
-    'patience_of',
     'plan_placement',
     'rank_by_hash',
     'share_limits',
--- a/bramleybeam/demo/_cluster.py
+++ b/bramleybeam/demo/_cluster.py
@@ -10,7 +10,7 @@
 from bramleybeam.decisions import EstimatePolicy, Policy
 from bramleybeam.documents import Document, Upstream
 from bramleybeam.entry import EntryDaemon
-from bramleybeam.keyvalue import HttpKeyValue
+from bramleybeam.keyvalue.http import HttpKeyValue
 from bramleybeam.operators import apply_document
 from bramleybeam.settings import AgentSettings, EntrySettings, TlsSettings
 from bramleybeam.standins import (
--- a/bramleybeam/entry/_daemon.py
+++ b/bramleybeam/entry/_daemon.py
@@ -27,7 +27,7 @@
 from bramleybeam.entry._quarantine import Quarantine
 from bramleybeam.gossip import ConfigurationGossip
 from bramleybeam.identity import make_identity
-from bramleybeam.keyvalue import HttpKeyValue
+from bramleybeam.keyvalue.http import HttpKeyValue
 from bramleybeam.links import Call, Link, LinkServer, Reply
 from bramleybeam.messages import Topic
 from bramleybeam.settings import EntrySettings
--- a/bramleybeam/gateway/__main__.py
+++ b/bramleybeam/gateway/__main__.py
@@ -13,8 +13,8 @@
 
 from bramleybeam.catalog import HostSettings
 from bramleybeam.gateway import GatewayDaemon
+from bramleybeam.logs import configure_logs
 from bramleybeam.platform import load_host_settings
-from bramleybeam.telemetry._logs import configure_logs
 
 _EXIT_BAD_SETTINGS: Final = 2
 
--- a/bramleybeam/gateway/_attempt.py
+++ b/bramleybeam/gateway/_attempt.py
@@ -1,5 +1,6 @@
 """One send of a request to one replica, and what became of it."""
 
+import asyncio
 from collections.abc import Callable
 from typing import Final
 
@@ -8,15 +9,15 @@
 
 from bramleybeam import platform
 from bramleybeam.catalog import Replica, RequestKind
-from bramleybeam.decisions import is_patient
 from bramleybeam.gateway._job import Job
 from bramleybeam.gateway._stream import EventSplitter
+from bramleybeam.limits import is_patient
 from bramleybeam.relay import (
     BrokenReplyError,
+    CallPool,
     Headers,
     PeerCall,
     ReplyHead,
-    open_call,
 )
 
 _CONNECT_TIMEOUT_S: Final = 0.3
@@ -75,25 +76,33 @@
         self,
         job: Job,
         replica: Replica,
+        calls: CallPool,
         on_first_event: Callable[[], None],
     ) -> None:
         """Store what goes where, and whom the first event is told to."""
+        self._calls = calls
         self._on_first_event = on_first_event
         self._job = job
         self._replica = replica
 
     async def run(self, time_left_s: float) -> Outcome:
         """Send the request once; its caller bounds the time."""
+        peer = self._replica.incarnation
+        address = self._replica.address
         try:
-            call = await open_call(self._replica.address, _CONNECT_TIMEOUT_S)
+            call = await self._calls.take(peer, address, _CONNECT_TIMEOUT_S)
         except (OSError, TimeoutError) as error:
             return NotArrived(repr(error))
         try:
-            return await self._exchange(call, time_left_s)
+            outcome = await self._exchange(call, time_left_s)
         except BrokenReplyError as error:
+            call.close()
             return Lost(str(error))
-        finally:
+        except BaseException:
             call.close()
+            raise
+        self._calls.give_back(peer, call)
+        return outcome
 
     async def _exchange(self, call: PeerCall, time_left_s: float) -> Outcome:
         job = self._job
@@ -109,22 +118,48 @@
                 b'%s %s HTTP/1.1' % (request.method, request.target),
                 platform.outgoing_headers(request, terms),
                 request.body,
+                keep=True,
             )
         except BrokenReplyError as error:
             return NotArrived(str(error))
         job.sends += 1
         job.runs += 1
-        head = await call.read_head()
-        facts = platform.describe_reply(head, job.facts.request_id)
-        if not facts.is_own:
-            return Lost('the answer belongs to another request')
+        job.sent_at = _now()
+        head, facts = await self._read_own_head(call)
         if facts.never_ran:
             job.runs -= 1
             return NotRun(facts.status, facts.is_misdirected)
-        if job.route.kind == RequestKind.STREAMING and facts.status == _OK:
+        return await self._pass_on(call, head)
+
+    async def _pass_on(self, call: PeerCall, head: ReplyHead) -> Outcome:
+        job = self._job
+        if job.route.kind == RequestKind.STREAMING and head.status == _OK:
             return await self._pass_stream(call, head)
         return await self._pass_whole(call, head)
 
+    async def _read_own_head(
+        self,
+        call: PeerCall,
+    ) -> tuple[ReplyHead, platform.ReplyFacts]:
+        """Read the head of the answer, past late ones to other requests."""
+        request_id = self._job.facts.request_id
+        while True:
+            head = await call.read_head()
+            facts = platform.describe_reply(head)
+            if facts.echoed_id == request_id:
+                return head, facts
+            if not facts.echoed_id and not call.answers:
+                return head, facts
+            _log.warning(
+                'answer_of_another',
+                request=request_id,
+                echoed=facts.echoed_id,
+                status=head.status,
+            )
+            if not facts.echoed_id or not call.answers:
+                raise BrokenReplyError('an answer without this request id')
+            await call.skip_answer(_MAX_BODY_BYTES)
+
     async def _pass_whole(self, call: PeerCall, head: ReplyHead) -> Outcome:
         body = await call.read_body(_MAX_BODY_BYTES)
         if head.status >= _SERVER_ERROR:
@@ -144,6 +179,7 @@
                 continue
             self._on_first_event()
             if not connection.answer_started:
+                job.first_event_at = _now()
                 connection.start(head.status, head.headers)
             await connection.write_piece(events)
             job.last_event = splitter.last_id
@@ -155,6 +191,10 @@
         return Delivered(head.status)
 
 
+def _now() -> float:
+    return asyncio.get_running_loop().time()
+
+
 def urgency_of(job: Job) -> int | None:
     """Return the urgency for an engine, 0 first; ``None`` elsewhere."""
     if job.service.engine is None:
--- a/bramleybeam/gateway/_choose.py
+++ b/bramleybeam/gateway/_choose.py
@@ -145,12 +145,11 @@
             for replica in self._directory.replicas_of(job.service.name)
             if self._holds(replica, job.target, now)
         ]
-        reachable = [
+        return [
             replica
             for replica in holders
             if not self._directory.is_passed_over(replica.name)
         ]
-        return reachable or holders
 
     def _holds(self, replica: Replica, target: Target, now: float) -> bool:
         until = self._missing.get((replica.name, target))
--- a/bramleybeam/gateway/_daemon.py
+++ b/bramleybeam/gateway/_daemon.py
@@ -19,9 +19,6 @@
 from bramleybeam.gateway._peers import Beat, PeerLink
 from bramleybeam.gateway._planner import Planner
 from bramleybeam.keyvalue import LeaseKeeper
-from bramleybeam.orders import (
-    Demand,
-)
 from bramleybeam.relay import (
     CallerConnection,
     CallerLimits,
@@ -32,6 +29,7 @@
 
 _BEAT_S: Final = 0.2
 _PLAN_S: Final = 0.05
+_IDLE_CHECK_S: Final = 0.5
 _LEASE_CHECK_S: Final = 0.1
 _PLACEMENT_EVERY_S: Final = 1.0
 _PLACEMENT_VALID_S: Final = 2.5
@@ -122,6 +120,7 @@
         self._timers.subscribe(
             'lease', _LEASE_CHECK_S, self._planner.keep_lease
         )
+        self._timers.subscribe('idle', _IDLE_CHECK_S, self._forwarder.drop_idle)
         self._timers.subscribe('plan', _PLAN_S, self._plan)
         _log.info(
             'started',
@@ -199,6 +198,7 @@
                 sender=self._peers.address,
                 loads=self._loads.own_reports(),
                 demand=self._demand.own(now),
+                unreachable=self._directory.list_unreachable(),
                 epoch=epoch,
                 placement=placement,
             ),
@@ -208,6 +208,7 @@
         now = time.monotonic()
         self._loads.hear(beat.sender, beat.loads, now)
         self._demand.hear(beat.sender, beat.demand, now)
+        self._directory.hear_unreachable(beat.unreachable)
         if beat.demand.waiting and self._planner.epoch:
             self._nudge.fire()
         if beat.placement is not None:
--- a/bramleybeam/gateway/_directory.py
+++ b/bramleybeam/gateway/_directory.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import Final
 
 import attrs
@@ -31,6 +31,8 @@
 # How long a replica that could not be reached is passed over, in seconds.
 _FIRST_PENALTY_S: Final = 0.25
 _LONGEST_PENALTY_S: Final = 4.0
+# How long another gateway's word on an unreachable replica counts.
+_DOUBT_S: Final = 1.0
 _log = structlog.get_logger('directory')
 
 
@@ -70,6 +72,7 @@
         self._placement_epoch = 0
         self._placement_until = 0.0
         self._penalties: dict[str, _Penalty] = {}
+        self._doubted: dict[str, float] = {}
         self._store_lost_at: float | None = None
         self._store_back_at = float('-inf')
 
@@ -124,6 +127,21 @@
         penalty = self._penalties.get(name)
         return penalty is not None and self._clock() < penalty.until
 
+    def list_unreachable(self) -> list[str]:
+        """Name the replicas that this gateway passes over."""
+        return [name for name in self._penalties if self.is_passed_over(name)]
+
+    def hear_unreachable(self, names: Iterable[str]) -> None:
+        """Take in which replicas another gateway passes over."""
+        until = self._clock() + _DOUBT_S
+        for name in names:
+            self._doubted[name] = until
+
+    def is_doubted(self, name: str) -> bool:
+        """Whether any gateway could not reach a replica a moment ago."""
+        until = self._doubted.get(name, 0)
+        return self.is_passed_over(name) or self._clock() < until
+
     def note_unreachable(self, name: str) -> None:
         """Pass a replica over for a while, longer each time."""
         known = self._penalties.get(name)
--- a/bramleybeam/gateway/_forward.py
+++ b/bramleybeam/gateway/_forward.py
@@ -22,10 +22,8 @@
     GiveUp,
     NeverArrived,
     RefusedByAgent,
-    RetryBudget,
     TryAgain,
     decide_retry,
-    is_patient,
 )
 from bramleybeam.errors import ErrorKind, Execution, Refusal, refuse
 from bramleybeam.gateway import _attempt as outcomes
@@ -34,7 +32,8 @@
 from bramleybeam.gateway._directory import Directory
 from bramleybeam.gateway._job import Job, RefusingError
 from bramleybeam.gateway._loads import LoadTable, Work
-from bramleybeam.relay import CallerConnection, InboundRequest
+from bramleybeam.limits import RetryBudget, is_patient
+from bramleybeam.relay import CallerConnection, CallPool, InboundRequest
 
 # Time after its deadline in which a replica's own last word may arrive.
 _LAST_WORD_S: Final = 0.1
@@ -63,6 +62,7 @@
         self._loads = loads
         self._demand = demand
         self._rng = rng
+        self._calls = CallPool(directory.now)
         self._budgets: dict[str, RetryBudget] = {}
 
     async def handle(
@@ -89,6 +89,10 @@
             _log.info('caller_left', request=request_id, sends=job.sends)
             raise
 
+    async def drop_idle(self) -> None:
+        """Close connections to replicas that were not used for a while."""
+        self._calls.drop_idle()
+
     def _admit(
         self,
         request: InboundRequest,
@@ -186,6 +190,7 @@
             attempt = outcomes.Attempt(
                 job,
                 replica,
+                self._calls,
                 partial(self._loads.note_read, replica.name, work),
             )
             outcome = await attempt.run(time_left)
@@ -303,10 +308,17 @@
         'sends': job.sends,
         'outcome': type(outcome).__name__,
         'detail': getattr(outcome, 'reason', getattr(outcome, 'status', '')),
-        'age_s': round(asyncio.get_running_loop().time() - job.received_at, 3),
+        'waited_s': _since(job, job.sent_at),
+        'first_event_s': _since(job, job.first_event_at),
+        'age_s': _since(job, asyncio.get_running_loop().time()),
     }
 
 
+def _since(job: Job, moment: float) -> float | None:
+    """Return the seconds from a request's arrival to a moment, if it came."""
+    return round(moment - job.received_at, 3) if moment else None
+
+
 def _refuse_unplaced(job: Job) -> Refusal:
     if job.runs:
         return refuse(
--- a/bramleybeam/gateway/_job.py
+++ b/bramleybeam/gateway/_job.py
@@ -3,14 +3,10 @@
 import attrs
 
 from bramleybeam.catalog import Route, Service
-from bramleybeam.decisions import (
-    Waiting,
-    patience_of,
-)
+from bramleybeam.decisions import Waiting
 from bramleybeam.errors import Refusal
-from bramleybeam.orders import (
-    Target,
-)
+from bramleybeam.limits import patience_of
+from bramleybeam.orders import Target
 from bramleybeam.platform import RequestFacts
 from bramleybeam.relay import CallerConnection, InboundRequest
 
@@ -29,7 +25,8 @@
     """State of one request; moments are in loop seconds.
 
     ``sends`` counts the times that it was handed to a replica, ``runs`` those
-    after which it may have run. ``last_event`` is the id of the last event
+    after which it may have run; ``sent_at`` is when it was last handed over
+    and ``first_event_at`` when its stream began. ``last_event`` is the id of the last event
     that the caller was given.
     """
 
@@ -42,6 +39,8 @@
     sends: int = 0
     runs: int = 0
     last_event: str = ''
+    sent_at: float = 0
+    first_event_at: float = 0
     passed_over: set[str] = attrs.field(factory=set)
 
     @property
--- a/bramleybeam/gateway/_peers.py
+++ b/bramleybeam/gateway/_peers.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import json
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from typing import Any, Final
 
 import attrs
@@ -43,6 +43,7 @@
     sender: str
     loads: Mapping[str, LoadReport] = attrs.field(factory=dict)
     demand: Demand = attrs.field(factory=Demand)
+    unreachable: Sequence[str] = ()
     epoch: int = 0
     placement: Mapping[str, PlacedHoldings] | None = None
 
@@ -132,6 +133,7 @@
             for name, one in beat.demand.models.items()
         },
         'waiting': _encode_counts(beat.demand.waiting),
+        'unreachable': list(beat.unreachable),
         'epoch': beat.epoch,
     }
     if beat.placement is not None:
@@ -160,6 +162,7 @@
             {name: ModelDemand(*row) for name, row in plain['demand'].items()},
             _decode_counts(plain['waiting']),
         ),
+        unreachable=tuple(map(str, plain['unreachable'])),
         epoch=plain['epoch'],
         placement=placement,
     )
--- a/bramleybeam/gateway/_planner.py
+++ b/bramleybeam/gateway/_planner.py
@@ -235,12 +235,13 @@
 
     def _view(self, ledger: ReplicaLedger, now: float) -> EngineView:
         name = ledger.replica.name
-        reachable = not self._directory.is_passed_over(name)
+        reachable = not self._directory.is_doubted(name)
         return EngineView(
             name,
             ledger.holdings,
             self._loads.total(name, now).by_target,
             ledger.is_open and reachable,
+            reachable,
             ledger.loading,
             ledger.leaving,
             ledger.successor,
--- a/bramleybeam/keyvalue/__init__.py
+++ b/bramleybeam/keyvalue/__init__.py
@@ -1,6 +1,5 @@
-"""The port to the platform's key-value service, and its HTTP adapter."""
+"""The port to the platform's key-value service."""
 
-from bramleybeam.keyvalue._http import HttpKeyValue
 from bramleybeam.keyvalue._lease import LeaseKeeper
 from bramleybeam.keyvalue._listing import (
     Changes,
@@ -27,7 +26,6 @@
     'Changes',
     'Conflict',
     'HistoryLost',
-    'HttpKeyValue',
     'Item',
     'KeyValue',
     'KeyValueError',
--- /dev/null
+++ b/bramleybeam/limits/tests/test_limits.py
@@ -0,0 +1,68 @@
+"""Patience by route, and the retry budget over a window."""
+
+import pytest
+
+from bramleybeam.catalog import RequestKind, Route, RouteTarget
+from bramleybeam.limits import (
+    RetryBudget,
+    is_patient,
+    patience_of,
+    quiet_limit,
+)
+
+
+def make_route(kind, timeout_s, objective_s, gap_s=0):
+    return Route(
+        'r',
+        'h',
+        '/p/',
+        kind,
+        (RouteTarget('s', 1),),
+        timeout_s,
+        objective_s,
+        longest_gap_s=gap_s,
+    )
+
+
+@pytest.mark.parametrize(
+    ('kind', 'times', 'quiet', 'patience', 'patient'),
+    [
+        (RequestKind.STREAMING, (15, 0.5, 0.3), 2.4, 1.8, False),
+        (RequestKind.STREAMING, (20, 2, 0.3), 8, 6, True),
+        (RequestKind.STREAMING, (2, 0.5, 0.3), 2.4, 1, False),
+        (RequestKind.NON_IDEMPOTENT, (0.8, 0.1), 2, 0.4, False),
+    ],
+)
+def test_patience_ends_before_callers_leave(
+    kind, times, quiet, patience, patient
+):
+    route = make_route(kind, *times)
+    assert quiet_limit(route) == pytest.approx(quiet)
+    assert patience_of(route, times[0]) == pytest.approx(patience)
+    assert is_patient(route) == patient
+
+
+@pytest.mark.parametrize(
+    ('requests', 'gateways', 'allowed'),
+    [(0, 1, 8), (0, 5, 1), (100, 1, 24), (100, 5, 17)],
+)
+def test_repeats_stay_under_a_share_of_the_bound(requests, gateways, allowed):
+    budget = RetryBudget(ratio=0.2, allowance=10, window_s=10)
+    for _ in range(requests):
+        budget.note_request(100)
+    taken = [budget.take(100, gateways) for _ in range(50)]
+    assert sum(taken) == allowed
+    assert not budget.take(109, gateways)
+    assert budget.take(120, 1)
+
+
+def test_gateways_together_keep_the_bound():
+    budgets = [RetryBudget(0.2, 50, 10) for _ in range(5)]
+    sent = 0
+    for second in range(40):
+        for budget in budgets:
+            budget.note_request(second)
+            while budget.take(second, len(budgets)):
+                sent += 1
+    requests = 5 * 10
+    assert sent / 4 <= 0.2 * requests + 50
--- a/bramleybeam/telemetry/_logs.py
+++ b/bramleybeam/logs/_configure.py
@@ -6,7 +6,7 @@
 
 import structlog
 
-from bramleybeam.telemetry._sink import LogSink
+from bramleybeam.logs._sink import LogSink
 
 
 def configure_logs(
--- a/bramleybeam/operators/_client.py
+++ b/bramleybeam/operators/_client.py
@@ -14,7 +14,7 @@
 
 from bramleybeam.checks import Problem
 from bramleybeam.documents import Applied, Document, read_document_file
-from bramleybeam.keyvalue import HttpKeyValue
+from bramleybeam.keyvalue.http import HttpKeyValue
 from bramleybeam.operators._apply import ApplyError, read_current
 from bramleybeam.settings import ClientSettings, load_settings
 
--- a/bramleybeam/operators/_commands.py
+++ b/bramleybeam/operators/_commands.py
@@ -10,7 +10,7 @@
 import click
 
 from bramleybeam.documents import Document
-from bramleybeam.keyvalue import HttpKeyValue
+from bramleybeam.keyvalue.http import HttpKeyValue
 from bramleybeam.operators._apply import apply_document, read_history
 from bramleybeam.operators._client import (
     EXIT_BAD_INPUT,
--- a/bramleybeam/operators/_queries.py
+++ b/bramleybeam/operators/_queries.py
@@ -7,7 +7,7 @@
 
 import click
 
-from bramleybeam.keyvalue import HttpKeyValue
+from bramleybeam.keyvalue.http import HttpKeyValue
 from bramleybeam.operators._client import (
     EXIT_UNAVAILABLE,
     JSON_OPTION,
--- a/bramleybeam/orders/_adapters.py
+++ b/bramleybeam/orders/_adapters.py
@@ -123,6 +123,8 @@
 def _find_adapters(engines: Sequence[EngineView]) -> set[Target]:
     found: set[Target] = set()
     for engine in engines:
+        if not engine.is_reachable:
+            continue
         found.update(engine.holdings.arriving)
         for model, adapters in engine.holdings.models.items():
             found.update((model, adapter) for adapter in adapters)
--- a/bramleybeam/orders/_messages.py
+++ b/bramleybeam/orders/_messages.py
@@ -54,7 +54,7 @@
     """A replica as the orders are planned.
 
     ``running`` counts requests by target; ``is_open`` tells whether it may be
-    given an order now; ``leaving`` names the model that is being
+    given an order now, ``is_reachable`` whether its copies count; ``leaving`` names the model that is being
     unloaded, ``loading`` the model that is on its way, ``successor`` the one
     for which room has been or is being made.
     """
@@ -63,6 +63,7 @@
     holdings: Holdings
     running: Mapping[Target, int] = attrs.field(factory=dict)
     is_open: bool = True
+    is_reachable: bool = True
     loading: str = ''
     leaving: str = ''
     successor: str = ''
--- a/bramleybeam/orders/_models.py
+++ b/bramleybeam/orders/_models.py
@@ -233,6 +233,8 @@
     """Count the copies of each model that are here to stay, or coming."""
     copies: dict[str, int] = {}
     for engine in engines:
+        if not engine.is_reachable:
+            continue
         present = {
             *engine.holdings.models,
             engine.loading,
--- a/bramleybeam/platform/_requests.py
+++ b/bramleybeam/platform/_requests.py
@@ -131,19 +131,20 @@
     """What a replica says about an answer.
 
     ``never_ran`` is its word that it did not run the request; ``is_sealed``
-    marks an answer that came of a run.
+    marks an answer that came of a run. ``echoed_id`` tells which request it
+    belongs to; it is empty where the replica didn't say.
     """
 
     status: int
     never_ran: bool
     is_misdirected: bool
     is_sealed: bool
-    is_own: bool
+    echoed_id: str
     content_type: str
 
 
-def describe_reply(head: ReplyHead, request_id: str) -> ReplyFacts:
-    """Decode the head of an answer to the request of ``request_id``."""
+def describe_reply(head: ReplyHead) -> ReplyFacts:
+    """Decode the head of an answer."""
     headers = head.headers
     echoed = _text(headers, _REQUEST_ID.lower())
     misdirected = head.status == _MISDIRECTED
@@ -153,7 +154,7 @@
         never_ran=misdirected or refused,
         is_misdirected=misdirected,
         is_sealed=find_header(headers, _SEAL) is not None,
-        is_own=not echoed or echoed == request_id,
+        echoed_id=echoed,
         content_type=_text(headers, b'content-type'),
     )
 
--- a/bramleybeam/relay/__init__.py
+++ b/bramleybeam/relay/__init__.py
@@ -11,9 +11,11 @@
     find_header,
 )
 from bramleybeam.relay._parser import CallerLimits
+from bramleybeam.relay._pool import CallPool
 
 __all__ = [
     'BrokenReplyError',
+    'CallPool',
     'CallerConnection',
     'CallerLimits',
     'CallerServer',
--- a/bramleybeam/telemetry/__init__.py
+++ b/bramleybeam/telemetry/__init__.py
@@ -1,6 +1,6 @@
 """Structured logs, metrics and trace spans of one process."""
 
-from bramleybeam.telemetry._logs import configure_logs
+from bramleybeam.logs import configure_logs
 from bramleybeam.telemetry._metrics import Metrics
 from bramleybeam.telemetry._traces import Tracing, TracingSettings
 
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -13,7 +13,7 @@
 import attrs
 
 from bramleybeam.documents import Document
-from bramleybeam.keyvalue import HttpKeyValue
+from bramleybeam.keyvalue.http import HttpKeyValue
 from bramleybeam.operators import apply_document
 from tests.documents import make_document
 from tests.proxy import FaultProxy
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -11,7 +11,7 @@
 import pytest_asyncio
 
 from bramleybeam.documents import encode_applied
-from bramleybeam.keyvalue import HttpKeyValue
+from bramleybeam.keyvalue.http import HttpKeyValue
 from bramleybeam.operators._apply import read_current
 from tests.calls import ask
 from tests.documents import make_document
