Copy models that run at crowded replicas, by what helps most requests

Cause: two hot models shared one replica with 60 requests in flight while others ran 5 to 20: another copy was planned only by unread prompt tokens, only for one model, and never while an adapter was waited for.

--- a/bramleybeam/orders/_messages.py
+++ b/bramleybeam/orders/_messages.py
@@ -74,6 +74,11 @@
         held = sum(map(len, self.holdings.models.values()))
         return held + len(self.holdings.arriving)
 
+    @property
+    def runs(self) -> int:
+        """Count all requests that run here."""
+        return sum(self.running.values())
+
     def runs_of(self, model: str) -> int:
         """Count the requests of a model that run here."""
         return sum(
--- a/bramleybeam/orders/_models.py
+++ b/bramleybeam/orders/_models.py
@@ -28,6 +28,12 @@
 _PREFILL_TOKENS_PER_S: Final = 20_000.0
 # Share of a copy's time from which prompts queue noticeably.
 _BUSY_SHARE: Final = 0.3
+# Share of a replica's slots from which its requests slow each other down.
+_CROWDED_SHARE: Final = 0.4
+# Share of a crowded replica's requests that another copy helps.
+_RELIEVED_SHARE: Final = 0.3
+# What each request at a replica speaks against bringing a model there.
+_RUN_COST: Final = 0.05
 # Seconds of demand over which a dropped model is expected to be missed.
 _HORIZON_S: Final = 10.0
 # Requests that a model without recent demand is taken to get, per second.
@@ -98,25 +104,33 @@
             if self._load_time(engine, model) is not None:
                 self._load(engine, model)
 
-    def place_waiting(self) -> None:
-        """Bring in each model that requests wait for, most waiting first."""
-        for model in most_first(self._waiting):
-            if model in self._spec.models and not self._copies.get(model):
-                self._bring_in(model, float('inf'))
-
-    def add_copies(self) -> None:
-        """Give the busiest model a further copy while that pays."""
-        shares = {
-            model: self._share(model)
-            for model in self._demand.models
-            if self._may_copy(model)
+    def place(self) -> None:
+        """Bring in what helps most requests, each model once."""
+        gains = {
+            model: float(count)
+            for model, count in self._waiting.items()
+            if model in self._spec.models and not self._copies.get(model)
         }
-        for model in most_first(shares):
-            excess = shares[model] - _BUSY_SHARE
-            gain = self._rate(model) * _HORIZON_S * excess
-            if gain > _COPY_GAIN_FLOOR:
-                self._bring_in(model, gain)
-                return
+        for model in self._demand.models:
+            if self._may_copy(model):
+                gains[model] = self._copy_gain(model)
+        for model in most_first(gains):
+            is_absent = not self._copies.get(model)
+            limit = float('inf') if is_absent else gains[model]
+            if limit > _COPY_GAIN_FLOOR:
+                self._bring_in(model, limit)
+
+    def _copy_gain(self, model: str) -> float:
+        """Requests that another copy would save from crowded replicas."""
+        crowd = self._spec.slots * _CROWDED_SHARE
+        crowded = sum(
+            engine.runs_of(model)
+            for engine in self._engines
+            if engine.runs >= crowd
+        )
+        excess = self._share(model) - _BUSY_SHARE
+        unread = self._rate(model) * _HORIZON_S * excess
+        return max(unread, crowded * _RELIEVED_SHARE)
 
     def _reserve_loads(self) -> None:
         """Set loads aside for the models for which room is being made."""
@@ -183,6 +197,7 @@
         used = engine.memory_in_use(self._spec)
         needed = self._spec.models[model].memory_mb
         cost = load_s / _HORIZON_S + load_s * self._adapter_requests(engine)
+        cost += engine.runs * _RUN_COST
         if used + needed <= self._spec.memory_mb:
             yield _Choice(cost, engine)
             return
--- a/bramleybeam/orders/_plan.py
+++ b/bramleybeam/orders/_plan.py
@@ -20,16 +20,9 @@
     """
     models = ModelPlacement(engines, spec, demand, store_loads)
     models.finish_swaps()
-    models.place_waiting()
-    waiting = AdapterPlacement(engines, spec, demand, _named(models.orders))
-    waiting.place_waiting()
-    if not waiting.orders:
-        models.add_copies()
-    taken = _named(models.orders) | _named(waiting.orders)
-    ahead = AdapterPlacement(engines, spec, demand, taken)
-    ahead.fetch_ahead()
-    return [*models.orders, *waiting.orders, *ahead.orders]
-
-
-def _named(orders: Sequence[ModelOrder]) -> set[str]:
-    return {order.replica for order in orders}
+    models.place()
+    taken = {order.replica for order in models.orders}
+    adapters = AdapterPlacement(engines, spec, demand, taken)
+    adapters.place_waiting()
+    adapters.fetch_ahead()
+    return [*models.orders, *adapters.orders]
--- a/bramleybeam/orders/tests/test_plan.py
+++ b/bramleybeam/orders/tests/test_plan.py
@@ -128,6 +128,21 @@
         ask(m1=20),
         [UnloadModel('e2', 'm2', 'm1'), LoadAdapter('e1', 'm1', 'a1')],
     ),
+    # So does one that runs at a crowded replica, where there is room.
+    (
+        [
+            make_engine('e1', *FULL, running={('m1', ''): 4}),
+            make_engine('e2', 'm2', 'm3'),
+        ],
+        ask(m1=0.1),
+        [LoadModel('e2', 'm1')],
+    ),
+    # What many wait for goes before what few wait for.
+    (
+        [make_engine('e1', 'm1')],
+        attrs.evolve(ask(m1=0.1), waiting={('m4', ''): 1, ('m5', ''): 9}),
+        [LoadModel('e1', 'm5')],
+    ),
     # An unknown model at a replica counts as all of its memory.
     (
         [make_engine('e1', 'odd')],
