--- a/bramleybeam/gateway/_choose.py
+++ b/bramleybeam/gateway/_choose.py
@@ -148,7 +148,7 @@
         return [
             replica
             for replica in holders
-            if not self._directory.is_passed_over(replica.name)
+            if not self._directory.reach.is_passed_over(replica.name)
         ]
 
     def _holds(self, replica: Replica, target: Target, now: float) -> bool:
--- a/bramleybeam/gateway/_daemon.py
+++ b/bramleybeam/gateway/_daemon.py
@@ -198,7 +198,7 @@
                 sender=self._peers.address,
                 loads=self._loads.own_reports(),
                 demand=self._demand.own(now),
-                unreachable=self._directory.list_unreachable(),
+                unreachable=self._directory.reach.list_passed_over(),
                 epoch=epoch,
                 placement=placement,
             ),
@@ -208,7 +208,7 @@
         now = time.monotonic()
         self._loads.hear(beat.sender, beat.loads, now)
         self._demand.hear(beat.sender, beat.demand, now)
-        self._directory.hear_unreachable(beat.unreachable)
+        self._directory.reach.hear(beat.unreachable)
         if beat.demand.waiting and self._planner.epoch:
             self._nudge.fire()
         if beat.placement is not None:
--- a/bramleybeam/gateway/_directory.py
+++ b/bramleybeam/gateway/_directory.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Mapping
 from typing import Final
 
 import attrs
@@ -19,6 +19,7 @@
     ReplicaState,
     RoutingConfiguration,
 )
+from bramleybeam.gateway._reach import ReachTable
 from bramleybeam.keyvalue import Changes, Item, Listing, Removal
 
 OWN_PREFIX: Final = 'bramleybeam/'
@@ -28,11 +29,6 @@
 LAPSE_GRACE_S: Final = 2.0
 # A gateway whose entry is gone may only have lost the store.
 _PEER_GRACE_S: Final = 15.0
-# How long a replica that could not be reached is passed over, in seconds.
-_FIRST_PENALTY_S: Final = 0.25
-_LONGEST_PENALTY_S: Final = 4.0
-# How long another gateway's word on an unreachable replica counts.
-_DOUBT_S: Final = 1.0
 _log = structlog.get_logger('directory')
 
 
@@ -48,12 +44,6 @@
     started_ms: int = 0
 
 
-@attrs.define
-class _Penalty:
-    until: float
-    period: float
-
-
 class Directory:
     """Beliefs of one gateway; ``clock`` gives seconds that never go back."""
 
@@ -65,14 +55,13 @@
         self.planner_revision = 0
         self.is_listed = False
         self.on_change: list[Callable[[], None]] = []
+        self.reach = ReachTable(clock)
         self._clock = clock
         self._lapsed: dict[str, float] = {}
         self._lost_peers: dict[str, float] = {}
         self._placement: Mapping[str, PlacedHoldings] = {}
         self._placement_epoch = 0
         self._placement_until = 0.0
-        self._penalties: dict[str, _Penalty] = {}
-        self._doubted: dict[str, float] = {}
         self._store_lost_at: float | None = None
         self._store_back_at = float('-inf')
 
@@ -122,40 +111,6 @@
         """Whether a planner has told of its placement a moment ago."""
         return self._clock() <= self._placement_until
 
-    def is_passed_over(self, name: str) -> bool:
-        """Whether a replica could not be reached a moment ago."""
-        penalty = self._penalties.get(name)
-        return penalty is not None and self._clock() < penalty.until
-
-    def list_unreachable(self) -> list[str]:
-        """Name the replicas that this gateway passes over."""
-        return [name for name in self._penalties if self.is_passed_over(name)]
-
-    def hear_unreachable(self, names: Iterable[str]) -> None:
-        """Take in which replicas another gateway passes over."""
-        until = self._clock() + _DOUBT_S
-        for name in names:
-            self._doubted[name] = until
-
-    def is_doubted(self, name: str) -> bool:
-        """Whether any gateway could not reach a replica a moment ago."""
-        until = self._doubted.get(name, 0)
-        return self.is_passed_over(name) or self._clock() < until
-
-    def note_unreachable(self, name: str) -> None:
-        """Pass a replica over for a while, longer each time."""
-        known = self._penalties.get(name)
-        period = _FIRST_PENALTY_S
-        if known is not None:
-            period = min(_LONGEST_PENALTY_S, known.period * 2)
-        now = self._clock()
-        self._penalties[name] = _Penalty(now + period, period)
-        _log.info('replica_unreachable', replica=name, seconds=period)
-
-    def note_reachable(self, name: str) -> None:
-        """Forget that a replica could not be reached."""
-        self._penalties.pop(name, None)
-
     def note_store(self, *, answers: bool) -> None:
         """Note whether the store answers; a return starts a grace period."""
         if not answers and self._store_lost_at is None:
@@ -235,7 +190,7 @@
         self._lapsed.pop(replica.name, None)
         self.replicas[replica.name] = replica
         if known is None or known.incarnation != replica.incarnation:
-            self._penalties.pop(replica.name, None)
+            self.reach.note_reachable(replica.name)
             _log.info(
                 'replica_seen', replica=replica.name, service=replica.service
             )
--- a/bramleybeam/gateway/_forward.py
+++ b/bramleybeam/gateway/_forward.py
@@ -173,6 +173,7 @@
             replica, work = await self._chooser.choose(job, now)
             outcome = await self._send(job, replica, work)
             if isinstance(outcome, outcomes.Delivered):
+                self._directory.reach.note_reachable(replica.name)
                 _log.info('answered', **_describe(job, replica, outcome))
                 return
             _log.info('attempt_failed', **_describe(job, replica, outcome))
@@ -237,7 +238,7 @@
         now = self._directory.now()
         match outcome:
             case outcomes.NotArrived():
-                self._directory.note_unreachable(replica.name)
+                self._directory.reach.note_unreachable(replica.name)
             case outcomes.NotRun(is_missing=True):
                 self._chooser.note_missing(replica, job.target, now)
 
--- a/bramleybeam/gateway/_planner.py
+++ b/bramleybeam/gateway/_planner.py
@@ -235,7 +235,7 @@
 
     def _view(self, ledger: ReplicaLedger, now: float) -> EngineView:
         name = ledger.replica.name
-        reachable = not self._directory.is_doubted(name)
+        reachable = not self._directory.reach.is_doubted(name)
         return EngineView(
             name,
             ledger.holdings,
@@ -286,6 +286,6 @@
                 _log.warning('planner_fenced', epoch=self._epoch)
                 self._give_up()
             case platform.OrderRefused(status=0):
-                self._directory.note_unreachable(ledger.replica.name)
+                self._directory.reach.note_unreachable(ledger.replica.name)
             case _:
                 ledger.check_at = now + _CHECK_AGAIN_S
--- a/bramleybeam/gateway/tests/test_directory.py
+++ b/bramleybeam/gateway/tests/test_directory.py
@@ -133,13 +133,13 @@
 def test_unreachable_replica_is_passed_over_ever_longer(directory, clock):
     periods = []
     for _ in range(6):
-        directory.note_unreachable('r1')
+        directory.reach.note_unreachable('r1')
         start = clock.now
-        while directory.is_passed_over('r1'):
+        while directory.reach.is_passed_over('r1'):
             clock.now += 0.25
         periods.append(clock.now - start)
     assert periods == [0.25, 0.5, 1, 2, 4, 4]
-    directory.note_reachable('r1')
-    directory.note_unreachable('r1')
+    directory.reach.note_reachable('r1')
+    directory.reach.note_unreachable('r1')
     clock.now += 0.3
-    assert not directory.is_passed_over('r1')
+    assert not directory.reach.is_passed_over('r1')
