Let a new planner wait for each replica by itself; pass shared tables as one

Cause: a new planner waited 2.5 s for all replicas, though the last orders of the old one went to few.

--- a/benchmarks/gateway.py
+++ b/benchmarks/gateway.py
@@ -7,8 +7,10 @@
 import asyncio
 import tempfile
 from pathlib import Path
+from types import MappingProxyType
 from typing import Final
 
+import click
 import psutil
 
 from tests.platform_site import Site, run_site
@@ -17,11 +19,13 @@
 STREAMS: Final = 60
 EVENTS: Final = 200
 AT_ONCE: Final = 4
-ASK: Final = {
-    'Bramleybeam_Model': 'm1',
-    'Bramleybeam_Token_Counts': '100,8',
-    'Bramleybeam_Prompt_Prefix': 'aa:60,bb:40',
-}
+ASK: Final = MappingProxyType(
+    {
+        'Bramleybeam_Model': 'm1',
+        'Bramleybeam_Token_Counts': '100,8',
+        'Bramleybeam_Prompt_Prefix': 'aa:60,bb:40',
+    }
+)
 
 
 def read_processor_us(pid: int) -> float:
@@ -59,11 +63,11 @@
         await asyncio.sleep(5)
         idle = read_processor_us(site.gateway.process.pid) - idle_from
         memory = psutil.Process(site.gateway.process.pid).memory_info().rss
-    print(f'us a plain request, with its connection: {plain:.0f}')
-    print(f'us a stream of {few} events: {short:.0f}')
-    print(f'us an event: {(long - short) / (EVENTS - few):.0f}')
-    print(f'idle, % of a core: {idle / 50_000:.2f}')
-    print(f'MB: {memory / 1_000_000:.0f}')
+    click.echo(f'us a plain request, with its connection: {plain:.0f}')
+    click.echo(f'us a stream of {few} events: {short:.0f}')
+    click.echo(f'us an event: {(long - short) / (EVENTS - few):.0f}')
+    click.echo(f'idle, % of a core: {idle / 50_000:.2f}')
+    click.echo(f'MB: {memory / 1_000_000:.0f}')
 
 
 if __name__ == '__main__':
--- a/bramleybeam/gateway/_choose.py
+++ b/bramleybeam/gateway/_choose.py
@@ -18,9 +18,10 @@
 )
 from bramleybeam.errors import ErrorKind, Refusal, refuse
 from bramleybeam.gateway._demand import DemandTable
-from bramleybeam.gateway._directory import Directory, Signal
+from bramleybeam.gateway._directory import Signal
 from bramleybeam.gateway._job import Job, RefusingError
-from bramleybeam.gateway._loads import LoadTable, Work
+from bramleybeam.gateway._knowledge import Knowledge
+from bramleybeam.gateway._loads import Work
 from bramleybeam.orders import (
     Target,
 )
@@ -42,23 +43,21 @@
 
     def __init__(
         self,
-        directory: Directory,
-        loads: LoadTable,
-        demand: DemandTable,
+        knowledge: Knowledge,
         zone: str,
         rng: random.Random,
     ) -> None:
         """Store what is known of replicas and their work."""
         self.changed = Signal()
-        self._directory = directory
-        self._loads = loads
-        self._demand = demand
+        self._directory = knowledge.directory
+        self._loads = knowledge.loads
+        self._demand = knowledge.demand
         self._zone = zone
         self._rng = rng
         self._prefixes = PrefixMemory()
         self._rooms: dict[Target, list[Waiting]] = defaultdict(list)
         self._missing: dict[tuple[str, Target], float] = {}
-        directory.on_change.append(self.changed.fire)
+        self._directory.on_change.append(self.changed.fire)
 
     async def choose(self, job: Job, now: float) -> tuple[Replica, Work]:
         """Wait for a replica; raises ``RefusingError`` when there is none."""
--- a/bramleybeam/gateway/_daemon.py
+++ b/bramleybeam/gateway/_daemon.py
@@ -11,11 +11,10 @@
 from bramleybeam import platform
 from bramleybeam.catalog import HostSettings
 from bramleybeam.gateway._choose import Chooser
-from bramleybeam.gateway._demand import DemandTable
-from bramleybeam.gateway._directory import OWN_PREFIX, PEER_PREFIX, Directory
+from bramleybeam.gateway._directory import OWN_PREFIX, PEER_PREFIX
 from bramleybeam.gateway._follower import StoreFollower
 from bramleybeam.gateway._forward import Forwarder
-from bramleybeam.gateway._loads import LoadTable
+from bramleybeam.gateway._knowledge import make_knowledge
 from bramleybeam.gateway._peers import Beat, PeerLink
 from bramleybeam.gateway._planner import Planner
 from bramleybeam.keyvalue import LeaseKeeper
@@ -51,35 +50,27 @@
         self._settings = settings
         self._is_stopping = False
         self._store = platform.PlatformStore(settings.store_address)
-        self._directory = Directory(time.monotonic)
-        self._loads = LoadTable()
-        self._demand = DemandTable()
+        knowledge = make_knowledge(time.monotonic)
+        self._directory = knowledge.directory
+        self._loads = knowledge.loads
+        self._demand = knowledge.demand
         self._timers = TimerService(rng)
         self._tasks = TaskSet()
-        self._chooser = Chooser(
-            self._directory, self._loads, self._demand, settings.zone, rng
-        )
-        self._forwarder = Forwarder(
-            settings,
-            self._directory,
-            self._chooser,
-            self._loads,
-            self._demand,
-            rng,
-        )
+        self._chooser = Chooser(knowledge, settings.zone, rng)
+        self._forwarder = Forwarder(settings, knowledge, self._chooser, rng)
         self._planner = Planner(
             settings,
             self._store,
-            self._directory,
-            self._loads,
-            self._demand,
+            knowledge,
             rng,
+            self._announce_orders,
         )
         self._follower = StoreFollower(self._store, self._directory, rng)
         self._peers = PeerLink(
             self._directory,
             f'{settings.ip_address}:{settings.peer_port}',
             self._hear,
+            self._planner.order_times.hear,
         )
         self._callers = CallerServer(settings.listen, self._forwarder.handle)
         self._readiness = CallerServer(
@@ -183,8 +174,16 @@
         if self._planner.has_news:
             await self._send_beat()
 
+    def _announce_orders(self) -> None:
+        """Tell of the planner's orders; twice, as datagrams get lost."""
+        ages = self._planner.order_times.ages()
+        if ages:
+            self._peers.announce_orders(ages)
+            self._peers.announce_orders(ages)
+
     async def _send_beat(self) -> None:
         now = time.monotonic()
+        self._announce_orders()
         epoch = self._planner.epoch
         placement = None
         due = now - self._placement_told_at >= _PLACEMENT_EVERY_S
--- a/bramleybeam/gateway/_forward.py
+++ b/bramleybeam/gateway/_forward.py
@@ -28,10 +28,9 @@
 from bramleybeam.errors import ErrorKind, Execution, Refusal, refuse
 from bramleybeam.gateway import _attempt as outcomes
 from bramleybeam.gateway._choose import Chooser
-from bramleybeam.gateway._demand import DemandTable
-from bramleybeam.gateway._directory import Directory
 from bramleybeam.gateway._job import Job, RefusingError
-from bramleybeam.gateway._loads import LoadTable, Work
+from bramleybeam.gateway._knowledge import Knowledge
+from bramleybeam.gateway._loads import Work
 from bramleybeam.limits import RetryBudget, is_patient
 from bramleybeam.relay import CallerConnection, CallPool, InboundRequest
 
@@ -48,21 +47,19 @@
     def __init__(
         self,
         settings: HostSettings,
-        directory: Directory,
+        knowledge: Knowledge,
         chooser: Chooser,
-        loads: LoadTable,
-        demand: DemandTable,
         rng: random.Random,
     ) -> None:
         """Store the parts that a request passes."""
         self.is_stopping = False
         self._settings = settings
-        self._directory = directory
+        self._directory = knowledge.directory
         self._chooser = chooser
-        self._loads = loads
-        self._demand = demand
+        self._loads = knowledge.loads
+        self._demand = knowledge.demand
         self._rng = rng
-        self._calls = CallPool(directory.now)
+        self._calls = CallPool(self._directory.now)
         self._budgets: dict[str, RetryBudget] = {}
 
     async def handle(
--- a/bramleybeam/gateway/_peers.py
+++ b/bramleybeam/gateway/_peers.py
@@ -21,6 +21,7 @@
 from bramleybeam.orders import Demand, ModelDemand, Target
 
 _TOPIC: Final = 'gateway-beat'
+_ORDERS_TOPIC: Final = 'gateway-orders'
 _BAD_BEAT: Final = (
     FrameError,
     ValueError,
@@ -56,8 +57,10 @@
         directory: Directory,
         address: str,
         hear: Callable[[Beat], None],
+        hear_orders: Callable[[Mapping[str, float]], None],
     ) -> None:
-        """Store own address ``IP:PORT`` and who takes beats in."""
+        """Store own address ``IP:PORT``, who takes beats and order ages."""
+        self._hear_orders = hear_orders
         self.address = address
         self._directory = directory
         self._hear = hear
@@ -80,14 +83,12 @@
             self._transport.close()
 
     def send(self, beat: Beat) -> None:
-        """Tell every other gateway."""
-        if self._transport is None:
-            return
-        datagram = encode_frame(frames.Notice(_TOPIC, encode_beat(beat)))
-        for address in self._directory.peers.values():
-            host, _, port = address.rpartition(':')
-            if address != self.address and port.isdigit():
-                self._transport.sendto(datagram, (host, int(port)))
+        """Tell every other gateway how things stand here."""
+        self._send(frames.Notice(_TOPIC, encode_beat(beat)))
+
+    def announce_orders(self, ages: Mapping[str, float]) -> None:
+        """Tell every other gateway how long ago replicas were ordered."""
+        self._send(frames.Notice(_ORDERS_TOPIC, json.dumps(ages).encode()))
 
     def datagram_received(self, received: bytes, addr: Any) -> None:
         """Take a beat from a gateway that the store lists."""
@@ -103,12 +104,25 @@
         """Note that a datagram could not be delivered."""
         _log.debug('beat_undelivered', error=repr(exc))
 
+    def _send(self, notice: frames.Notice) -> None:
+        if self._transport is None:
+            return
+        datagram = encode_frame(notice)
+        for address in self._directory.peers.values():
+            host, _, port = address.rpartition(':')
+            if address != self.address and port.isdigit():
+                self._transport.sendto(datagram, (host, int(port)))
+
     def _take(self, received: bytes, sender: str) -> None:
         decoder = FrameDecoder()
         decoder.raise_limit()
         for frame in decoder.feed(received):
-            if isinstance(frame, frames.Notice) and frame.topic == _TOPIC:
+            if not isinstance(frame, frames.Notice):
+                continue
+            if frame.topic == _TOPIC:
                 self._hear(decode_beat(frame.body, sender))
+            elif frame.topic == _ORDERS_TOPIC:
+                self._hear_orders(json.loads(frame.body))
 
 
 def encode_beat(beat: Beat) -> bytes:
--- a/bramleybeam/gateway/_planner.py
+++ b/bramleybeam/gateway/_planner.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 from typing import Final
 
 import structlog
@@ -16,14 +17,10 @@
 from bramleybeam.decisions import (
     TokenBucket,
 )
-from bramleybeam.gateway._demand import DemandTable
-from bramleybeam.gateway._directory import (
-    PLANNER_NAME,
-    Directory,
-    PlacedHoldings,
-)
+from bramleybeam.gateway._directory import PLANNER_NAME, PlacedHoldings
+from bramleybeam.gateway._knowledge import Knowledge
 from bramleybeam.gateway._ledger import ReplicaLedger
-from bramleybeam.gateway._loads import LoadTable
+from bramleybeam.gateway._order_times import OrderTimes
 from bramleybeam.keyvalue import LeaseKeeper
 from bramleybeam.orders import (
     Demand,
@@ -36,7 +33,7 @@
 
 LEASE_TTL_S: Final = 1.2
 # A holder that hears nothing for this long gives no orders, well before its
-# lease ends, so that the next holder's wait can begin earlier.
+# lease ends and another takes over.
 _VALID_S: Final = 0.7
 _RENEW_S: Final = 0.25
 # Share of the weight store's rate that is used.
@@ -54,18 +51,21 @@
         self,
         settings: HostSettings,
         store: platform.PlatformStore,
-        directory: Directory,
-        loads: LoadTable,
-        demand: DemandTable,
+        knowledge: Knowledge,
         rng: random.Random,
+        announce: Callable[[], None],
     ) -> None:
-        """Store what plans are made from."""
+        """Store what plans are made from, and how orders are announced."""
         self.has_news = False
+        self.order_times = OrderTimes(
+            settings.bounds.order_pause_s, platform.boot_time
+        )
+        self._announce = announce
         self._settings = settings
         self._store = store
-        self._directory = directory
-        self._loads = loads
-        self._demand = demand
+        self._directory = knowledge.directory
+        self._loads = knowledge.loads
+        self._demand = knowledge.demand
         self._rng = rng
         self._keeper = LeaseKeeper(
             store,
@@ -169,7 +169,9 @@
         self._epoch = epoch
         self._has_seen_own = False
         self._renewed_at = platform.boot_time()
-        pause = self._settings.bounds.order_pause_s - (LEASE_TTL_S - _VALID_S)
+        pause = 0.0
+        if not self.order_times.is_complete:
+            pause = self._settings.bounds.order_pause_s
         self._active_from = self._renewed_at + pause
         self._ledgers.clear()
         self._buckets.clear()
@@ -236,11 +238,12 @@
     def _view(self, ledger: ReplicaLedger, now: float) -> EngineView:
         name = ledger.replica.name
         reachable = not self._directory.reach.is_doubted(name)
+        is_closed = self.order_times.is_closed(name)
         return EngineView(
             name,
             ledger.holdings,
             self._loads.total(name, now).by_target,
-            ledger.is_open and reachable,
+            ledger.is_open and reachable and not is_closed,
             reachable,
             ledger.loading,
             ledger.leaving,
@@ -254,6 +257,8 @@
                 epoch = self.epoch
                 if not epoch:
                     return
+                self.order_times.note_own(ledger.replica.name)
+                self._announce()
                 terms = platform.OrderTerms(
                     self._settings.name, epoch, ledger.holdings.sequence
                 )
