--- a/bramleybeam/gateway/_choose.py
+++ b/bramleybeam/gateway/_choose.py
@@ -34,6 +34,8 @@
 # Requests in a plain service's queue for each that it runs.
 _PLAIN_QUEUE_SHARE: Final = 2
 _RETRY_AFTER_S: Final = 1.0
+# Time after a model's expected arrival at which callers are asked to return.
+_ARRIVAL_MARGIN_S: Final = 0.2
 _PLAIN_RETRY_AFTER_S: Final = 0.1
 _MISSING_S: Final = 1.0
 
@@ -119,8 +121,15 @@
     def _check_patience(self, job: Job, *, is_absent: bool) -> None:
         """Refuse when waiting has lasted too long or can't help."""
         waited = self._directory.now() - job.received_at
-        is_helpless = is_absent and not self._directory.hears_planner()
-        if is_helpless or waited >= job.patience_s:
+        left = job.patience_s - waited
+        if is_absent and not self._directory.hears_planner():
+            raise RefusingError(_refuse(job))
+        arrival = self._directory.arrival_in(job.facts.model)
+        is_too_late = arrival is not None and arrival > left
+        if is_absent and is_too_late and not job.has_returned:
+            after = (arrival or 0) + _ARRIVAL_MARGIN_S
+            raise RefusingError(_refuse(job, after))
+        if left <= 0:
             raise RefusingError(_refuse(job))
 
     def _is_absent(self, job: Job) -> bool:
@@ -219,7 +228,7 @@
             self._demand.begin_waiting(target)
 
 
-def _refuse(job: Job) -> Refusal:
+def _refuse(job: Job, retry_after: float = _RETRY_AFTER_S) -> Refusal:
     if job.service.engine is None:
         return refuse(
             ErrorKind.TARGET_UNREACHABLE,
@@ -228,7 +237,7 @@
     return refuse(
         ErrorKind.NO_READY_UPSTREAM,
         f'Asked: {job.facts.model} {job.facts.adapter}.',
-        retry_after=_RETRY_AFTER_S,
+        retry_after=retry_after,
     )
 
 
--- a/bramleybeam/gateway/_directory.py
+++ b/bramleybeam/gateway/_directory.py
@@ -36,12 +36,16 @@
 class PlacedHoldings:
     """What the planner says a replica holds, and what is being dropped.
 
-    ``started_ms`` tells which start of the replica is meant.
+    ``started_ms`` tells which start of the replica is meant. ``coming`` is the
+    model on its way and ``coming_in_s`` when it is expected, from when it was
+    told.
     """
 
     holdings: Holdings
     leaving: str = ''
     started_ms: int = 0
+    coming: str = ''
+    coming_in_s: float = 0
 
 
 class Directory:
@@ -62,6 +66,7 @@
         self._placement: Mapping[str, PlacedHoldings] = {}
         self._placement_epoch = 0
         self._placement_until = 0.0
+        self._placement_heard_at = 0.0
         self._store_lost_at: float | None = None
         self._store_back_at = float('-inf')
 
@@ -104,9 +109,22 @@
             return
         self._placement_epoch = epoch
         self._placement = placement
-        self._placement_until = self._clock() + valid_s
+        self._placement_heard_at = self._clock()
+        self._placement_until = self._placement_heard_at + valid_s
         self.signal()
 
+    def arrival_in(self, model: str) -> float | None:
+        """Return the seconds until a model is expected, if it is coming."""
+        spent = self._clock() - self._placement_heard_at
+        return min(
+            (
+                max(0, placed.coming_in_s - spent)
+                for placed in self._placement.values()
+                if placed.coming == model
+            ),
+            default=None,
+        )
+
     def hears_planner(self) -> bool:
         """Whether a planner has told of its placement a moment ago."""
         return self._clock() <= self._placement_until
--- a/bramleybeam/gateway/_ledger.py
+++ b/bramleybeam/gateway/_ledger.py
@@ -38,6 +38,7 @@
     leaving: str = ''
     successor: str = ''
     ordered_at: float = 0
+    coming_at: float = 0
     is_giving: bool = False
     check_at: float | None = None
     _arrivals: list[tuple[float, str, str]] = attrs.field(factory=list)
@@ -83,13 +84,15 @@
                 self.holdings, sequence=self.holdings.sequence + 1
             )
         match order:
-            case LoadModel(model=model) if not done:
+            case LoadModel(model=model, takes_s=takes_s) if not done:
+                self.coming_at = now + takes_s
                 self.loading = model
                 self.successor = ''
                 self.ordered_at = now
             case UnloadModel(model=model, successor=successor) if not done:
                 self.leaving = model
                 self.successor = successor
+                self.coming_at = now + order.takes_s
                 self.ordered_at = now
             case LoadAdapter(model=model, adapter=adapter):
                 self._expect_adapter(model, adapter, now)
--- a/bramleybeam/gateway/_peers.py
+++ b/bramleybeam/gateway/_peers.py
@@ -199,9 +199,21 @@
         model: sorted(adapters)
         for model, adapters in placed.holdings.models.items()
     }
-    return [placed.started_ms, models, placed.leaving]
+    return [
+        placed.started_ms,
+        models,
+        placed.leaving,
+        placed.coming,
+        round(placed.coming_in_s, 2),
+    ]
 
 
 def _decode_placed(row: list[Any]) -> PlacedHoldings:
     models = {model: frozenset(names) for model, names in row[1].items()}
-    return PlacedHoldings(Holdings(0, models), str(row[2]), int(row[0]))
+    return PlacedHoldings(
+        Holdings(0, models),
+        leaving=str(row[2]),
+        started_ms=int(row[0]),
+        coming=str(row[3]),
+        coming_in_s=float(row[4]),
+    )
--- a/bramleybeam/gateway/_planner.py
+++ b/bramleybeam/gateway/_planner.py
@@ -117,11 +117,14 @@
 
     def placement(self) -> dict[str, PlacedHoldings]:
         """Return what each replica holds, for the other gateways."""
+        now = self._directory.now()
         return {
             name: PlacedHoldings(
                 ledger.holdings,
                 ledger.leaving,
                 ledger.replica.started_ms,
+                ledger.loading or ledger.successor,
+                max(0, ledger.coming_at - now),
             )
             for name, ledger in self._ledgers.items()
         }
--- a/bramleybeam/gateway/tests/test_directory.py
+++ b/bramleybeam/gateway/tests/test_directory.py
@@ -143,3 +143,13 @@
     directory.reach.note_unreachable('r1')
     clock.now += 0.3
     assert not directory.reach.is_passed_over('r1')
+
+
+def test_expected_arrival_comes_closer(directory, clock):
+    placed = PlacedHoldings(Holdings(0), coming='m2', coming_in_s=2.0)
+    later = PlacedHoldings(Holdings(0), coming='m2', coming_in_s=5.0)
+    directory.hear_placement(1, {'r1': later, 'r2': placed}, 2.5)
+    assert directory.arrival_in('m2') == 2
+    assert directory.arrival_in('m3') is None
+    clock.now += 1.5
+    assert directory.arrival_in('m2') == 0.5
--- a/bramleybeam/orders/_messages.py
+++ b/bramleybeam/orders/_messages.py
@@ -12,20 +12,28 @@
 
 @attrs.frozen
 class LoadModel:
-    """Bring a model to a replica; ``from_store`` counts for its rate."""
+    """Bring a model to a replica; ``from_store`` counts for its rate.
+
+    ``takes_s`` is how long it is expected to take.
+    """
 
     replica: str
     model: str
     from_store: bool = True
+    takes_s: float = attrs.field(default=0, eq=False)
 
 
 @attrs.frozen
 class UnloadModel:
-    """Drop a model from a replica, to make room for ``successor``."""
+    """Drop a model from a replica, to make room for ``successor``.
+
+    ``takes_s`` is how long it is expected to take until that one is there.
+    """
 
     replica: str
     model: str
     successor: str = ''
+    takes_s: float = attrs.field(default=0, eq=False)
 
 
 @attrs.frozen
--- a/bramleybeam/orders/_models.py
+++ b/bramleybeam/orders/_models.py
@@ -34,6 +34,8 @@
 _RELIEVED_SHARE: Final = 0.3
 # What each request at a replica speaks against bringing a model there.
 _RUN_COST: Final = 0.05
+# Time that an unload takes when nothing runs.
+_UNLOAD_S: Final = 0.2
 # Seconds of demand over which a dropped model is expected to be missed.
 _HORIZON_S: Final = 10.0
 # Requests that a model without recent demand is taken to get, per second.
@@ -173,19 +175,26 @@
 
     def _make_room(self, choice: _Choice, model: str) -> None:
         """Unload the victim; the load that follows counts already now."""
+        load_s = self._load_time(choice.engine, model) or 0
         if not _is_at_hand(choice.engine.holdings, model):
             self._store_loads -= 1
         self.orders.append(
-            UnloadModel(choice.engine.name, choice.victim, model),
+            UnloadModel(
+                choice.engine.name,
+                choice.victim,
+                model,
+                load_s + _UNLOAD_S,
+            ),
         )
         self._copies[choice.victim] -= 1
         self._copies[model] = self._copies.get(model, 0) + 1
 
     def _load(self, engine: EngineView, model: str) -> None:
+        load_s = self._load_time(engine, model) or 0
         from_store = not _is_at_hand(engine.holdings, model)
         if from_store:
             self._store_loads -= 1
-        self.orders.append(LoadModel(engine.name, model, from_store))
+        self.orders.append(LoadModel(engine.name, model, from_store, load_s))
 
     def _choices(self, engine: EngineView, model: str) -> Iterable[_Choice]:
         held = engine.holdings.models
