--- a/bramleybeam/gateway/_choose.py
+++ b/bramleybeam/gateway/_choose.py
@@ -125,10 +125,8 @@
         if is_absent and not self._directory.hears_planner():
             raise RefusingError(_refuse(job))
         arrival = self._directory.arrival_in(job.facts.model)
-        is_too_late = arrival is not None and arrival > left
-        if is_absent and is_too_late and not job.has_returned:
-            after = (arrival or 0) + _ARRIVAL_MARGIN_S
-            raise RefusingError(_refuse(job, after))
+        if is_absent and arrival is not None and arrival > left:
+            raise RefusingError(_refuse(job, arrival + _ARRIVAL_MARGIN_S))
         if left <= 0:
             raise RefusingError(_refuse(job))
 
--- a/bramleybeam/gateway/_forward.py
+++ b/bramleybeam/gateway/_forward.py
@@ -31,7 +31,7 @@
 from bramleybeam.gateway._job import Job, RefusingError
 from bramleybeam.gateway._knowledge import Knowledge
 from bramleybeam.gateway._loads import Work
-from bramleybeam.limits import DeadlineTable, RetryBudget, is_patient
+from bramleybeam.limits import RetryBudget, is_patient
 from bramleybeam.relay import CallerConnection, CallPool, InboundRequest
 
 # Time after its deadline in which a replica's own last word may arrive.
@@ -59,7 +59,6 @@
         self._loads = knowledge.loads
         self._demand = knowledge.demand
         self._rng = rng
-        self._deadlines = DeadlineTable()
         self._calls = CallPool(self._directory.now)
         self._budgets: dict[str, RetryBudget] = {}
 
@@ -143,7 +142,6 @@
             service,
             connection,
             request.received_at + patience,
-            spent_s=self._deadlines.spent(route.name, facts.deadline_s),
             last_event=facts.last_event,
         )
         now = self._directory.now()
--- a/bramleybeam/gateway/_job.py
+++ b/bramleybeam/gateway/_job.py
@@ -24,7 +24,6 @@
 class Job:
     """State of one request; moments are in loop seconds.
 
-    ``spent_s`` is the time that the caller had spent on earlier tries.
     ``sends`` counts the times that it was handed to a replica, ``runs`` those
     after which it may have run; ``sent_at`` is when it was last handed over
     and ``first_event_at`` when its stream began. ``last_event`` is the id of the last event
@@ -37,7 +36,6 @@
     service: Service
     connection: CallerConnection
     give_up_at: float
-    spent_s: float = 0
     sends: int = 0
     runs: int = 0
     last_event: str = ''
@@ -58,22 +56,13 @@
     @property
     def patience_s(self) -> float:
         """How long it may wait for a replica, from its arrival."""
-        return patience_of(
-            self.route,
-            self.give_up_at - self.received_at,
-            has_returned=self.has_returned,
-        )
-
-    @property
-    def has_returned(self) -> bool:
-        """Whether the caller comes back after an earlier try."""
-        return self.spent_s > 0
+        return patience_of(self.route, self.give_up_at - self.received_at)
 
     @property
     def waiting(self) -> Waiting:
         """Its place among those that wait."""
         return Waiting(
-            self.received_at - self.spent_s,
+            self.received_at,
             self.route.objective_s,
-            self.give_up_at - self.received_at + self.spent_s,
+            self.give_up_at - self.received_at,
         )
--- a/bramleybeam/limits/__init__.py
+++ b/bramleybeam/limits/__init__.py
@@ -1,13 +1,6 @@
 """Limits of waiting and of retries, as pure functions and counters."""
 
-from bramleybeam.limits._deadlines import DeadlineTable
 from bramleybeam.limits._patience import is_patient, patience_of, quiet_limit
 from bramleybeam.limits._retry_budget import RetryBudget
 
-__all__ = [
-    'DeadlineTable',
-    'RetryBudget',
-    'is_patient',
-    'patience_of',
-    'quiet_limit',
-]
+__all__ = ['RetryBudget', 'is_patient', 'patience_of', 'quiet_limit']
--- a/bramleybeam/limits/_patience.py
+++ b/bramleybeam/limits/_patience.py
@@ -17,8 +17,6 @@
 # Parts of the caller's patience that are spent on waiting here.
 _STREAM_SHARE: Final = 0.75
 _PLAIN_SHARE: Final = 0.5
-# The same for a caller that has come back after a refusal: it won't again.
-_RETURNED_SHARE: Final = 0.9
 
 
 # Objective, in seconds, from which a request can wait for a load.
@@ -39,15 +37,9 @@
     )
 
 
-def patience_of(
-    route: Route,
-    time_s: float,
-    *,
-    has_returned: bool = False,
-) -> float:
+def patience_of(route: Route, time_s: float) -> float:
     """Return the seconds to wait, of ``time_s`` that the caller gives."""
-    share = _RETURNED_SHARE if has_returned else _PLAIN_SHARE
-    if route.kind != RequestKind.STREAMING:
-        return share * time_s
-    quiet_share = _RETURNED_SHARE if has_returned else _STREAM_SHARE
-    return min(share * time_s, quiet_share * quiet_limit(route))
+    patience = _PLAIN_SHARE * time_s
+    if route.kind == RequestKind.STREAMING:
+        return min(patience, _STREAM_SHARE * quiet_limit(route))
+    return patience
--- a/bramleybeam/limits/tests/test_limits.py
+++ b/bramleybeam/limits/tests/test_limits.py
@@ -4,7 +4,6 @@
 
 from bramleybeam.catalog import RequestKind, Route, RouteTarget
 from bramleybeam.limits import (
-    DeadlineTable,
     RetryBudget,
     is_patient,
     patience_of,
@@ -67,18 +66,3 @@
                 sent += 1
     requests = 5 * 10
     assert sent / 4 <= 0.2 * requests + 50
-
-
-def test_caller_that_returned_is_waited_for_longer():
-    route = make_route(RequestKind.STREAMING, 15, 0.5, 0.3)
-    first = patience_of(route, 15)
-    second = patience_of(route, 12, has_returned=True)
-    assert first < second < quiet_limit(route)
-
-
-def test_shorter_deadline_tells_of_an_earlier_try():
-    table = DeadlineTable()
-    assert table.spent('r', 15) == 0
-    assert table.spent('r', 14.95) == 0
-    assert table.spent('r', 12) == 3
-    assert table.spent('other', 8) == 0
