Let a planner go on while the store is silent, where replicas judge epochs

Cause: with the store away for 11 s no planner held a lease, and 350 requests for models that became busy were refused. Replicas that check epochs refuse the old planner once a new one has ordered; it also stops as soon as it hears of a higher epoch. Gateways that have just started leave the lease to others, and without a planner callers are asked to return after 2.5 s in place of 1.

--- a/bramleybeam/catalog/_host.py
+++ b/bramleybeam/catalog/_host.py
@@ -25,7 +25,8 @@
 
     Addresses are ``IP:PORT``. Retries to one service stay under
     ``retry_ratio`` of its requests plus ``retry_allowance`` in a window,
-    summed over all hosts.
+    summed over all hosts. ``replicas_check_epochs`` tells whether replicas
+    refuse orders of an older epoch than they have seen.
     """
 
     name: str
@@ -39,4 +40,5 @@
     retry_ratio: float = 0.2
     retry_allowance: float = 50
     load_excess: float = 1.1
+    replicas_check_epochs: bool = False
     max_descriptors: int = 4096
--- a/bramleybeam/gateway/_choose.py
+++ b/bramleybeam/gateway/_choose.py
@@ -34,6 +34,8 @@
 # Requests in a plain service's queue for each that it runs.
 _PLAIN_QUEUE_SHARE: Final = 2
 _RETRY_AFTER_S: Final = 1.0
+# Time after which a planner is expected to be there again.
+_NO_PLANNER_S: Final = 2.5
 # Time after a model's expected arrival at which callers are asked to return.
 _ARRIVAL_MARGIN_S: Final = 0.2
 _PLAIN_RETRY_AFTER_S: Final = 0.1
@@ -123,7 +125,7 @@
         waited = self._directory.now() - job.received_at
         left = job.patience_s - waited
         if is_absent and not self._directory.hears_planner():
-            raise RefusingError(_refuse(job))
+            raise RefusingError(_refuse(job, _NO_PLANNER_S))
         arrival = self._directory.arrival_in(job.facts.model)
         if is_absent and arrival is not None and arrival > left:
             raise RefusingError(_refuse(job, arrival + _ARRIVAL_MARGIN_S))
--- a/bramleybeam/gateway/_directory.py
+++ b/bramleybeam/gateway/_directory.py
@@ -125,6 +125,11 @@
             default=None,
         )
 
+    @property
+    def placement_epoch(self) -> int:
+        """The highest epoch of a planner that was heard of."""
+        return self._placement_epoch
+
     def hears_planner(self) -> bool:
         """Whether a planner has told of its placement a moment ago."""
         return self._clock() <= self._placement_until
--- a/bramleybeam/gateway/_planner.py
+++ b/bramleybeam/gateway/_planner.py
@@ -21,7 +21,7 @@
 from bramleybeam.gateway._knowledge import Knowledge
 from bramleybeam.gateway._ledger import ReplicaLedger
 from bramleybeam.gateway._order_times import OrderTimes
-from bramleybeam.keyvalue import LeaseKeeper
+from bramleybeam.keyvalue import LeaseKeeper, Renewal
 from bramleybeam.orders import (
     Demand,
     EngineView,
@@ -36,6 +36,9 @@
 # lease ends and another takes over.
 _VALID_S: Final = 0.7
 _RENEW_S: Final = 0.25
+# A gateway that has just started leaves the lease to others, which know of
+# the last orders and needn't wait.
+_NEWCOMER_DELAY_S: Final = 0.5
 # Share of the weight store's rate that is used.
 _STORE_SHARE: Final = 0.9
 _STORE_BURST: Final = 2.0
@@ -81,16 +84,16 @@
         self._buckets: dict[str, TokenBucket] = {}
         self._epoch = 0
         self._has_seen_own = False
+        self._is_cut_off = False
         self._active_from = 0.0
         self._renewed_at = float('-inf')
 
     @property
     def epoch(self) -> int:
         """The epoch while orders may be given, else 0."""
-        epoch = self._keeper.epoch
-        if epoch is None or platform.boot_time() < self._active_from:
+        if platform.boot_time() < self._active_from:
             return 0
-        return epoch
+        return self._keeper.epoch or self._checked_epoch()
 
     async def keep_lease(self) -> None:
         """Renew the lease, or take it when nobody holds it."""
@@ -134,6 +137,15 @@
         await self._tasks.close()
         await self._keeper.release()
 
+    def _checked_epoch(self) -> int:
+        """The epoch while the store is silent and replicas judge epochs.
+
+        Whoever takes over has a higher one, which replicas then insist on.
+        """
+        if self._is_cut_off and self._settings.replicas_check_epochs:
+            return self._epoch
+        return 0
+
     def _is_superseded(self) -> bool:
         """Whether the store shows that the lease's key is no longer ours."""
         if not self._epoch:
@@ -141,12 +153,14 @@
         shown = self._directory.planner_revision
         if shown == self._epoch:
             self._has_seen_own = True
-        return shown > self._epoch or (self._has_seen_own and not shown)
+        newest = max(shown, self._directory.placement_epoch)
+        return newest > self._epoch or (self._has_seen_own and not shown)
 
     def _give_up(self) -> None:
         self._keeper.give_up()
         self._store.forget(PLANNER_NAME)
         self._epoch = 0
+        self._is_cut_off = False
 
     async def _renew(self) -> None:
         """Renew in time; a lease that ended in the store is given up."""
@@ -154,13 +168,22 @@
         if now - self._renewed_at < _RENEW_S:
             return
         self._renewed_at = now
-        if not await self._keeper.renew():
+        renewal = await self._keeper.renew()
+        if renewal == Renewal.LOST:
             self._give_up()
+            return
+        is_cut_off = renewal == Renewal.UNKNOWN
+        if is_cut_off != self._is_cut_off:
+            _log.info('planner_cut_off', epoch=self._epoch, value=is_cut_off)
+        self._is_cut_off = is_cut_off
 
     async def _try_to_take(self) -> None:
         if not self._directory.is_ready:
             return
-        await asyncio.sleep(self._rng.uniform(0, _RENEW_S / 2))
+        delay = self._rng.uniform(0, _RENEW_S / 2)
+        if not self.order_times.is_complete:
+            delay += _NEWCOMER_DELAY_S
+        await asyncio.sleep(delay)
         if self._directory.planner_revision:
             return
         await self._keeper.renew()
@@ -171,6 +194,8 @@
     def _begin(self, epoch: int) -> None:
         self._epoch = epoch
         self._has_seen_own = False
+        self._is_cut_off = False
+        self.has_news = True
         self._renewed_at = platform.boot_time()
         pause = 0.0
         if not self.order_times.is_complete:
--- a/bramleybeam/keyvalue/__init__.py
+++ b/bramleybeam/keyvalue/__init__.py
@@ -1,6 +1,6 @@
 """The port to the platform's key-value service."""
 
-from bramleybeam.keyvalue._lease import LeaseKeeper
+from bramleybeam.keyvalue._lease import LeaseKeeper, Renewal
 from bramleybeam.keyvalue._listing import (
     Changes,
     HistoryLost,
@@ -36,6 +36,7 @@
     'Listing',
     'ListingStore',
     'Removal',
+    'Renewal',
     'Unavailable',
     'Versioned',
 ]
--- a/bramleybeam/keyvalue/_lease.py
+++ b/bramleybeam/keyvalue/_lease.py
@@ -2,6 +2,7 @@
 
 import time
 from collections.abc import Callable
+from enum import Enum, unique
 from typing import Final
 
 import structlog
@@ -14,6 +15,15 @@
 _log = structlog.get_logger('leases')
 
 
+@unique
+class Renewal(Enum):
+    """What the store said of a lease; ``UNKNOWN`` when it didn't answer."""
+
+    HELD = 'held'
+    LOST = 'lost'
+    UNKNOWN = 'unknown'
+
+
 class LeaseKeeper:
     """Holds a named lease for this process while ``renew`` is called.
 
@@ -53,11 +63,8 @@
             return None
         return lease.epoch
 
-    async def renew(self) -> bool:
-        """Take or renew the lease; a failure leaves the old expiry.
-
-        Returns whether the lease may still be held.
-        """
+    async def renew(self) -> Renewal:
+        """Take or renew the lease; a failure leaves the old expiry."""
         reply = await self._store.lease(self.name, self._holder, self._ttl)
         match reply:
             case Result(tag='ok', ok=lease):
@@ -65,8 +72,9 @@
                 self._lease = lease
             case Result(error=error):
                 _log.debug('lease_not_taken', lease=self.name, error=error)
-                return not isinstance(error, LeaseHeld)
-        return True
+                is_lost = isinstance(error, LeaseHeld)
+                return Renewal.LOST if is_lost else Renewal.UNKNOWN
+        return Renewal.HELD
 
     async def keep(self) -> None:
         """Renew as often as a timer says; what became of it is logged."""
--- a/bramleybeam/platform/_settings.py
+++ b/bramleybeam/platform/_settings.py
@@ -50,6 +50,7 @@
         retry_ratio=float(bounds['retry-ratio']),
         retry_allowance=float(bounds['retry-slack']),
         load_excess=float(bounds['ceiling-over']),
+        replicas_check_epochs=bounds.get('require-fence', False) is True,
         max_descriptors=int(raw['limits']['max-fds']),
     )
 
