Answer what still waits when a gateway is stopped

Ruled out: a run cut short, since the request had reached no replica.

Requests that wait are refused as not run when the gateway leaves the balancer; one whose replica still works at the end is told 502. Two tests with a real process failed first.

--- a/bramleybeam/gateway/_choose.py
+++ b/bramleybeam/gateway/_choose.py
@@ -53,6 +53,7 @@
     ) -> None:
         """Store what is known of replicas and their work."""
         self.changed = Signal()
+        self._is_stopping = False
         self._directory = knowledge.directory
         self._loads = knowledge.loads
         self._demand = knowledge.demand
@@ -71,6 +72,11 @@
         replica = self._directory.replicas[chosen.name]
         return replica, self._make_work(job, replica)
 
+    def stop(self) -> None:
+        """Refuse what waits, and what would have to: this process ends."""
+        self._is_stopping = True
+        self.changed.fire()
+
     def note_missing(
         self, replica: Replica, target: Target, now: float
     ) -> None:
@@ -122,6 +128,12 @@
 
     def _check_patience(self, job: Job, *, is_absent: bool) -> None:
         """Refuse when waiting has lasted too long or can't help."""
+        if self._is_stopping:
+            raise RefusingError(
+                refuse(
+                    ErrorKind.SHUTTING_DOWN, retry_after=_PLAIN_RETRY_AFTER_S
+                ),
+            )
         waited = self._directory.now() - job.received_at
         left = job.patience_s - waited
         if is_absent and not self._directory.hears_planner():
--- a/bramleybeam/gateway/_daemon.py
+++ b/bramleybeam/gateway/_daemon.py
@@ -127,7 +127,7 @@
         began = time.monotonic()
         self._tasks.spawn(self._planner.close())
         await asyncio.sleep(_BALANCER_LAG_S)
-        self._forwarder.is_stopping = True
+        self._forwarder.stop()
         spent = time.monotonic() - began
         grace = self._settings.bounds.grace_s - spent - _EXIT_RESERVE_S
         await self._callers.close(max(0, grace))
--- a/bramleybeam/gateway/_forward.py
+++ b/bramleybeam/gateway/_forward.py
@@ -52,7 +52,7 @@
         rng: random.Random,
     ) -> None:
         """Store the parts that a request passes."""
-        self.is_stopping = False
+        self._is_stopping = False
         self._settings = settings
         self._directory = knowledge.directory
         self._chooser = chooser
@@ -86,6 +86,11 @@
             _log.info('caller_left', request=request_id, sends=job.sends)
             raise
 
+    def stop(self) -> None:
+        """Refuse new requests and those that wait; others go on."""
+        self._is_stopping = True
+        self._chooser.stop()
+
     async def drop_idle(self) -> None:
         """Close connections to replicas that were not used for a while."""
         self._calls.drop_idle()
@@ -115,7 +120,7 @@
 
     def _check_state(self) -> RoutingConfiguration:
         """Return the configuration, unless requests can't be taken now."""
-        if self.is_stopping:
+        if self._is_stopping:
             raise RefusingError(
                 refuse(ErrorKind.SHUTTING_DOWN, retry_after=_MOMENT_S),
             )
--- a/bramleybeam/relay/_caller.py
+++ b/bramleybeam/relay/_caller.py
@@ -125,11 +125,20 @@
         if self._transport is not None:
             self._transport.abort()
 
-    def close_when_idle(self) -> None:
-        """Close now, or after the answer that is under way."""
+    def end(self, *, at_once: bool) -> None:
+        """Close after the answer under way, or ``at_once``.
+
+        A request that has no part of its answer yet is told so.
+        """
         self._closing = True
-        if not self.is_busy and self._transport is not None:
-            self._transport.close()
+        if self._transport is None or (self.is_busy and not at_once):
+            return
+        if self._task is not None:
+            if self._answer_started:
+                self._transport.abort()
+                return
+            self.respond(HTTPStatus.BAD_GATEWAY, (), b'')
+        self._transport.close()
 
     def _render(
         self,
@@ -173,7 +182,8 @@
         try:
             await self._owner.handler(request, self)
         except asyncio.CancelledError:
-            self.break_off()
+            if not self._closing:
+                self.break_off()
         except Exception:
             _log.exception('handler_failed', target=request.path)
             self.break_off()
@@ -267,7 +277,7 @@
         if self._server is not None:
             self._server.close()
         for connection in tuple(self.connections):
-            connection.close_when_idle()
+            connection.end(at_once=False)
 
     async def close(self, grace: float) -> None:
         """Wait up to ``grace`` seconds for answers under way, then end."""
@@ -277,7 +287,8 @@
         while self.connections and self.now() < deadline:
             await asyncio.sleep(_CLOSE_POLL_S)
         for connection in tuple(self.connections):
-            connection.break_off()
+            connection.end(at_once=True)
+        await asyncio.sleep(_CLOSE_POLL_S)
 
 
 def _phrase_of(status: int) -> bytes:
--- a/tests/platform_replica.py
+++ b/tests/platform_replica.py
@@ -152,7 +152,7 @@
         shown = b'other' if fault == 'other_id' else run.request_id.encode()
         head = ((REQUEST_ID, shown), (SEAL, b'seal-1'))
         await asyncio.sleep(self.pause_s)
-        if is_stream and fault != 'lost':
+        if is_stream and fault not in {'lost', 'hang'}:
             await self._stream(run, fault, head, connection)
             return
         match fault:
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -81,6 +81,11 @@
             make_route('look', 'ledger', 'idempotent'),
             make_route('ask', 'engine', 'streaming', attempts=1),
             make_route('digest', 'engine', 'streaming', resumable=True),
+            {
+                **make_route('night', 'engine', 'streaming'),
+                'timeout-ms': 20_000,
+                'goal-ms': 2000,
+            },
         ],
         'services': [
             {'name': 'ledger', 'health-path': '/health', 'max-conns': 9},
@@ -231,6 +236,13 @@
             if run.request_id == request_id
         ]
 
+    async def wait_for_planner(self) -> None:
+        """Wait until the gateway gives orders."""
+        async with asyncio.timeout(20):
+            while not self.gateway.events('planner_elected'):
+                await asyncio.sleep(0.05)
+        await asyncio.sleep(1.5)
+
     async def close(self) -> None:
         """End the gateway, by its id, and the stand-ins."""
         if self.gateway and self.gateway.process.returncode is None:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -101,10 +101,7 @@
 
 
 async def test_absent_model_is_loaded_for_who_waits(site):
-    async with asyncio.timeout(20):
-        while not site.gateway.events('planner_elected'):
-            await asyncio.sleep(0.05)
-        await asyncio.sleep(1.5)
+    await site.wait_for_planner()
     answer = await site.ask('/digest/2f', **{**ASK, 'Bramleybeam_Model': 'm2'})
     assert answer.status == 200
     answer = await site.ask(
@@ -186,3 +183,35 @@
         assert (answer.broken, answer.body) == (False, WHOLE_STREAM)
     assert await stopping == 0
     assert site.gateway.events('stopped')
+
+
+async def test_sigterm_answers_those_that_wait(site):
+    await site.wait_for_planner()
+    absent = {
+        **ASK,
+        'Bramleybeam_Model': 'unknown',
+        'Bramleybeam_Request_Deadline': '20000',
+    }
+    asking = asyncio.create_task(site.ask_as('r1', '/night/2f', **absent))
+    await asyncio.sleep(0.3)
+    stopping = asyncio.create_task(site.gateway.stop())
+    answer = await asyncio.wait_for(asking, 5)
+    assert answer.status == 503
+    assert 'retry-after' in answer.headers
+    assert await stopping == 0
+
+
+async def test_sigterm_ends_a_hanging_run_with_an_answer(site):
+    set_fault(site, 'r1', 'hang')
+    asking = asyncio.create_task(
+        site.ask_as(
+            'r1',
+            '/night/2f',
+            **{**ASK, 'Bramleybeam_Request_Deadline': '20000'},
+        ),
+    )
+    await asyncio.sleep(0.3)
+    stopping = asyncio.create_task(site.gateway.stop())
+    answer = await asyncio.wait_for(asking, 10)
+    assert answer.status == 502
+    assert await stopping == 0
