--- a/bramleybeam/gateway/_choose.py
+++ b/bramleybeam/gateway/_choose.py
@@ -128,21 +128,23 @@
 
     def _check_patience(self, job: Job, *, is_absent: bool) -> None:
         """Refuse when waiting has lasted too long or can't help."""
+        refusal = self._judge_wait(job, is_absent=is_absent)
+        if refusal is not None:
+            raise RefusingError(refusal)
+
+    def _judge_wait(self, job: Job, *, is_absent: bool) -> Refusal | None:
         if self._is_stopping:
-            raise RefusingError(
-                refuse(
-                    ErrorKind.SHUTTING_DOWN, retry_after=_PLAIN_RETRY_AFTER_S
-                ),
+            return refuse(
+                ErrorKind.SHUTTING_DOWN,
+                retry_after=_PLAIN_RETRY_AFTER_S,
             )
-        waited = self._directory.now() - job.received_at
-        left = job.patience_s - waited
+        left = job.received_at + job.patience_s - self._directory.now()
         if is_absent and not self._directory.hears_planner():
-            raise RefusingError(_refuse(job, _NO_PLANNER_S))
+            return _refuse(job, _NO_PLANNER_S)
         arrival = self._directory.arrival_in(job.facts.model)
         if is_absent and arrival is not None and arrival > left:
-            raise RefusingError(_refuse(job, arrival + _ARRIVAL_MARGIN_S))
-        if left <= 0:
-            raise RefusingError(_refuse(job))
+            return _refuse(job, arrival + _ARRIVAL_MARGIN_S)
+        return _refuse(job) if left <= 0 else None
 
     def _is_absent(self, job: Job) -> bool:
         """Whether no replica holds what a request needs."""
--- a/bramleybeam/gateway/_forward.py
+++ b/bramleybeam/gateway/_forward.py
@@ -17,16 +17,20 @@
 )
 from bramleybeam.decisions import (
     AttemptHistory,
-    AttemptLost,
-    Failure,
     GiveUp,
-    NeverArrived,
-    RefusedByAgent,
     TryAgain,
     decide_retry,
 )
-from bramleybeam.errors import ErrorKind, Execution, Refusal, refuse
+from bramleybeam.errors import ErrorKind, Refusal, refuse
 from bramleybeam.gateway import _attempt as outcomes
+from bramleybeam.gateway._answers import (
+    answer_refusal,
+    describe_outcome,
+    failure_of,
+    pass_failure,
+    refuse_timeout,
+    refuse_unplaced,
+)
 from bramleybeam.gateway._choose import Chooser
 from bramleybeam.gateway._job import Job, RefusingError
 from bramleybeam.gateway._knowledge import Knowledge
@@ -73,7 +77,7 @@
         try:
             job = self._admit(request, facts, connection)
         except RefusingError as refusing:
-            _answer_refusal(request_id, connection, refusing.refusal)
+            answer_refusal(request_id, connection, refusing.refusal)
             return
         try:
             async with asyncio.timeout_at(job.give_up_at + _LAST_WORD_S):
@@ -81,7 +85,7 @@
         except RefusingError as refusing:
             self._refuse(job, refusing.refusal)
         except TimeoutError:
-            self._refuse(job, _refuse_timeout(job))
+            self._refuse(job, refuse_timeout(job))
         except asyncio.CancelledError:
             _log.info('caller_left', request=request_id, sends=job.sends)
             raise
@@ -171,14 +175,16 @@
         while True:
             now = self._directory.now()
             if job.sends and not self._take_repeat(job, now):
-                raise RefusingError(_refuse_unplaced(job))
+                raise RefusingError(refuse_unplaced(job))
             replica, work = await self._chooser.choose(job, now)
             outcome = await self._send(job, replica, work)
             if isinstance(outcome, outcomes.Delivered):
                 self._directory.reach.note_reachable(replica.name)
-                _log.info('answered', **_describe(job, replica, outcome))
+                _log.info('answered', **describe_outcome(job, replica, outcome))
                 return
-            _log.info('attempt_failed', **_describe(job, replica, outcome))
+            _log.info(
+                'attempt_failed', **describe_outcome(job, replica, outcome)
+            )
             if not await self._settle(job, replica, outcome):
                 return
 
@@ -209,7 +215,7 @@
         """Tell whether to try again, after a pause; may raise a refusal."""
         self._note_outcome(job, replica, outcome)
         history = self._history(job)
-        failure = _failure_of(outcome)
+        failure = failure_of(outcome)
         match decide_retry(failure, history, self._rng):
             case TryAgain(wait=wait):
                 await asyncio.sleep(wait)
@@ -217,7 +223,7 @@
             case GiveUp(refusal=refusal):
                 if not isinstance(outcome, outcomes.FailedReply):
                     raise RefusingError(refusal)
-                _pass_failure(job, outcome)
+                pass_failure(job, outcome)
         return False
 
     def _history(self, job: Job) -> AttemptHistory:
@@ -273,78 +279,4 @@
         if job.connection.answer_started:
             job.connection.break_off()
             return
-        _answer_refusal(job.facts.request_id, job.connection, refusal)
-
-
-def _pass_failure(job: Job, failed: outcomes.FailedReply) -> None:
-    if job.connection.answer_started:
-        job.connection.break_off()
-    else:
-        job.connection.respond(failed.status, failed.headers, failed.body)
-
-
-def _failure_of(outcome: outcomes.Outcome) -> Failure:
-    match outcome:
-        case outcomes.NotArrived():
-            return NeverArrived()
-        case outcomes.NotRun(status=status):
-            return RefusedByAgent(
-                ErrorKind.NO_READY_UPSTREAM,
-                f'The replica answered {status}.',
-            )
-        case outcomes.Lost(reason=reason):
-            return AttemptLost(reason)
-    return AttemptLost('the replica answered with a failure')
-
-
-def _describe(
-    job: Job,
-    replica: Replica,
-    outcome: outcomes.Outcome,
-) -> dict[str, object]:
-    return {
-        'request': job.facts.request_id,
-        'route': job.route.name,
-        'replica': replica.name,
-        'model': job.facts.model,
-        'adapter': job.facts.adapter,
-        'sends': job.sends,
-        'outcome': type(outcome).__name__,
-        'detail': getattr(outcome, 'reason', getattr(outcome, 'status', '')),
-        'waited_s': _since(job, job.sent_at),
-        'first_event_s': _since(job, job.first_event_at),
-        'age_s': _since(job, asyncio.get_running_loop().time()),
-    }
-
-
-def _since(job: Job, moment: float) -> float | None:
-    """Return the seconds from a request's arrival to a moment, if it came."""
-    return round(moment - job.received_at, 3) if moment else None
-
-
-def _refuse_unplaced(job: Job) -> Refusal:
-    if job.runs:
-        return refuse(
-            ErrorKind.UPSTREAM_LOST,
-            execution=Execution.OUTCOME_UNKNOWN,
-        )
-    return refuse(ErrorKind.TARGET_UNREACHABLE, retry_after=_SOON_S)
-
-
-def _refuse_timeout(job: Job) -> Refusal:
-    if job.runs:
-        return refuse(
-            ErrorKind.DEADLINE_EXCEEDED,
-            execution=Execution.OUTCOME_UNKNOWN,
-        )
-    return refuse(ErrorKind.TARGET_UNREACHABLE, retry_after=_SOON_S)
-
-
-def _answer_refusal(
-    request_id: str,
-    connection: CallerConnection,
-    refusal: Refusal,
-) -> None:
-    body = f'{refusal.message} {refusal.remedy}\n'.encode()
-    headers = platform.refusal_headers(request_id, refusal.retry_after)
-    connection.respond(refusal.status, headers, body)
+        answer_refusal(job.facts.request_id, job.connection, refusal)
--- a/bramleybeam/gateway/_planner.py
+++ b/bramleybeam/gateway/_planner.py
@@ -5,7 +5,6 @@
 out, by a clock that goes on while the host is suspended.
 """
 
-import asyncio
 import random
 from collections.abc import Callable
 from typing import Final
@@ -17,11 +16,11 @@
 from bramleybeam.decisions import (
     TokenBucket,
 )
-from bramleybeam.gateway._directory import PLANNER_NAME, PlacedHoldings
+from bramleybeam.gateway._directory import PlacedHoldings
 from bramleybeam.gateway._knowledge import Knowledge
 from bramleybeam.gateway._ledger import ReplicaLedger
 from bramleybeam.gateway._order_times import OrderTimes
-from bramleybeam.keyvalue import LeaseKeeper, Renewal
+from bramleybeam.gateway._planner_lease import PlannerLease
 from bramleybeam.orders import (
     Demand,
     EngineView,
@@ -31,14 +30,6 @@
 )
 from bramleybeam.timers import TaskSet
 
-LEASE_TTL_S: Final = 1.2
-# A holder that hears nothing for this long gives no orders, well before its
-# lease ends and another takes over.
-_VALID_S: Final = 0.7
-_RENEW_S: Final = 0.25
-# A gateway that has just started leaves the lease to others, which know of
-# the last orders and needn't wait.
-_NEWCOMER_DELAY_S: Final = 0.5
 # Share of the weight store's rate that is used.
 _STORE_SHARE: Final = 0.9
 _STORE_BURST: Final = 2.0
@@ -65,45 +56,32 @@
         )
         self._announce = announce
         self._settings = settings
-        self._store = store
         self._directory = knowledge.directory
         self._loads = knowledge.loads
         self._demand = knowledge.demand
-        self._rng = rng
-        self._keeper = LeaseKeeper(
+        self._lease = PlannerLease(
+            settings,
             store,
-            PLANNER_NAME,
-            settings.name,
-            platform.boot_time,
-            LEASE_TTL_S,
-            LEASE_TTL_S - _VALID_S,
+            self._directory,
+            self.order_times,
+            rng,
         )
         self._orders = platform.ReplicaOrders()
         self._tasks = TaskSet()
         self._ledgers: dict[str, ReplicaLedger] = {}
         self._buckets: dict[str, TokenBucket] = {}
-        self._epoch = 0
-        self._has_seen_own = False
-        self._is_cut_off = False
-        self._active_from = 0.0
-        self._renewed_at = float('-inf')
 
     @property
     def epoch(self) -> int:
         """The epoch while orders may be given, else 0."""
-        if platform.boot_time() < self._active_from:
-            return 0
-        return self._keeper.epoch or self._checked_epoch()
+        return self._lease.epoch
 
     async def keep_lease(self) -> None:
         """Renew the lease, or take it when nobody holds it."""
-        if self._is_superseded():
-            _log.warning('planner_superseded', epoch=self._epoch)
-            self._give_up()
-        elif self._epoch:
-            await self._renew()
-        elif not self._directory.planner_revision:
-            await self._try_to_take()
+        if await self._lease.keep():
+            self._ledgers.clear()
+            self._buckets.clear()
+            self.has_news = True
 
     async def plan(self) -> None:
         """Look at every replica and start the orders that are due."""
@@ -135,75 +113,7 @@
     async def close(self) -> None:
         """Stop giving orders and hand the lease over."""
         await self._tasks.close()
-        await self._keeper.release()
-
-    def _checked_epoch(self) -> int:
-        """The epoch while the store is silent and replicas judge epochs.
-
-        Whoever takes over has a higher one, which replicas then insist on.
-        """
-        if self._is_cut_off and self._settings.replicas_check_epochs:
-            return self._epoch
-        return 0
-
-    def _is_superseded(self) -> bool:
-        """Whether the store shows that the lease's key is no longer ours."""
-        if not self._epoch:
-            return False
-        shown = self._directory.planner_revision
-        if shown == self._epoch:
-            self._has_seen_own = True
-        newest = max(shown, self._directory.placement_epoch)
-        return newest > self._epoch or (self._has_seen_own and not shown)
-
-    def _give_up(self) -> None:
-        self._keeper.give_up()
-        self._store.forget(PLANNER_NAME)
-        self._epoch = 0
-        self._is_cut_off = False
-
-    async def _renew(self) -> None:
-        """Renew in time; a lease that ended in the store is given up."""
-        now = platform.boot_time()
-        if now - self._renewed_at < _RENEW_S:
-            return
-        self._renewed_at = now
-        renewal = await self._keeper.renew()
-        if renewal == Renewal.LOST:
-            self._give_up()
-            return
-        is_cut_off = renewal == Renewal.UNKNOWN
-        if is_cut_off != self._is_cut_off:
-            _log.info('planner_cut_off', epoch=self._epoch, value=is_cut_off)
-        self._is_cut_off = is_cut_off
-
-    async def _try_to_take(self) -> None:
-        if not self._directory.is_ready:
-            return
-        delay = self._rng.uniform(0, _RENEW_S / 2)
-        if not self.order_times.is_complete:
-            delay += _NEWCOMER_DELAY_S
-        await asyncio.sleep(delay)
-        if self._directory.planner_revision:
-            return
-        await self._keeper.renew()
-        epoch = self._keeper.epoch
-        if epoch is not None:
-            self._begin(epoch)
-
-    def _begin(self, epoch: int) -> None:
-        self._epoch = epoch
-        self._has_seen_own = False
-        self._is_cut_off = False
-        self.has_news = True
-        self._renewed_at = platform.boot_time()
-        pause = 0.0
-        if not self.order_times.is_complete:
-            pause = self._settings.bounds.order_pause_s
-        self._active_from = self._renewed_at + pause
-        self._ledgers.clear()
-        self._buckets.clear()
-        _log.info('planner_elected', epoch=epoch, first_order_in_s=pause)
+        await self._lease.close()
 
     def _sync_ledgers(self) -> None:
         """Follow the directory, and ask replicas whose state is not known."""
@@ -316,8 +226,8 @@
             case platform.OrderAccepted(done=done):
                 ledger.note_accepted(order, now, done=done)
             case platform.OrderRefused(fenced=True):
-                _log.warning('planner_fenced', epoch=self._epoch)
-                self._give_up()
+                _log.warning('planner_fenced', epoch=self.epoch)
+                self._lease.give_up()
             case platform.OrderRefused(status=0):
                 self._directory.reach.note_unreachable(ledger.replica.name)
             case _:
--- /dev/null
+++ b/bramleybeam/gateway/_planner_lease.py
@@ -0,0 +1,153 @@
+"""The lease of the planner: who may give orders, and under which epoch."""
+
+import asyncio
+import random
+from typing import Final
+
+import structlog
+
+from bramleybeam import platform
+from bramleybeam.catalog import HostSettings
+from bramleybeam.gateway._directory import PLANNER_NAME, Directory
+from bramleybeam.gateway._order_times import OrderTimes
+from bramleybeam.keyvalue import LeaseKeeper, Renewal
+
+LEASE_TTL_S: Final = 1.2
+# A holder that hears nothing for this long gives no orders, well before its
+# lease ends and another takes over.
+_VALID_S: Final = 0.7
+_RENEW_S: Final = 0.25
+# A gateway that has just started leaves the lease to others, which know of
+# the last orders and needn't wait.
+_NEWCOMER_DELAY_S: Final = 0.5
+_log = structlog.get_logger('planner')
+
+
+class PlannerLease:
+    """Takes, renews and gives up the lease of the planner.
+
+    Moments are by a clock that goes on while the host is suspended.
+    """
+
+    def __init__(
+        self,
+        settings: HostSettings,
+        store: platform.PlatformStore,
+        directory: Directory,
+        order_times: OrderTimes,
+        rng: random.Random,
+    ) -> None:
+        """Start without the lease."""
+        self._settings = settings
+        self._store = store
+        self._directory = directory
+        self._order_times = order_times
+        self._rng = rng
+        self._keeper = LeaseKeeper(
+            store,
+            PLANNER_NAME,
+            settings.name,
+            platform.boot_time,
+            LEASE_TTL_S,
+            LEASE_TTL_S - _VALID_S,
+        )
+        self._held_epoch = 0
+        self._has_seen_own = False
+        self._is_cut_off = False
+        self._is_closed = False
+        self._active_from = 0.0
+        self._renewed_at = float('-inf')
+
+    @property
+    def epoch(self) -> int:
+        """The epoch while orders may be given, else 0."""
+        if self._is_closed or platform.boot_time() < self._active_from:
+            return 0
+        return self._keeper.epoch or self._checked_epoch()
+
+    async def keep(self) -> bool:
+        """Renew the lease or take a free one; tells if it was taken now."""
+        if self._is_closed:
+            return False
+        if self._is_superseded():
+            _log.warning('planner_superseded', epoch=self._held_epoch)
+            self.give_up()
+        elif self._held_epoch:
+            await self._renew()
+        elif self._directory.is_ready and not self._directory.planner_revision:
+            return await self._try_to_take()
+        return False
+
+    def give_up(self) -> None:
+        """Give no more orders: another planner has, or may have, the lease."""
+        self._keeper.give_up()
+        self._store.forget(PLANNER_NAME)
+        self._held_epoch = 0
+        self._is_cut_off = False
+
+    async def close(self) -> None:
+        """Hand the lease over and never take it again."""
+        self._is_closed = True
+        await self._keeper.release()
+
+    def _checked_epoch(self) -> int:
+        """The epoch while the store is silent and replicas judge epochs.
+
+        Whoever takes over has a higher one, which replicas then insist on.
+        """
+        if self._is_cut_off and self._settings.replicas_check_epochs:
+            return self._held_epoch
+        return 0
+
+    def _is_superseded(self) -> bool:
+        """Whether the store shows that the lease's key is no longer ours."""
+        if not self._held_epoch:
+            return False
+        shown = self._directory.planner_revision
+        if shown == self._held_epoch:
+            self._has_seen_own = True
+        newest = max(shown, self._directory.placement_epoch)
+        is_removed = self._has_seen_own and not shown
+        return is_removed or newest > self._held_epoch
+
+    async def _renew(self) -> None:
+        """Renew in time; a lease that ended in the store is given up."""
+        now = platform.boot_time()
+        if now - self._renewed_at < _RENEW_S:
+            return
+        self._renewed_at = now
+        renewal = await self._keeper.renew()
+        if renewal == Renewal.LOST:
+            self.give_up()
+            return
+        is_cut_off = renewal == Renewal.UNKNOWN
+        if is_cut_off != self._is_cut_off:
+            _log.info(
+                'planner_cut_off', epoch=self._held_epoch, value=is_cut_off
+            )
+        self._is_cut_off = is_cut_off
+
+    async def _try_to_take(self) -> bool:
+        delay = self._rng.uniform(0, _RENEW_S / 2)
+        if not self._order_times.is_complete:
+            delay += _NEWCOMER_DELAY_S
+        await asyncio.sleep(delay)
+        if self._is_closed or self._directory.planner_revision:
+            return False
+        await self._keeper.renew()
+        epoch = self._keeper.epoch
+        if epoch is None:
+            return False
+        self._begin(epoch)
+        return True
+
+    def _begin(self, epoch: int) -> None:
+        self._held_epoch = epoch
+        self._has_seen_own = False
+        self._is_cut_off = False
+        self._renewed_at = platform.boot_time()
+        pause = 0.0
+        if not self._order_times.is_complete:
+            pause = self._settings.bounds.order_pause_s
+        self._active_from = self._renewed_at + pause
+        _log.info('planner_elected', epoch=epoch, first_order_in_s=pause)
