Pass on no promise that a replica didn't make

A 503, 429, 421 or 408 of a replica without its seal and without its word that the request did not run was passed on, and so became a promise of ours. Found by reading; a test with a real process failed first. It is answered 502 now, or tried again where that is safe.

--- a/bramleybeam/gateway/_attempt.py
+++ b/bramleybeam/gateway/_attempt.py
@@ -24,6 +24,8 @@
 _MAX_BODY_BYTES: Final = 1 << 24
 _SERVER_ERROR: Final = 500
 _OK: Final = 200
+# Statuses that promise a caller that nothing ran.
+_PROMISES: Final = frozenset((408, 421, 429, 503))
 _URGENCIES: Final = 9
 _log = structlog.get_logger('attempts')
 
@@ -129,6 +131,8 @@
         if facts.never_ran:
             job.runs -= 1
             return NotRun(facts.status, facts.is_misdirected)
+        if head.status in _PROMISES and not facts.is_sealed:
+            return Lost(f'{head.status} without a word on whether it ran')
         return await self._pass_on(call, head)
 
     async def _pass_on(self, call: PeerCall, head: ReplyHead) -> Outcome:
--- a/tests/platform_replica.py
+++ b/tests/platform_replica.py
@@ -26,7 +26,8 @@
     """A replica of a plain service or of a model service.
 
     ``faults`` maps a request id to what goes wrong with it: ``lost`` (runs,
-    then resets), ``refuse`` (503, not run), ``error`` (500), ``other_id``,
+    then resets), ``refuse`` (503, not run), ``error`` (500), ``bare`` (503 without
+    a word on whether it ran), ``other_id``,
     ``cut`` (a stream breaks off after some events), ``torn`` (within an
     event), ``unframed`` (no length), ``extra`` (bytes after the answer).
     """
@@ -162,6 +163,8 @@
                 await asyncio.sleep(60)
             case 'error':
                 connection.respond(500, head, b'went wrong')
+            case 'bare':
+                connection.respond(503, head[:1], b'went away')
             case 'unframed':
                 self._write_unframed(head, connection, b'whole answer')
             case _:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -55,6 +55,7 @@
         ('/post/2f', 'lost', 502, 1),
         ('/post/2f', 'other_id', 502, 1),
         ('/post/2f', 'error', 500, 1),
+        ('/post/2f', 'bare', 502, 1),
         ('/look/2f', 'lost', 502, 2),
         ('/look/2f', 'error', 500, 2),
         ('/post/2f', 'extra', 200, 1),
