--- /dev/null
+++ b/bramleybeam/platform/tests/test_entries.py
@@ -0,0 +1,135 @@
+"""Decoding of what lies in the platform's store, and of reports."""
+
+import json
+
+import pytest
+
+from bramleybeam.catalog import ReplicaState, RequestKind
+from bramleybeam.platform import (
+    decode_configuration,
+    decode_holdings,
+    decode_replica,
+)
+from tests.platform_site import make_configuration
+
+ENTRY = (
+    ('service', 'desk'),
+    ('address', '10.0.0.1:80'),
+    ('zone', 'a'),
+    ('slots', 4),
+    ('state', 'ready'),
+    ('born', 17),
+    ('sequence', 40),
+    ('models', [{'name': 'm1', 'version': 2, 'adapters': ['a1', 'a2']}]),
+    ('at-hand', {'in-memory': ['m1'], 'on-disk': ['m1', 'm2']}),
+)
+
+
+def encode(**changed):
+    return json.dumps({**dict(ENTRY), **changed}).encode()
+
+
+def test_replica_says_what_it_is_and_holds():
+    replica = decode_replica('servers/i-1', encode())
+    assert replica.incarnation == ('i-1', 17)
+    assert replica.state == ReplicaState.READY
+    assert replica.holdings.models == {'m1': {'a1', 'a2'}}
+    assert replica.holdings.on_disk == {'m1', 'm2'}
+    # The count in an entry is not one of orders.
+    assert replica.holdings.sequence == 0
+
+
+def test_replica_that_leaves_at_short_notice():
+    notice = {**dict(ENTRY), 'state': 'draining', 'remaining-ms': 1500}
+    leaving = json.dumps(notice).encode()
+    replica = decode_replica('servers/i-1', leaving)
+    assert replica.state == ReplicaState.DRAINING
+    assert replica.leaves_in_s == 1.5
+
+
+@pytest.mark.parametrize(
+    'text',
+    [
+        b'',
+        b'\xff\xfe',
+        b'[]',
+        b'null',
+        b'[' * 5000,
+        encode(service=None),
+        encode(service=''),
+        encode(address='10.0.0.1'),
+        encode(address=7),
+        encode(slots='4'),
+        encode(slots=True),
+        encode(state='asleep'),
+        encode(born='now'),
+        encode(models=[{}]),
+        encode(models=7),
+        json.dumps({'state': 'ready'}).encode(),
+    ],
+)
+def test_entry_of_another_writer_names_no_replica(text):
+    assert decode_replica('servers/i-1', text) is None
+
+
+def test_report_counts_orders_and_names_what_comes():
+    report = decode_holdings(
+        json.dumps(
+            {
+                'models': [{'name': 'm1', 'version': 1, 'adapters': []}],
+                'sequence': 3,
+                'busy': True,
+                'coming': ['m1/a7@2'],
+            }
+        ).encode()
+    )
+    assert report.sequence == 3
+    assert report.is_busy
+    assert report.arriving == {('m1', 'a7')}
+
+
+def test_configuration_is_typed():
+    raw = make_configuration(9)
+    raw['routes'][0]['traffic-split'] = [
+        {'service': 'ledger', 'weight': 90},
+        {'service': 'engine', 'weight': 10},
+    ]
+    found = decode_configuration(json.dumps(raw).encode())
+    assert found.version == 9
+    post = found.match('desk.example', '/post/2f')
+    assert post.kind == RequestKind.NON_IDEMPOTENT
+    assert [target.weight for target in post.targets] == [90, 10]
+    assert (post.timeout_s, post.objective_s) == (3, 0.3)
+    assert found.services['ledger'].engine is None
+    assert found.services['engine'].engine.models['m1'].adapter_names == (
+        'a1',
+        'a2',
+    )
+    assert found.limits.header_timeout_s == 1
+
+
+@pytest.mark.parametrize(
+    ('host', 'path', 'name'),
+    [
+        ('desk.example', '/look/x/y', 'look'),
+        ('desk.example', '/look/deep/y', 'deep'),
+        ('desk.example', '/look', None),
+        ('desk.example', '/', None),
+        ('desk.example', '', None),
+        ('other.example', '/look/x', None),
+    ],
+)
+def test_longest_prefix_of_the_host_wins(host, path, name):
+    raw = make_configuration()
+    raw['routes'].append(
+        {**raw['routes'][1], 'name': 'deep', 'prefix': '/look/deep/'},
+    )
+    found = decode_configuration(json.dumps(raw).encode())
+    route = found.match(host, path)
+    assert getattr(route, 'name', None) == name
+
+
+def test_unreadable_configuration_is_none():
+    raw = make_configuration()
+    raw['limits'].pop('header-bytes')
+    assert decode_configuration(json.dumps(raw).encode()) is None
