Bring adapters that are waited for before models; never past a replica's room

Adapters take milliseconds, so they go first. No adapter is brought where room was made for a model, and room that turns out too small is made larger, where the load was ordered all the same.

--- a/bramleybeam/orders/_adapters.py
+++ b/bramleybeam/orders/_adapters.py
@@ -36,14 +36,13 @@
         engines: Sequence[EngineView],
         spec: EngineSpec,
         demand: Demand,
-        taken: set[str],
     ) -> None:
-        """Store the replicas; those ``taken`` get no order."""
+        """Store the replicas and what is asked for."""
         self.orders: list[ModelOrder] = []
         self._engines = engines
         self._spec = spec
         self._demand = demand
-        self._taken = set(taken)
+        self._taken: set[str] = set()
         self._copies = count_copies(engines)
         self._known = _find_adapters(engines)
 
@@ -56,8 +55,9 @@
             if target not in self._known:
                 self._bring_in(target)
 
-    def fetch_ahead(self) -> None:
-        """Fill free places with adapters of busy models."""
+    def fetch_ahead(self, taken: set[str]) -> None:
+        """Fill free places with adapters of busy models, not where taken."""
+        self._taken |= taken
         for engine in self._engines:
             places = self._spec.adapter_places - _SPARE_PLACES
             if engine.adapter_places_used >= places:
@@ -91,6 +91,8 @@
     def _may_take(self, engine: EngineView, model: str) -> bool:
         if engine.name in self._taken or not engine.is_open:
             return False
+        if engine.successor:
+            return False
         if model not in engine.holdings.models or model == engine.leaving:
             return False
         if len(engine.holdings.arriving) >= _IN_TRANSIT:
--- a/bramleybeam/orders/_models.py
+++ b/bramleybeam/orders/_models.py
@@ -79,14 +79,15 @@
         spec: EngineSpec,
         demand: Demand,
         store_loads: int,
+        taken: set[str],
     ) -> None:
-        """Count the copies that there are."""
+        """Count the copies that there are; those ``taken`` get no order."""
         self.orders: list[ModelOrder] = []
         self._engines = engines
         self._spec = spec
         self._demand = demand
         self._store_loads = store_loads
-        self._ordered: set[str] = set()
+        self._ordered = set(taken)
         self._waiting = demand.waiting_by_model()
         self._reserve_loads()
         self._copies = count_copies(engines)
@@ -103,7 +104,9 @@
             if not engine.is_open or model not in self._spec.models:
                 continue
             self._ordered.add(engine.name)
-            if self._load_time(engine, model) is not None:
+            if not self._fits(engine, model):
+                self._make_room(self._best_victim(engine), model)
+            elif self._load_time(engine, model) is not None:
                 self._load(engine, model)
 
     def place(self) -> None:
@@ -203,16 +206,13 @@
         load_s = self._load_time(engine, model)
         if load_s is None:
             return
-        used = engine.memory_in_use(self._spec)
-        needed = self._spec.models[model].memory_mb
         cost = load_s / _HORIZON_S + load_s * self._adapter_requests(engine)
         cost += engine.runs * _RUN_COST
-        if used + needed <= self._spec.memory_mb:
+        if self._fits(engine, model):
             yield _Choice(cost, engine)
             return
-        for victim in held:
-            loss = self._loss(victim) + engine.runs_of(victim)
-            yield _Choice(cost + loss, engine, victim)
+        best = self._best_victim(engine)
+        yield attrs.evolve(best, cost=best.cost + cost)
 
     def _adapter_requests(self, engine: EngineView) -> float:
         """Requests a second that may ask this replica for a new adapter."""
@@ -224,6 +224,24 @@
                 rate += self._demand.of(model).urgent * share
         return rate
 
+    def _best_victim(self, engine: EngineView) -> _Choice:
+        """Return the model whose loss at a replica costs least."""
+        return min(
+            (
+                _Choice(
+                    self._loss(victim) + engine.runs_of(victim),
+                    engine,
+                    victim,
+                )
+                for victim in engine.holdings.models
+            ),
+            key=_cost_of,
+        )
+
+    def _fits(self, engine: EngineView, model: str) -> bool:
+        used = engine.memory_in_use(self._spec)
+        return used + self._spec.models[model].memory_mb <= self._spec.memory_mb
+
     def _load_time(self, engine: EngineView, model: str) -> float | None:
         spec = self._spec.models[model]
         if model in engine.holdings.in_memory:
@@ -269,6 +287,10 @@
     return copies
 
 
+def _cost_of(choice: _Choice) -> tuple[float, str]:
+    return choice.cost, choice.victim
+
+
 def _rank_of(choice: _Choice) -> tuple[float, str]:
     return choice.rank
 
--- a/bramleybeam/orders/_plan.py
+++ b/bramleybeam/orders/_plan.py
@@ -16,13 +16,15 @@
 ) -> list[ModelOrder]:
     """Plan at most one order a replica, what requests wait for first.
 
+    Adapters go before models: they take milliseconds, and none can be brought
+    to a replica for the seconds in which it loads a model.
     ``store_loads`` is how many loads from the weight store may begin now.
     """
-    models = ModelPlacement(engines, spec, demand, store_loads)
+    adapters = AdapterPlacement(engines, spec, demand)
+    adapters.place_waiting()
+    taken = {order.replica for order in adapters.orders}
+    models = ModelPlacement(engines, spec, demand, store_loads, taken)
     models.finish_swaps()
     models.place()
-    taken = {order.replica for order in models.orders}
-    adapters = AdapterPlacement(engines, spec, demand, taken)
-    adapters.place_waiting()
-    adapters.fetch_ahead()
+    adapters.fetch_ahead({order.replica for order in models.orders})
     return [*models.orders, *adapters.orders]
--- a/bramleybeam/orders/tests/test_plan.py
+++ b/bramleybeam/orders/tests/test_plan.py
@@ -143,6 +143,18 @@
         attrs.evolve(ask(m1=0.1), waiting={('m4', ''): 1, ('m5', ''): 9}),
         [LoadModel('e1', 'm5')],
     ),
+    # An adapter that is waited for goes before a model at the same replica.
+    (
+        [make_engine('e1', 'm1')],
+        ask([('m1', 'a3'), ('m4', '')], m1=0.1),
+        [LoadAdapter('e1', 'm1', 'a3')],
+    ),
+    # None is brought where room has been made for a model.
+    (
+        [make_engine('e1', 'm1', 'm2', successor='m4')],
+        ask([('m1', 'a3')], m1=0.1),
+        [LoadModel('e1', 'm4')],
+    ),
     # An unknown model at a replica counts as all of its memory.
     (
         [make_engine('e1', 'odd')],
@@ -155,6 +167,12 @@
         ask([('m5', '')], m1=0.1),
         [LoadModel('e1', 'm4')],
     ),
+    # More room is made where what was made is not enough.
+    (
+        [make_engine('e1', 'odd', 'm1', successor='m4')],
+        ask(m1=3),
+        [UnloadModel('e1', 'odd', 'm4')],
+    ),
     # While room is being made for a model, no more is made for it.
     (
         [
