--- a/bramleybeam/gateway/_answers.py
+++ b/bramleybeam/gateway/_answers.py
@@ -59,6 +59,8 @@
         'detail': getattr(outcome, 'reason', getattr(outcome, 'status', '')),
         'waited_s': _since(job, job.sent_at),
         'first_event_s': _since(job, job.first_event_at),
+        'events': job.events,
+        'longest_gap_s': round(job.longest_gap_s, 3),
         'age_s': _since(job, asyncio.get_running_loop().time()),
     }
 
--- a/bramleybeam/gateway/_attempt.py
+++ b/bramleybeam/gateway/_attempt.py
@@ -183,10 +183,9 @@
                 continue
             self._on_first_event()
             if not connection.answer_started:
-                job.first_event_at = _now()
                 connection.start(head.status, head.headers)
             await connection.write_piece(events)
-            job.last_event = splitter.last_id
+            job.note_events(splitter.take_count(), splitter.last_id, _now())
         if splitter.has_rest:
             return Lost('the stream ended within an event')
         if not connection.answer_started:
--- a/bramleybeam/gateway/_job.py
+++ b/bramleybeam/gateway/_job.py
@@ -26,8 +26,9 @@
 
     ``sends`` counts the times that it was handed to a replica, ``runs`` those
     after which it may have run; ``sent_at`` is when it was last handed over
-    and ``first_event_at`` when its stream began. ``last_event`` is the id of the last event
-    that the caller was given.
+    and ``first_event_at`` when its stream began. ``last_event`` is the id of
+    the last event that the caller was given, ``last_event_at`` when that was,
+    ``events`` their number and ``longest_gap_s`` the longest time between two.
     """
 
     request: InboundRequest
@@ -41,8 +42,22 @@
     last_event: str = ''
     sent_at: float = 0
     first_event_at: float = 0
+    last_event_at: float = 0
+    events: int = 0
+    longest_gap_s: float = 0
     passed_over: set[str] = attrs.field(factory=set)
 
+    def note_events(self, count: int, last_event: str, now: float) -> None:
+        """Count events that the caller was given; ``now`` in seconds."""
+        if self.first_event_at:
+            gap_s = now - self.last_event_at
+            self.longest_gap_s = max(self.longest_gap_s, gap_s)
+        else:
+            self.first_event_at = now
+        self.last_event_at = now
+        self.last_event = last_event
+        self.events += count
+
     @property
     def target(self) -> Target:
         """The model and adapter that it asks for; empty for plain services."""
--- a/bramleybeam/gateway/_stream.py
+++ b/bramleybeam/gateway/_stream.py
@@ -18,6 +18,7 @@
     def __init__(self, last_id: str = '') -> None:
         """Start after the event of ``last_id``, if any."""
         self.last_id = last_id
+        self._count = 0
         self._rest = b''
 
     @property
@@ -39,12 +40,19 @@
             self._note_id(event)
         return whole
 
+    def take_count(self) -> int:
+        """Return how many events were handed out since the last call."""
+        count = self._count
+        self._count = 0
+        return count
+
     def _note_id(self, event: bytes) -> None:
         for line in event.split(b'\n'):
             if line.startswith(_ID_FIELD):
                 found = line[len(_ID_FIELD) :].strip().decode('latin-1')
                 self._check_order(found)
                 self.last_id = found
+                self._count += 1
 
     def _check_order(self, found: str) -> None:
         before = self.last_id
