--- a/bramleybeam/gateway/_daemon.py
+++ b/bramleybeam/gateway/_daemon.py
@@ -15,8 +15,10 @@
 from bramleybeam.gateway._follower import StoreFollower
 from bramleybeam.gateway._forward import Forwarder
 from bramleybeam.gateway._knowledge import make_knowledge
+from bramleybeam.gateway._order_times import OrderTimes
 from bramleybeam.gateway._peers import Beat, PeerLink
 from bramleybeam.gateway._planner import Planner
+from bramleybeam.gateway._planner_lease import PlannerLease
 from bramleybeam.keyvalue import LeaseKeeper
 from bramleybeam.relay import (
     CallerConnection,
@@ -58,11 +60,17 @@
         self._tasks = TaskSet()
         self._chooser = Chooser(knowledge, settings.zone, rng)
         self._forwarder = Forwarder(settings, knowledge, self._chooser, rng)
+        order_times = OrderTimes(
+            settings.bounds.order_pause_s, platform.boot_time
+        )
         self._planner = Planner(
-            settings,
-            self._store,
+            settings.name,
             knowledge,
-            rng,
+            PlannerLease(
+                settings, self._store, self._directory, order_times, rng
+            ),
+            platform.ReplicaOrders(),
+            order_times,
             self._announce_orders,
         )
         self._follower = StoreFollower(self._store, self._directory, rng)
--- a/bramleybeam/gateway/_demand.py
+++ b/bramleybeam/gateway/_demand.py
@@ -3,37 +3,59 @@
 import math
 from collections import Counter
 from collections.abc import Callable
+from functools import partial
 from typing import Final
 
 import attrs
 
 from bramleybeam.orders import Demand, ModelDemand, Target
 
-# Time constant of the rates, in seconds.
+# Time constants of the rates, in seconds: one that is steady, and one that
+# shows soon that demand has moved to a model.
 _FADE_S: Final = 8.0
+_QUICK_FADE_S: Final = 2.0
 # Age at which another gateway's word no longer counts.
 _STALE_S: Final = 3.0
 
 
 @attrs.define
 class _FadingRate:
+    fade_s: float = _FADE_S
     level: float = 0
     moment: float = 0
 
     def add(self, amount: float, now: float) -> None:
-        self.level = self.read(now) + amount / _FADE_S
+        self.level = self.read(now) + amount / self.fade_s
         self.moment = now
 
     def read(self, now: float) -> float:
-        return self.level * math.exp((self.moment - now) / _FADE_S)
+        return self.level * math.exp((self.moment - now) / self.fade_s)
+
+
+@attrs.define
+class _RisingRate:
+    """Rises with the last seconds, and falls with the steady rate."""
+
+    steady: _FadingRate = attrs.field(factory=_FadingRate)
+    quick: _FadingRate = attrs.field(
+        factory=partial(_FadingRate, _QUICK_FADE_S)
+    )
+
+    def add(self, amount: float, now: float) -> None:
+        self.steady.add(amount, now)
+        self.quick.add(amount, now)
+
+    def read(self, now: float) -> float:
+        return max(self.steady.read(now), self.quick.read(now))
 
 
 @attrs.define
 class _OwnDemand:
-    urgent: _FadingRate = attrs.field(factory=_FadingRate)
+    urgent: _RisingRate = attrs.field(factory=_RisingRate)
     patient: _FadingRate = attrs.field(factory=_FadingRate)
-    tokens: _FadingRate = attrs.field(factory=_FadingRate)
+    tokens: _RisingRate = attrs.field(factory=_RisingRate)
     was_urgent: bool = False
+    adapted: _FadingRate = attrs.field(factory=_FadingRate)
 
     def read(self, now: float) -> ModelDemand:
         return ModelDemand(
@@ -41,6 +63,7 @@
             self.patient.read(now),
             self.tokens.read(now),
             self.was_urgent,
+            self.adapted.read(now),
         )
 
 
@@ -70,16 +93,21 @@
 
     def note_request(
         self,
-        model: str,
+        target: Target,
         tokens: int,
         now: float,
         *,
         is_patient: bool,
     ) -> None:
-        """Count a request and its prompt."""
+        """Count a request and the tokens of its prompt."""
+        model, adapter = target
         own = self._models.setdefault(model, _OwnDemand())
-        rate = own.patient if is_patient else own.urgent
-        rate.add(1, now)
+        if adapter:
+            own.adapted.add(1, now)
+        if is_patient:
+            own.patient.add(1, now)
+        else:
+            own.urgent.add(1, now)
         own.tokens.add(tokens, now)
         own.was_urgent |= not is_patient
 
--- a/bramleybeam/gateway/_directory.py
+++ b/bramleybeam/gateway/_directory.py
@@ -255,11 +255,11 @@
 
 
 class Signal:
-    """Wakes everyone who waits, once for each change."""
+    """Wakes everyone who waits, in order, once for each change."""
 
     def __init__(self) -> None:
         """Start with nobody waiting."""
-        self._waiters: set[asyncio.Future[None]] = set()
+        self._waiters: dict[asyncio.Future[None], None] = {}
 
     def fire(self) -> None:
         """Wake everyone who waits now."""
@@ -270,8 +270,8 @@
     async def wait(self, timeout: float) -> None:
         """Wait for the next change, at most ``timeout`` seconds."""
         waiter = asyncio.get_running_loop().create_future()
-        self._waiters.add(waiter)
+        self._waiters[waiter] = None
         try:
             await asyncio.wait({waiter}, timeout=timeout)
         finally:
-            self._waiters.discard(waiter)
+            self._waiters.pop(waiter)
--- a/bramleybeam/gateway/_forward.py
+++ b/bramleybeam/gateway/_forward.py
@@ -157,7 +157,7 @@
         self._budget(service.name).note_request(now)
         if facts.model:
             self._demand.note_request(
-                facts.model,
+                job.target,
                 facts.prompt_tokens,
                 now,
                 is_patient=is_patient(route),
--- a/bramleybeam/gateway/_ledger.py
+++ b/bramleybeam/gateway/_ledger.py
@@ -16,6 +16,7 @@
     ModelOrder,
     UnloadAdapter,
     UnloadModel,
+    coming_model,
 )
 
 # Time in which an adapter has arrived at most replicas.
@@ -28,7 +29,7 @@
 class ReplicaLedger:
     """Holdings of one start of a replica; moments are in seconds.
 
-    ``is_giving`` is set while an order is on its way, ``check_at`` is when
+    ``giving`` is the order that is on its way to it, ``check_at`` is when
     the replica has to be asked before it may be given further orders.
     """
 
@@ -39,22 +40,28 @@
     successor: str = ''
     ordered_at: float = 0
     coming_at: float = 0
-    is_giving: bool = False
+    giving: ModelOrder | None = None
     check_at: float | None = None
     _arrivals: list[tuple[float, str, str]] = attrs.field(factory=list)
 
     @property
     def is_open(self) -> bool:
         """Whether an order for a model may be given."""
-        is_idle = not (self.loading or self.leaving or self.is_giving)
+        is_idle = not (self.loading or self.leaving or self.giving)
         return is_idle and self.check_at is None
 
+    @property
+    def expected(self) -> str:
+        """The model that is coming, or for which room is made; may be none."""
+        coming = coming_model(self.giving) if self.giving else ''
+        return coming or self.loading or self.successor
+
     def see_entry(self, replica: Replica, now: float) -> None:
         """Take in what the replica wrote of itself."""
         before = self.replica.holdings.models.keys()
         self.replica = replica
         shown = replica.holdings.models.keys()
-        if shown == before or self.is_giving:
+        if shown == before or self.giving:
             return
         if self.loading and self.loading in shown:
             self._note_loaded()
--- a/bramleybeam/gateway/_peers.py
+++ b/bramleybeam/gateway/_peers.py
@@ -143,6 +143,7 @@
                 round(one.patient, 2),
                 round(one.tokens),
                 one.was_urgent,
+                round(one.adapted, 2),
             ]
             for name, one in beat.demand.models.items()
         },
--- a/bramleybeam/gateway/_planner.py
+++ b/bramleybeam/gateway/_planner.py
@@ -5,14 +5,13 @@
 out, by a clock that goes on while the host is suspended.
 """
 
-import random
 from collections.abc import Callable
-from typing import Final
+from typing import Final, Protocol
 
 import structlog
 
 from bramleybeam import platform
-from bramleybeam.catalog import EngineSpec, HostSettings, ReplicaState
+from bramleybeam.catalog import EngineSpec, Holdings, Replica, ReplicaState
 from bramleybeam.decisions import (
     TokenBucket,
 )
@@ -20,12 +19,12 @@
 from bramleybeam.gateway._knowledge import Knowledge
 from bramleybeam.gateway._ledger import ReplicaLedger
 from bramleybeam.gateway._order_times import OrderTimes
-from bramleybeam.gateway._planner_lease import PlannerLease
 from bramleybeam.orders import (
     Demand,
     EngineView,
     LoadModel,
     ModelOrder,
+    Target,
     plan_orders,
 )
 from bramleybeam.timers import TaskSet
@@ -38,38 +37,67 @@
 _log = structlog.get_logger('planner')
 
 
+class Lease(Protocol):
+    """The right to give orders; ``epoch`` is 0 while it isn't held."""
+
+    @property
+    def epoch(self) -> int:
+        """Return the epoch of the orders."""
+
+    async def keep(self) -> bool:
+        """Renew or take it; tells if it was taken now."""
+
+    def give_up(self) -> None:
+        """Stop giving orders."""
+
+    async def close(self) -> None:
+        """Hand it over for good."""
+
+
+class OrderGiver(Protocol):
+    """Takes orders to replicas and reads what they hold."""
+
+    async def give(
+        self,
+        replica: Replica,
+        order: ModelOrder,
+        terms: platform.OrderTerms,
+    ) -> platform.OrderOutcome:
+        """Give one order and tell what became of it."""
+
+    async def read_holdings(self, replica: Replica) -> Holdings | None:
+        """Return what a replica holds; ``None`` when it doesn't say."""
+
+
 class Planner:
     """Plans and gives orders while this gateway holds the lease."""
 
     def __init__(
         self,
-        settings: HostSettings,
-        store: platform.PlatformStore,
+        name: str,
         knowledge: Knowledge,
-        rng: random.Random,
+        lease: Lease,
+        giver: OrderGiver,
+        order_times: OrderTimes,
         announce: Callable[[], None],
     ) -> None:
-        """Store what plans are made from, and how orders are announced."""
+        """Store what plans are made from, and how orders are given.
+
+        ``name`` is this gateway's; ``announce`` tells the others of orders.
+        """
         self.has_news = False
-        self.order_times = OrderTimes(
-            settings.bounds.order_pause_s, platform.boot_time
-        )
+        self.order_times = order_times
+        self._name = name
         self._announce = announce
-        self._settings = settings
         self._directory = knowledge.directory
         self._loads = knowledge.loads
         self._demand = knowledge.demand
-        self._lease = PlannerLease(
-            settings,
-            store,
-            self._directory,
-            self.order_times,
-            rng,
-        )
-        self._orders = platform.ReplicaOrders()
+        self._lease = lease
+        self._orders = giver
         self._tasks = TaskSet()
         self._ledgers: dict[str, ReplicaLedger] = {}
         self._buckets: dict[str, TokenBucket] = {}
+        self._last_run: dict[str, dict[Target, float]] = {}
 
     @property
     def epoch(self) -> int:
@@ -104,7 +132,7 @@
                 ledger.holdings,
                 ledger.leaving,
                 ledger.replica.started_ms,
-                ledger.loading or ledger.successor,
+                ledger.expected,
                 max(0, ledger.coming_at - now),
             )
             for name, ledger in self._ledgers.items()
@@ -122,6 +150,7 @@
         for name in tuple(self._ledgers):
             if name not in seen:
                 self._ledgers.pop(name)
+                self._last_run.pop(name, None)
         for name, replica in seen.items():
             ledger = self._ledgers.get(name)
             if ledger and ledger.replica.incarnation == replica.incarnation:
@@ -141,10 +170,10 @@
         return known is not None and known.engine is not None
 
     async def _check(self, ledger: ReplicaLedger) -> None:
-        if ledger.is_giving:
+        if ledger.giving:
             return
         shown = await self._orders.read_holdings(ledger.replica)
-        if shown is not None and not ledger.is_giving:
+        if shown is not None and not ledger.giving:
             ledger.see_report(shown, self._directory.now())
             self.has_news = True
 
@@ -170,22 +199,26 @@
             if isinstance(order, LoadModel) and order.from_store:
                 bucket.take(now)
             ledger = self._ledgers[order.replica]
-            ledger.is_giving = True
+            ledger.giving = order
             self._tasks.spawn(self._give(ledger, order))
 
     def _view(self, ledger: ReplicaLedger, now: float) -> EngineView:
         name = ledger.replica.name
         reachable = not self._directory.reach.is_doubted(name)
         is_closed = self.order_times.is_closed(name)
+        running = self._loads.total(name, now).by_target
+        last_run = self._last_run.setdefault(name, {})
+        last_run.update(dict.fromkeys(running, now))
         return EngineView(
             name,
             ledger.holdings,
-            self._loads.total(name, now).by_target,
+            running,
             ledger.is_open and reachable and not is_closed,
             reachable,
             ledger.loading,
             ledger.leaving,
-            ledger.successor,
+            ledger.expected,
+            last_run,
         )
 
     async def _give(self, ledger: ReplicaLedger, order: ModelOrder) -> None:
@@ -198,7 +231,7 @@
                 self.order_times.note_own(ledger.replica.name)
                 self._announce()
                 terms = platform.OrderTerms(
-                    self._settings.name, epoch, ledger.holdings.sequence
+                    self._name, epoch, ledger.holdings.sequence
                 )
                 outcome = await self._orders.give(ledger.replica, order, terms)
                 _log.info(
@@ -212,7 +245,7 @@
                     return
             ledger.check_at = self._directory.now() + _CHECK_AGAIN_S
         finally:
-            ledger.is_giving = False
+            ledger.giving = None
             self.has_news = True
 
     def _settle(
--- a/bramleybeam/orders/__init__.py
+++ b/bramleybeam/orders/__init__.py
@@ -10,6 +10,7 @@
     Target,
     UnloadAdapter,
     UnloadModel,
+    coming_model,
 )
 from bramleybeam.orders._plan import plan_orders
 
@@ -23,5 +24,6 @@
     'Target',
     'UnloadAdapter',
     'UnloadModel',
+    'coming_model',
     'plan_orders',
 ]
--- a/bramleybeam/orders/_adapters.py
+++ b/bramleybeam/orders/_adapters.py
@@ -9,6 +9,7 @@
 from typing import Final
 
 from bramleybeam.catalog import EngineSpec
+from bramleybeam.orders._costs import find_holders
 from bramleybeam.orders._messages import (
     Demand,
     EngineView,
@@ -17,7 +18,6 @@
     Target,
     UnloadAdapter,
 )
-from bramleybeam.orders._models import count_copies
 from bramleybeam.orders._ranking import most_first
 
 # Adapters that may be on their way to one replica at a time.
@@ -43,7 +43,7 @@
         self._spec = spec
         self._demand = demand
         self._taken: set[str] = set()
-        self._copies = count_copies(engines)
+        self._holders = find_holders(engines)
         self._known = _find_adapters(engines)
 
     def place_waiting(self) -> None:
@@ -119,7 +119,7 @@
             return False
         if self._demand.models:
             return self._demand.of(model).rate >= _FETCH_AHEAD_RATE
-        return self._copies.get(model, 0) > 1
+        return len(self._holders.get(model, ())) > 1
 
 
 def _find_adapters(engines: Sequence[EngineView]) -> set[Target]:
@@ -138,8 +138,11 @@
 
 
 def _find_idle(engine: EngineView) -> Target | None:
-    for model, adapters in engine.holdings.models.items():
-        for adapter in sorted(adapters):
-            if not engine.running.get((model, adapter)):
-                return model, adapter
-    return None
+    """Return the adapter that was last used longest ago, if one is idle."""
+    idle = [
+        (engine.last_run.get((model, adapter), 0.0), model, adapter)
+        for model, adapters in engine.holdings.models.items()
+        for adapter in adapters
+        if not engine.running.get((model, adapter))
+    ]
+    return min(idle)[1:] if idle else None
--- a/bramleybeam/orders/_messages.py
+++ b/bramleybeam/orders/_messages.py
@@ -57,14 +57,22 @@
 ModelOrder = LoadModel | UnloadModel | LoadAdapter | UnloadAdapter
 
 
+def coming_model(order: ModelOrder) -> str:
+    """Name the model that an order brings, or makes room for; may be none."""
+    if isinstance(order, LoadModel):
+        return order.model
+    return order.successor if isinstance(order, UnloadModel) else ''
+
+
 @attrs.frozen
 class EngineView:
     """A replica as the orders are planned.
 
     ``running`` counts requests by target; ``is_open`` tells whether it may be
-    given an order now, ``is_reachable`` whether its copies count; ``leaving`` names the model that is being
-    unloaded, ``loading`` the model that is on its way, ``successor`` the one
-    for which room has been or is being made.
+    given an order now, ``is_reachable`` whether its copies count; ``leaving``
+    names the model that is being unloaded, ``loading`` the model that is on
+    its way, ``successor`` the one for which room has been or is being made.
+    ``last_run`` tells when targets were last seen to run here, in seconds.
     """
 
     name: str
@@ -75,6 +83,7 @@
     loading: str = ''
     leaving: str = ''
     successor: str = ''
+    last_run: Mapping[Target, float] = attrs.field(factory=dict)
 
     @property
     def adapter_places_used(self) -> int:
@@ -121,13 +130,14 @@
 
     ``urgent`` requests want their first token sooner than a load takes,
     ``patient`` ones can wait for one. ``was_urgent`` stays set once an urgent
-    request has come.
+    request has come. ``adapted`` are those of all that ask for an adapter.
     """
 
     urgent: float = 0
     patient: float = 0
     tokens: float = 0
     was_urgent: bool = False
+    adapted: float = 0
 
     @property
     def rate(self) -> float:
@@ -141,6 +151,7 @@
             self.patient + other.patient,
             self.tokens + other.tokens,
             self.was_urgent or other.was_urgent,
+            self.adapted + other.adapted,
         )
 
 
--- a/bramleybeam/orders/_plan.py
+++ b/bramleybeam/orders/_plan.py
@@ -22,8 +22,8 @@
     """
     adapters = AdapterPlacement(engines, spec, demand)
     adapters.place_waiting()
-    taken = {order.replica for order in adapters.orders}
-    models = ModelPlacement(engines, spec, demand, store_loads, taken)
+    models = ModelPlacement(engines, spec, demand, store_loads)
+    models.leave_out({order.replica for order in adapters.orders})
     models.finish_swaps()
     models.place()
     adapters.fetch_ahead({order.replica for order in models.orders})
--- /dev/null
+++ b/bramleybeam/orders/tests/test_balance.py
@@ -0,0 +1,82 @@
+"""The spread of demand over copies, and what is late for it."""
+
+import pytest
+
+from bramleybeam.orders import Demand, ModelDemand
+from bramleybeam.orders._balance import (
+    PREFILL_TOKENS_PER_S,
+    Copy,
+    LoadBalance,
+    late_share,
+)
+
+
+def ask(**shares):
+    """Return demand in shares of a replica's time, 1,000 tokens a request."""
+    return Demand(
+        {
+            model: ModelDemand(
+                urgent=share * PREFILL_TOKENS_PER_S / 1000,
+                tokens=share * PREFILL_TOKENS_PER_S,
+                was_urgent=True,
+            )
+            for model, share in shares.items()
+        },
+    )
+
+
+@pytest.mark.parametrize(
+    ('busy', 'least', 'most'),
+    [(0, 0, 0), (0.3, 0.001, 0.05), (0.5, 0.2, 0.3), (0.7, 1, 1), (2, 1, 1)],
+)
+def test_late_share_rises_with_load(busy, least, most):
+    assert least <= late_share(busy) <= most
+
+
+@pytest.mark.parametrize(
+    ('holders', 'added', 'removed', 'is_better'),
+    [
+        # Another copy takes load away, most where nothing runs.
+        ({'m1': ['e1']}, Copy('m1', 'e2'), None, True),
+        # A copy that only trades places changes nothing for the better.
+        ({'m1': ['e1']}, Copy('m1', 'e2'), Copy('m1', 'e1'), False),
+        # The last copy of a busy model never makes room for another's second.
+        (
+            {'m1': ['e1'], 'm2': ['e2']},
+            Copy('m1', 'e2'),
+            Copy('m2', 'e2'),
+            False,
+        ),
+        # Two busy models at one replica go apart.
+        (
+            {'m1': ['e1'], 'm2': ['e1']},
+            Copy('m2', 'e2'),
+            Copy('m2', 'e1'),
+            True,
+        ),
+    ],
+)
+def test_changes_are_weighed(holders, added, removed, is_better):
+    balance = LoadBalance(ask(m1=0.5, m2=0.4), holders)
+    assert (balance.late_with(added, removed) < balance.late) == is_better
+
+
+def test_demand_fills_the_emptier_replica():
+    holders = {'m1': ['e1'], 'm2': ['e1', 'e2']}
+    spread = LoadBalance(ask(m1=0.4, m2=0.4), holders)
+    apart = LoadBalance(ask(m1=0.4, m2=0.4), {'m1': ['e1'], 'm2': ['e2']})
+    assert spread.late == pytest.approx(apart.late, rel=0.01)
+
+
+def test_model_without_a_copy_weighs_more_than_a_late_one():
+    overloaded = LoadBalance(ask(m1=2), {'m1': ['e1']})
+    missing = LoadBalance(ask(m1=2), {})
+    assert missing.late > overloaded.late
+
+
+def test_applied_change_is_the_new_base():
+    balance = LoadBalance(ask(m1=0.5), {'m1': ['e1']})
+    expected = balance.late_with(Copy('m1', 'e2'))
+    balance.apply(Copy('m1', 'e2'))
+    assert balance.late == expected
+    assert balance.late_without(Copy('m1', 'e2')) > expected
--- a/bramleybeam/orders/tests/test_plan.py
+++ b/bramleybeam/orders/tests/test_plan.py
@@ -173,6 +173,58 @@
         ask(m1=3),
         [UnloadModel('e1', 'odd', 'm4')],
     ),
+    # What is idle makes room, though it is asked for more than what runs.
+    (
+        [make_engine('e1', 'm1', 'm2', 'm3', running={('m3', ''): 1})],
+        ask([('m4', '')], m1=1.2, m2=0.4, m3=0.1),
+        [UnloadModel('e1', 'm2', 'm4')],
+    ),
+    # Where all run, one that runs has to.
+    (
+        [make_engine('e1', *FULL, running={(name, ''): 1 for name in FULL})],
+        Demand({'m4': PATIENT}, {('m4', ''): 1}),
+        [UnloadModel('e1', 'm1', 'm4')],
+    ),
+    # A replica that will soon be open is waited for, if that costs less.
+    (
+        [
+            make_engine('e1', 'm5', is_open=False),
+            make_engine('e2', *FULL),
+        ],
+        ask([('m4', '')], m1=20, m2=20, m3=20),
+        [LoadAdapter('e2', 'm1', 'a1')],
+    ),
+    # Loads for patient requests leave some replicas free for an order.
+    (
+        [
+            make_engine('e1', 'm1', loading='m5', is_open=False),
+            make_engine('e2', 'm1'),
+        ],
+        Demand({'m4': PATIENT, 'm5': PATIENT}, {('m4', ''): 1}),
+        [],
+    ),
+    # Loads for urgent ones don't.
+    (
+        [
+            make_engine('e1', 'm1', loading='m5', is_open=False),
+            make_engine('e2', 'm1'),
+        ],
+        Demand({'m5': PATIENT}, {('m4', ''): 1}),
+        [LoadModel('e2', 'm4')],
+    ),
+    # The adapter that was used longest ago makes room.
+    (
+        [
+            make_engine(
+                'e1',
+                'm1/a1',
+                'm1/a2',
+                last_run={('m1', 'a1'): 9.0, ('m1', 'a2'): 5.0},
+            ),
+        ],
+        ask([('m1', 'a3')]),
+        [UnloadAdapter('e1', 'm1', 'a2')],
+    ),
     # While room is being made for a model, no more is made for it.
     (
         [
--- /dev/null
+++ b/bramleybeam/simulation/__init__.py
@@ -0,0 +1,31 @@
+"""A model of engines, weight store and arrivals, in virtual time.
+
+It drives the gateway's own decisions - waiting, choice of replicas, orders -
+without sockets, so that a day of load takes seconds and repeats exactly.
+"""
+
+from bramleybeam.simulation._arrivals import (
+    Arrival,
+    LoadSpec,
+    RequestClass,
+    draw_arrivals,
+)
+from bramleybeam.simulation._day import play_day
+from bramleybeam.simulation._engine import EngineModel, Run
+from bramleybeam.simulation._loop import run_in_virtual_time
+from bramleybeam.simulation._results import DayResult, Served
+from bramleybeam.simulation._sites import SITES
+
+__all__ = [
+    'SITES',
+    'Arrival',
+    'DayResult',
+    'EngineModel',
+    'LoadSpec',
+    'RequestClass',
+    'Run',
+    'Served',
+    'draw_arrivals',
+    'play_day',
+    'run_in_virtual_time',
+]
--- /dev/null
+++ b/bramleybeam/simulation/_day.py
@@ -0,0 +1,174 @@
+"""Plays a day: arrivals through one gateway's decisions to the engines."""
+
+import asyncio
+import random
+from collections.abc import Coroutine
+from typing import Any, Final
+
+import attrs
+
+from bramleybeam.catalog import (
+    Replica,
+    ReplicaState,
+    RoutingConfiguration,
+    Service,
+)
+from bramleybeam.gateway import Chooser, OrderTimes, Planner, make_knowledge
+from bramleybeam.simulation._arrivals import (
+    LoadSpec,
+    draw_arrivals,
+    place_at_start,
+)
+from bramleybeam.simulation._callers import Callers, make_route
+from bramleybeam.simulation._engine import EngineModel
+from bramleybeam.simulation._loop import run_in_virtual_time
+from bramleybeam.simulation._orders import EngineOrders, SingleLease
+from bramleybeam.simulation._results import DayResult
+from bramleybeam.simulation._weight_store import WeightStore
+
+_SERVICE: Final = 'engines'
+_PLAN_S: Final = 0.05
+_NUDGE_S: Final = 0.01
+# Time until the gateway hears of what a replica holds now.
+_ENTRY_LAG_S: Final = 0.08
+_TELL_VALID_S: Final = 2.5
+_LEAD_S: Final = 3.0
+
+
+def play_day(spec: LoadSpec, seed: int, factor: float = 1) -> DayResult:
+    """Play a seeded day; ``factor`` multiplies all rates."""
+    return run_in_virtual_time(_Day(spec, seed).play(factor))
+
+
+class _Day:
+    def __init__(self, spec: LoadSpec, seed: int) -> None:
+        self._spec = spec
+        self._seed = seed
+        self._engines: dict[str, EngineModel] = {}
+        self._store = WeightStore(spec.store_at_once)
+        self._service = Service(_SERVICE, '/', 100, spec.engine)
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._is_planning_soon = False
+
+    async def play(self, factor: float) -> DayResult:
+        loop = asyncio.get_running_loop()
+        self._knowledge = make_knowledge(loop.time)
+        self._start_engines()
+        chooser = Chooser(self._knowledge, 'a', random.Random(self._seed))
+        self._callers = Callers(
+            self._knowledge, chooser, self._engines, self._service, _LEAD_S
+        )
+        giver = EngineOrders(self._engines)
+        self._planner = Planner(
+            'simulated',
+            self._knowledge,
+            SingleLease(),
+            giver,
+            OrderTimes(0, loop.time),
+            lambda: None,
+        )
+        self._knowledge.demand.on_want.append(self._plan_soon)
+        self._knowledge.directory.on_change.append(self._plan_soon)
+        self._spawn(self._keep_planning())
+        self._spawn(self._lose_replicas())
+        arrivals = draw_arrivals(self._spec, self._seed, factor)
+        await asyncio.sleep(_LEAD_S)
+        requests = []
+        for arrival in arrivals:
+            await asyncio.sleep(max(0, arrival.moment + _LEAD_S - loop.time()))
+            requests.append(asyncio.ensure_future(self._callers.call(arrival)))
+        await asyncio.gather(*requests)
+        await self._planner.close()
+        for task in tuple(self._tasks):
+            task.cancel()
+        for engine in self._engines.values():
+            engine.raise_fault()
+        return DayResult(
+            tuple(self._callers.served), self._store.loads, giver.orders
+        )
+
+    def _start_engines(self) -> None:
+        spec = self._spec
+        for number, models in enumerate(place_at_start(spec)):
+            self._engines[f'e{number}'] = EngineModel(
+                spec.engine, self._store, models, spec.tokens_per_event
+            )
+        directory = self._knowledge.directory
+        route = make_route(self._spec.classes[0], _SERVICE)
+        directory.configuration = RoutingConfiguration(
+            1, (route,), {_SERVICE: self._service}
+        )
+        directory.is_listed = True
+        for name, engine in self._engines.items():
+            engine.on_change = self._make_teller(name)
+            self._tell(name)
+
+    def _make_teller(self, name: str) -> '_Teller':
+        return _Teller(self, name)
+
+    def _tell(self, name: str, started_ms: int = 1) -> None:
+        engine = self._engines[name]
+        directory = self._knowledge.directory
+        known = directory.replicas.get(name)
+        directory.replicas[name] = Replica(
+            name,
+            _SERVICE,
+            name,
+            'a',
+            ReplicaState.READY,
+            self._spec.engine.slots,
+            max(started_ms, known.started_ms if known else 1),
+            engine.holdings,
+        )
+        directory.signal()
+
+    async def _lose_replicas(self) -> None:
+        loop = asyncio.get_running_loop()
+        names = list(self._engines)
+        for number, (moment, down_s) in enumerate(self._spec.losses):
+            await asyncio.sleep(max(0, moment + _LEAD_S - loop.time()))
+            name = names[(self._seed + number) % len(names)]
+            self._engines[name].crash()
+            self._knowledge.directory.replicas.pop(name)
+            self._knowledge.directory.signal()
+            await asyncio.sleep(down_s)
+            self._tell(name, started_ms=2 + number)
+
+    async def _keep_planning(self) -> None:
+        while True:
+            await self._plan()
+            await asyncio.sleep(_PLAN_S)
+
+    async def _plan(self) -> None:
+        await self._planner.plan()
+        if self._planner.has_news:
+            self._planner.has_news = False
+            self._knowledge.directory.hear_placement(
+                1, self._planner.placement(), _TELL_VALID_S
+            )
+        elif not self._knowledge.directory.hears_planner():
+            self._planner.has_news = True
+
+    def _plan_soon(self) -> None:
+        if not self._is_planning_soon:
+            self._is_planning_soon = True
+            asyncio.get_running_loop().call_later(_NUDGE_S, self._plan_now)
+
+    def _plan_now(self) -> None:
+        self._is_planning_soon = False
+        self._spawn(self._plan())
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+@attrs.frozen
+class _Teller:
+    day: _Day
+    name: str
+
+    def __call__(self) -> None:
+        loop = asyncio.get_running_loop()
+        loop.call_later(_ENTRY_LAG_S, self.day._tell, self.name)
