--- a/bramleybeam/gateway/_choose.py
+++ b/bramleybeam/gateway/_choose.py
@@ -6,8 +6,6 @@
 from contextlib import contextmanager
 from typing import Final, Self
 
-import xxhash
-
 from bramleybeam.catalog import Replica
 from bramleybeam.decisions import (
     Candidate,
@@ -22,13 +20,9 @@
 from bramleybeam.gateway._job import Job, RefusingError
 from bramleybeam.gateway._knowledge import Knowledge
 from bramleybeam.gateway._loads import Work
-from bramleybeam.orders import (
-    Target,
-)
+from bramleybeam.orders import PREFILL_TOKENS_PER_S, Target
 
 _WAIT_STEP_S: Final = 0.25
-# Prompt tokens that a replica reads in a second.
-_PREFILL_TOKENS_PER_S: Final = 20_000.0
 # Time that each request in a batch adds to everyone's next token.
 _STEP_PER_REQUEST_S: Final = 0.0004
 # Requests in a plain service's queue for each that it runs.
@@ -85,15 +79,14 @@
 
     def _make_work(self, job: Job, replica: Replica) -> Work:
         facts = job.facts
-        blocks = _hash_parts(job)
-        known = self._prefixes.count_leading(replica.name, blocks)
-        cached = sum(part.tokens for part in facts.parts[:known])
-        self._prefixes.note(replica.name, blocks, self._directory.now())
-        return Work(
-            job.target,
-            max(0, facts.prompt_tokens - cached),
-            facts.prompt_tokens + facts.output_tokens,
-        )
+        unread = max(0, facts.prompt_tokens - self._count_kept(job, replica))
+        self._prefixes.note(replica.name, job.blocks, self._directory.now())
+        return Work(job.target, unread)
+
+    def _count_kept(self, job: Job, replica: Replica) -> int:
+        """Count the prompt tokens that a replica is believed to keep."""
+        known = self._prefixes.count_leading(replica.name, job.blocks)
+        return sum(part.tokens for part in job.facts.parts[:known])
 
     async def _wait(self, job: Job) -> Candidate:
         with self._in_room(job) as (room, mine), _Absence(self._demand) as gone:
@@ -153,10 +146,8 @@
     def _try_choose(self, job: Job, now: float) -> Candidate | None:
         holders = self._holders(job)
         fresh = [one for one in holders if one.name not in job.passed_over]
-        blocks = _hash_parts(job)
         candidates = [
-            self._candidate(job, replica, blocks, now)
-            for replica in fresh or holders
+            self._candidate(job, replica, now) for replica in fresh or holders
         ]
         return choose_upstream(candidates, self._rng, sampled=len(candidates))
 
@@ -192,7 +183,6 @@
         self,
         job: Job,
         replica: Replica,
-        blocks: list[int],
         now: float,
     ) -> Candidate:
         load = self._loads.total(replica.name, now)
@@ -205,16 +195,15 @@
                 replica.slots * _PLAIN_QUEUE_SHARE,
                 zone_distance=int(not is_near),
             )
-        known = self._prefixes.count_leading(replica.name, blocks)
-        cached = sum(part.tokens for part in job.facts.parts[:known])
-        unread = load.unread_tokens + job.facts.prompt_tokens - cached
+        unread = load.unread_tokens + job.facts.prompt_tokens
+        unread -= self._count_kept(job, replica)
         return Candidate(
             replica.name,
             load.requests,
             replica.slots,
             zone_distance=int(not is_near),
             step_s=_STEP_PER_REQUEST_S,
-            first_token_s=unread / _PREFILL_TOKENS_PER_S,
+            first_token_s=unread / PREFILL_TOKENS_PER_S,
         )
 
 
@@ -253,12 +242,3 @@
         f'Asked: {job.facts.model} {job.facts.adapter}.',
         retry_after=retry_after,
     )
-
-
-def _hash_parts(job: Job) -> list[int]:
-    """Hash the parts of a prompt, each with its model, as blocks."""
-    seed = '/'.join(job.target)
-    return [
-        xxhash.xxh64_intdigest(f'{seed} {part.name}'.encode())
-        for part in job.facts.parts
-    ]
--- a/bramleybeam/gateway/_job.py
+++ b/bramleybeam/gateway/_job.py
@@ -1,6 +1,7 @@
 """One caller's request on its way through a gateway."""
 
 import attrs
+import xxhash
 
 from bramleybeam.catalog import Route, Service
 from bramleybeam.decisions import Waiting
@@ -29,6 +30,7 @@
     and ``first_event_at`` when its stream began. ``last_event`` is the id of
     the last event that the caller was given, ``last_event_at`` when that was,
     ``events`` their number and ``longest_gap_s`` the longest time between two.
+    ``blocks`` are hashes of the prompt's parts, for what replicas keep.
     """
 
     request: InboundRequest
@@ -46,6 +48,15 @@
     events: int = 0
     longest_gap_s: float = 0
     passed_over: set[str] = attrs.field(factory=set)
+    blocks: tuple[int, ...] = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Hash the parts of the prompt, each with what it was run by."""
+        by = '/'.join(self.target)
+        self.blocks = tuple(
+            xxhash.xxh64_intdigest(f'{by} {part.name}'.encode())
+            for part in self.facts.parts
+        )
 
     def note_events(self, count: int, last_event: str, now: float) -> None:
         """Count events that the caller was given; ``now`` in seconds."""
--- a/bramleybeam/gateway/_loads.py
+++ b/bramleybeam/gateway/_loads.py
@@ -7,9 +7,7 @@
 
 import attrs
 
-from bramleybeam.orders import (
-    Target,
-)
+from bramleybeam.orders import Target
 
 # Age at which what another gateway told of its load no longer counts.
 _STALE_S: Final = 1.5
@@ -19,13 +17,11 @@
 class LoadReport:
     """Work of one gateway at one replica, in requests and tokens.
 
-    ``unread_tokens`` are of prompts whose first event has not come;
-    ``memory_tokens`` are all tokens that the requests may occupy.
+    ``unread_tokens`` are of prompts whose first event has not come.
     """
 
     requests: int = 0
     unread_tokens: int = 0
-    memory_tokens: int = 0
     by_target: Mapping[Target, int] = attrs.field(factory=dict)
 
 
@@ -35,20 +31,17 @@
 
     target: Target
     unread_tokens: int = 0
-    memory_tokens: int = 0
 
 
 @attrs.define
 class _OwnLoad:
     requests: int = 0
     unread_tokens: int = 0
-    memory_tokens: int = 0
     by_target: Counter[Target] = attrs.field(factory=Counter)
 
     def add(self, work: Work, sign: int) -> None:
         self.requests += sign
         self.unread_tokens += sign * work.unread_tokens
-        self.memory_tokens += sign * work.memory_tokens
         self.by_target[work.target] += sign
         if not self.by_target[work.target]:
             self.by_target.pop(work.target)
@@ -77,6 +70,8 @@
             yield
         finally:
             own.add(work, -1)
+            if not own.requests:
+                self._own.pop(replica)
 
     def note_read(self, replica: str, work: Work) -> None:
         """Note that a request's prompt has been read; repeats do nothing."""
@@ -94,11 +89,7 @@
 
     def own_reports(self) -> dict[str, LoadReport]:
         """Return this gateway's own work, to be told to the others."""
-        return {
-            name: _freeze(own)
-            for name, own in self._own.items()
-            if own.requests
-        }
+        return {name: _freeze(own) for name, own in self._own.items()}
 
     def total(self, replica: str, now: float) -> LoadReport:
         """Return the work of all gateways at a replica."""
@@ -114,7 +105,6 @@
     return LoadReport(
         own.requests,
         own.unread_tokens,
-        own.memory_tokens,
         dict(own.by_target),
     )
 
@@ -126,6 +116,5 @@
     return LoadReport(
         sum(part.requests for part in parts),
         sum(part.unread_tokens for part in parts),
-        sum(part.memory_tokens for part in parts),
         by_target,
     )
--- a/bramleybeam/gateway/_peers.py
+++ b/bramleybeam/gateway/_peers.py
@@ -16,8 +16,7 @@
 from bramleybeam.catalog import Holdings
 from bramleybeam.gateway._directory import Directory, PlacedHoldings
 from bramleybeam.gateway._loads import LoadReport
-from bramleybeam.links import FrameDecoder, FrameError, encode_frame
-from bramleybeam.links import _frames as frames
+from bramleybeam.links import FrameDecoder, FrameError, Notice, encode_frame
 from bramleybeam.orders import Demand, ModelDemand, Target
 
 _TOPIC: Final = 'gateway-beat'
@@ -84,11 +83,11 @@
 
     def send(self, beat: Beat) -> None:
         """Tell every other gateway how things stand here."""
-        self._send(frames.Notice(_TOPIC, encode_beat(beat)))
+        self._send(Notice(_TOPIC, encode_beat(beat)))
 
     def announce_orders(self, ages: Mapping[str, float]) -> None:
         """Tell every other gateway how long ago replicas were ordered."""
-        self._send(frames.Notice(_ORDERS_TOPIC, json.dumps(ages).encode()))
+        self._send(Notice(_ORDERS_TOPIC, json.dumps(ages).encode()))
 
     def datagram_received(self, received: bytes, addr: Any) -> None:
         """Take a beat from a gateway that the store lists."""
@@ -104,7 +103,7 @@
         """Note that a datagram could not be delivered."""
         _log.debug('beat_undelivered', error=repr(exc))
 
-    def _send(self, notice: frames.Notice) -> None:
+    def _send(self, notice: Notice) -> None:
         if self._transport is None:
             return
         datagram = encode_frame(notice)
@@ -117,7 +116,7 @@
         decoder = FrameDecoder()
         decoder.raise_limit()
         for frame in decoder.feed(received):
-            if not isinstance(frame, frames.Notice):
+            if not isinstance(frame, Notice):
                 continue
             if frame.topic == _TOPIC:
                 self._hear(decode_beat(frame.body, sender))
@@ -132,7 +131,6 @@
             name: [
                 load.requests,
                 load.unread_tokens,
-                load.memory_tokens,
                 _encode_counts(load.by_target),
             ]
             for name, load in beat.loads.items()
@@ -170,7 +168,7 @@
     return Beat(
         sender=sender,
         loads={
-            name: LoadReport(row[0], row[1], row[2], _decode_counts(row[3]))
+            name: LoadReport(row[0], row[1], _decode_counts(row[2]))
             for name, row in plain['loads'].items()
         },
         demand=Demand(
--- a/bramleybeam/gateway/_planner.py
+++ b/bramleybeam/gateway/_planner.py
@@ -12,9 +12,7 @@
 
 from bramleybeam import platform
 from bramleybeam.catalog import EngineSpec, Holdings, Replica, ReplicaState
-from bramleybeam.decisions import (
-    TokenBucket,
-)
+from bramleybeam.decisions import TokenBucket
 from bramleybeam.gateway._directory import PlacedHoldings
 from bramleybeam.gateway._knowledge import Knowledge
 from bramleybeam.gateway._ledger import ReplicaLedger
--- a/bramleybeam/orders/__init__.py
+++ b/bramleybeam/orders/__init__.py
@@ -1,5 +1,6 @@
 """Orders for models and adapters: what replicas are told to hold."""
 
+from bramleybeam.orders._balance import PREFILL_TOKENS_PER_S
 from bramleybeam.orders._messages import (
     Demand,
     EngineView,
@@ -15,6 +16,7 @@
 from bramleybeam.orders._plan import plan_orders
 
 __all__ = [
+    'PREFILL_TOKENS_PER_S',
     'Demand',
     'EngineView',
     'LoadAdapter',
