--- a/bramleybeam/agent/_health.py
+++ b/bramleybeam/agent/_health.py
@@ -1,16 +1,34 @@
 """Liveness, readiness and metrics of an agent."""
 
-from typing import TYPE_CHECKING
+from collections.abc import Sequence
+from typing import Protocol
 
 from blacksheep import Application, Request, Response
 
+from bramleybeam.agent._orders import OrderExecutor
+from bramleybeam.documents import ConfigurationKeeper
+from bramleybeam.links import Link
+from bramleybeam.telemetry import Metrics
 from bramleybeam.web import add_route, json_response, make_app, text_response
 
-if TYPE_CHECKING:
-    from bramleybeam.agent._daemon import AgentDaemon
 
+class AgentView(Protocol):
+    """What the checks and the metrics read of a running agent."""
 
-def make_health_app(agent: 'AgentDaemon') -> Application:
+    keeper: ConfigurationKeeper
+    executor: OrderExecutor
+    metrics: Metrics
+
+    @property
+    def links(self) -> Sequence[Link]:
+        """Open connections of entries."""
+
+    @property
+    def leaving(self) -> bool:
+        """Whether this agent takes no new work."""
+
+
+def make_health_app(agent: AgentView) -> Application:
     """Make the application for the platform's checks and the metrics."""
 
     async def live(_request: Request) -> Response:
--- a/bramleybeam/decisions/__init__.py
+++ b/bramleybeam/decisions/__init__.py
@@ -23,12 +23,12 @@
     UNLOADING,
     MemoryLedger,
 )
-from bramleybeam.decisions._placement import (
+from bramleybeam.decisions._placed import (
     PlacedUpstream,
     PlacementSnapshot,
     PlannedOrder,
-    plan_placement,
 )
+from bramleybeam.decisions._placement import plan_placement
 from bramleybeam.decisions._policies import (
     EstimatePolicy,
     Policy,
--- a/bramleybeam/decisions/_shard.py
+++ b/bramleybeam/decisions/_shard.py
@@ -8,12 +8,12 @@
 
 from bramleybeam.decisions._buckets import TokenBucket
 from bramleybeam.decisions._memory import DRAINING, LOADING, READY
-from bramleybeam.decisions._placement import (
+from bramleybeam.decisions._placed import (
     PlacedUpstream,
     PlacementSnapshot,
     PlannedOrder,
-    plan_placement,
 )
+from bramleybeam.decisions._placement import plan_placement
 from bramleybeam.documents import Model
 from bramleybeam.messages import ArtifactState, Report
 
--- a/bramleybeam/entry/_caller_http.py
+++ b/bramleybeam/entry/_caller_http.py
@@ -5,7 +5,7 @@
 import json
 from collections.abc import AsyncIterator
 from contextlib import suppress
-from typing import TYPE_CHECKING, Any, Final
+from typing import Any, Final
 
 from blacksheep import Application, Content, Request, Response, StreamedContent
 from expression import Result
@@ -13,13 +13,11 @@
 from bramleybeam.entry import _openai as openai
 from bramleybeam.entry._exchange import Ending, Exchange, Piece, Refusing
 from bramleybeam.entry._pipeline import Parts
+from bramleybeam.entry._view import EntryView
 from bramleybeam.errors import ErrorKind, Refusal, refuse
 from bramleybeam.identity import make_unique_id
 from bramleybeam.web import add_route, json_response, make_app
 
-if TYPE_CHECKING:
-    from bramleybeam.entry._daemon import EntryDaemon
-
 _SERVICE_METHODS: Final = ('GET', 'POST', 'PUT', 'PATCH', 'DELETE')
 _JSON_TYPE: Final = 'application/json'
 _OK: Final = 200
@@ -27,7 +25,7 @@
 _CLIENT_CLOSED: Final = 499
 
 
-def make_caller_app(entry: 'EntryDaemon') -> Application:
+def make_caller_app(entry: EntryView) -> Application:
     """Make the application that callers talk to."""
     app = make_app()
     api = _CallerApi(entry)
@@ -42,7 +40,7 @@
 
 
 class _CallerApi:
-    def __init__(self, entry: 'EntryDaemon') -> None:
+    def __init__(self, entry: EntryView) -> None:
         self._entry = entry
 
     async def infer(self, request: Request) -> Response:
--- a/bramleybeam/entry/_operator_http.py
+++ b/bramleybeam/entry/_operator_http.py
@@ -1,11 +1,12 @@
 """Operators' HTTP of an entry: status, explain and metrics."""
 
 import hmac
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 import attrs
 from blacksheep import Application, Request, Response
 
+from bramleybeam.entry._view import EntryView
 from bramleybeam.errors import ErrorKind, refuse
 from bramleybeam.web import (
     Handler,
@@ -15,11 +16,8 @@
     text_response,
 )
 
-if TYPE_CHECKING:
-    from bramleybeam.entry._daemon import EntryDaemon
 
-
-def make_operator_app(entry: 'EntryDaemon') -> Application:
+def make_operator_app(entry: EntryView) -> Application:
     """Make the application that operators and the metrics reader use."""
     app = make_app()
     api = _OperatorApi(entry)
@@ -30,7 +28,7 @@
 
 
 class _OperatorApi:
-    def __init__(self, entry: 'EntryDaemon') -> None:
+    def __init__(self, entry: EntryView) -> None:
         self._entry = entry
         self._keys = [
             pair.partition(':')[2].encode()
@@ -89,7 +87,7 @@
         return any(hmac.compare_digest(key, known) for known in self._keys)
 
 
-def make_status(entry: 'EntryDaemon') -> dict[str, Any]:
+def make_status(entry: EntryView) -> dict[str, Any]:
     """Describe the system as this entry sees it."""
     applied = entry.keeper.applied
     document = entry.keeper.document
@@ -141,7 +139,7 @@
     }
 
 
-def explain_model(entry: 'EntryDaemon', name: str) -> dict[str, Any] | None:
+def explain_model(entry: EntryView, name: str) -> dict[str, Any] | None:
     """Tell where a model or adapter stands, and the last order for it."""
     document = entry.keeper.document
     if document is None:
--- a/bramleybeam/entry/_planner.py
+++ b/bramleybeam/entry/_planner.py
@@ -3,7 +3,6 @@
 import itertools
 import time
 from collections import defaultdict
-from collections.abc import Iterator
 from typing import Final
 
 import attrs
@@ -13,7 +12,6 @@
     LOADING,
     PlannedOrder,
     ShardPlanner,
-    ShardUpstream,
     ShardView,
     assign_homes,
     count_ready,
@@ -23,6 +21,7 @@
 from bramleybeam.documents import ConfigurationKeeper, Document
 from bramleybeam.entry._directory import Directory
 from bramleybeam.entry._platform import HostList
+from bramleybeam.entry._shards import ShardState, list_upstreams
 from bramleybeam.keyvalue import KeyValue, LeaseKeeper
 from bramleybeam.links import LinkIdentity, LinkLost, Notice
 from bramleybeam.messages import (
@@ -45,16 +44,6 @@
 _log = structlog.get_logger('planner')
 
 
-@attrs.define
-class ShardState:
-    """What the holder of one shard remembers between rounds."""
-
-    lease: LeaseKeeper
-    held_since: float = 0
-    planner: ShardPlanner | None = None
-    unanswered: dict[Order, PlannedOrder] = attrs.field(factory=dict)
-
-
 class Planner:
     """Plans each availability zone whose lease this entry holds.
 
@@ -257,7 +246,7 @@
         }
         return ShardView(
             epoch=epoch,
-            upstreams=tuple(self._list_upstreams(zone, document)),
+            upstreams=tuple(list_upstreams(self._directory, zone, document)),
             models=document.models_by_name,
             home=frozenset(
                 model for model, home in homes.items() if home == zone
@@ -265,23 +254,6 @@
             ready_elsewhere=count_ready(earlier),
         )
 
-    def _list_upstreams(
-        self,
-        zone: str,
-        document: Document,
-    ) -> Iterator[ShardUpstream]:
-        for view in self._directory:
-            known = document.upstreams_by_name.get(view.name)
-            if known is None or known.kind != 'engine' or view.zone != zone:
-                continue
-            yield ShardUpstream(
-                name=view.name,
-                pool=known.pool,
-                accelerator_mb=known.accelerator_mb,
-                open=self._directory.is_usable(view),
-                report=view.report,
-            )
-
     def _homes(self, document: Document) -> dict[str, str]:
         capacities: dict[tuple[str, str], int] = defaultdict(int)
         for view in self._directory:
--- a/bramleybeam/orders/tests/test_plan.py
+++ b/bramleybeam/orders/tests/test_plan.py
@@ -1,14 +1,10 @@
-"""Plans of orders: by table, and by random demand against a replica's room."""
+"""Plans of orders, by table."""
 
 import attrs
 import pytest
-from hypothesis import given, settings
-from hypothesis import strategies as st
 
-from bramleybeam.catalog import EngineSpec, Holdings, ModelSpec
 from bramleybeam.orders import (
     Demand,
-    EngineView,
     LoadAdapter,
     LoadModel,
     ModelDemand,
@@ -16,43 +12,13 @@
     UnloadModel,
     plan_orders,
 )
-
-MODELS = ('m1', 'm2', 'm3', 'm4', 'm5')
-SPEC = EngineSpec(
-    slots=4,
-    cache_tokens=1000,
-    memory_mb=215,
-    adapter_places=2,
-    loads_per_s=2,
-    models={
-        name: ModelSpec(name, 70, 2.4, 1.6, 1.2, adapters=4, adapter_mb=1)
-        for name in MODELS
-    },
+from bramleybeam.orders.tests.placement import (
+    MODELS,
+    SPEC,
+    ask,
+    make_engine,
 )
 
-
-def ask(waiting=(), **rates):
-    """Return demand: requests a second, and targets waited for."""
-    models = {
-        name: ModelDemand(urgent=rate, tokens=1000 * rate, was_urgent=True)
-        for name, rate in rates.items()
-    }
-    return Demand(models, {tuple(target): 1 for target in waiting})
-
-
-def make_engine(name, *models, **changed):
-    """Return a replica that holds models, given as ``m1`` or ``m1/a1``."""
-    held = {}
-    for model in models:
-        base, _, adapter = model.partition('/')
-        held.setdefault(base, set())
-        if adapter:
-            held[base].add(adapter)
-    frozen = {base: frozenset(names) for base, names in held.items()}
-    holdings = Holdings(0, frozen, **changed.pop('at_hand', {}))
-    return EngineView(name, holdings, **changed)
-
-
 FULL = ('m1', 'm2', 'm3')
 PATIENT = ModelDemand(patient=0.05)
 PLANS = (
@@ -250,63 +216,3 @@
     orders = plan_orders(engines, SPEC, ask(waiting), 2)
     loads = [order for order in orders if isinstance(order, LoadModel)]
     assert len(loads) == 2
-
-
-@attrs.define
-class Room:
-    """A replica that crashes when it is ordered past its room."""
-
-    models: dict
-    adapters: set
-
-    def take(self, order):
-        match order:
-            case LoadModel(model=model):
-                self.models[model] = 70
-            case UnloadModel(model=model):
-                self.models.pop(model)
-                self.adapters = {
-                    one for one in self.adapters if one[0] != model
-                }
-            case LoadAdapter(model=model, adapter=adapter):
-                assert model in self.models
-                self.adapters.add((model, adapter))
-            case UnloadAdapter(model=model, adapter=adapter):
-                self.adapters.remove((model, adapter))
-        used = sum(self.models.values()) + len(self.adapters)
-        assert used <= SPEC.memory_mb
-        assert len(self.adapters) <= SPEC.adapter_places
-
-    def view(self, name):
-        models = {
-            model: frozenset(
-                name for base, name in self.adapters if base == model
-            )
-            for model in self.models
-        }
-        return EngineView(name, Holdings(0, models))
-
-
-TARGETS = st.tuples(
-    st.sampled_from(MODELS),
-    st.sampled_from(['', 'a1', 'a2', 'a3']),
-)
-
-
-@settings(max_examples=60, derandomize=True, deadline=None)
-@given(
-    st.lists(
-        st.tuples(
-            st.dictionaries(TARGETS, st.integers(1, 4), max_size=4),
-            st.dictionaries(st.sampled_from(MODELS), st.floats(0, 30)),
-        ),
-        max_size=12,
-    ),
-)
-def test_never_past_a_replicas_room(rounds):
-    rooms = {f'e{number}': Room({'m1': 70}, set()) for number in range(3)}
-    for waiting, rates in rounds:
-        views = [room.view(name) for name, room in rooms.items()]
-        demand = attrs.evolve(ask(**rates), waiting=waiting)
-        for order in plan_orders(views, SPEC, demand, store_loads=2):
-            rooms[order.replica].take(order)
--- a/bramleybeam/simulation/__init__.py
+++ b/bramleybeam/simulation/__init__.py
@@ -11,9 +11,10 @@
     draw_arrivals,
 )
 from bramleybeam.simulation._day import play_day
-from bramleybeam.simulation._engine import EngineModel, Run
+from bramleybeam.simulation._engine import EngineModel
 from bramleybeam.simulation._loop import run_in_virtual_time
 from bramleybeam.simulation._results import DayResult, Served
+from bramleybeam.simulation._run import Run
 from bramleybeam.simulation._sites import SITES
 
 __all__ = [
--- a/bramleybeam/simulation/_callers.py
+++ b/bramleybeam/simulation/_callers.py
@@ -19,8 +19,9 @@
 from bramleybeam.limits import is_patient, quiet_limit
 from bramleybeam.relay import CallerConnection, InboundRequest
 from bramleybeam.simulation._arrivals import Arrival, RequestClass
-from bramleybeam.simulation._engine import EngineModel, Run
+from bramleybeam.simulation._engine import EngineModel
 from bramleybeam.simulation._results import Served
+from bramleybeam.simulation._run import Run
 
 # Part of a caller's time for which it waits before it comes back.
 _RETURN_SHARE: Final = 1 / 3
--- a/bramleybeam/simulation/_engine.py
+++ b/bramleybeam/simulation/_engine.py
@@ -5,8 +5,6 @@
 from collections.abc import Callable, Coroutine
 from typing import Any, Final
 
-import attrs
-
 from bramleybeam.catalog import EngineSpec, Holdings
 from bramleybeam.orders import (
     LoadAdapter,
@@ -16,6 +14,7 @@
     UnloadAdapter,
     UnloadModel,
 )
+from bramleybeam.simulation._run import Run
 from bramleybeam.simulation._weight_store import WeightStore
 
 # Time of a step with an empty batch, and more for each request in it
@@ -31,34 +30,6 @@
 _DISK_MODELS: Final = 6
 
 
-@attrs.define(eq=False)
-class Run:
-    """A request at an engine; moments are in loop seconds.
-
-    ``parts`` are the prompt's pieces as (name, tokens); ``longest_gap_s`` is
-    the longest time between two of its events.
-    """
-
-    target: Target
-    parts: tuple[tuple[str, int], ...]
-    output_tokens: int
-    urgency: int = 5
-    on_first: Callable[[], None] = attrs.field(default=lambda: None)
-    unread: int = 0
-    made: int = 0
-    first_at: float = 0
-    last_at: float = 0
-    longest_gap_s: float = 0
-    ended: asyncio.Future[bool] = attrs.field(
-        factory=lambda: asyncio.get_running_loop().create_future()
-    )
-
-    @property
-    def tokens(self) -> int:
-        """Tokens that it occupies in memory at most."""
-        return sum(count for _, count in self.parts) + self.output_tokens
-
-
 class EngineModel:
     """Serves runs in a batch, and carries out one model order at a time."""
 
@@ -122,7 +93,7 @@
         for runs in (self._queue, self._batch):
             if run in runs:
                 runs.remove(run)
-        _end(run, is_whole=False)
+        run.end(is_whole=False)
 
     def give(self, order: ModelOrder, expected: int) -> bool:
         """Take an order, or refuse it when it comes at the wrong time."""
@@ -156,7 +127,7 @@
             task.cancel()
         dropped = [*self._queue, *self._batch]
         for run in dropped:
-            _end(run, is_whole=False)
+            run.end(is_whole=False)
         self._queue.clear()
         self._batch.clear()
         self._cached.clear()
@@ -232,7 +203,7 @@
             run.last_at = now
         if run.made >= run.output_tokens:
             self._batch.remove(run)
-            _end(run, is_whole=True)
+            run.end(is_whole=True)
 
     async def _load(self, model: str) -> None:
         known = self._spec.models[model]
@@ -295,8 +266,3 @@
 
 def _urgency_of(run: Run) -> int:
     return run.urgency
-
-
-def _end(run: Run, *, is_whole: bool) -> None:
-    if not run.ended.done():
-        run.ended.set_result(is_whole)
--- a/bramleybeam/standins/__init__.py
+++ b/bramleybeam/standins/__init__.py
@@ -6,8 +6,9 @@
 """
 
 from bramleybeam.standins._answers import answer_tokens, prompt_of
-from bramleybeam.standins._engine import EngineSettings, EngineStandIn
+from bramleybeam.standins._engine import EngineStandIn
 from bramleybeam.standins._engine_http import make_engine_app
+from bramleybeam.standins._engine_parts import EngineSettings
 from bramleybeam.standins._hosts import HostListStandIn, HostRecord
 from bramleybeam.standins._keyvalue import KeyValueStandIn
 from bramleybeam.standins._ledger import LedgerStandIn
--- a/bramleybeam/standins/__main__.py
+++ b/bramleybeam/standins/__main__.py
@@ -8,8 +8,9 @@
 import click
 from blacksheep import Application
 
-from bramleybeam.standins._engine import EngineSettings, EngineStandIn
+from bramleybeam.standins._engine import EngineStandIn
 from bramleybeam.standins._engine_http import make_engine_app
+from bramleybeam.standins._engine_parts import EngineSettings
 from bramleybeam.standins._hosts import HostListStandIn
 from bramleybeam.standins._keyvalue import KeyValueStandIn
 from bramleybeam.standins._ledger import LedgerStandIn
--- a/bramleybeam/standins/_engine_http.py
+++ b/bramleybeam/standins/_engine_http.py
@@ -9,12 +9,8 @@
 from blacksheep import Application, Request, Response, StreamedContent
 
 from bramleybeam.standins._answers import prompt_of
-from bramleybeam.standins._engine import (
-    Artifact,
-    EngineStandIn,
-    OrderRefused,
-    Sequence,
-)
+from bramleybeam.standins._engine import EngineStandIn
+from bramleybeam.standins._engine_parts import Artifact, OrderRefused, Sequence
 from bramleybeam.web import add_route, json_response, make_app, read_json
 
 
