--- a/bramleybeam/operators/_client.py
+++ b/bramleybeam/operators/_client.py
@@ -21,6 +21,7 @@
 EXIT_BAD_INPUT: Final = 2
 EXIT_CONFLICT: Final = 3
 EXIT_UNAVAILABLE: Final = 4
+EXIT_NOT_FOUND: Final = 5
 _TIMEOUT_S: Final = 5.0
 _HTTP_ERROR: Final = 400
 JSON_OPTION = click.option(
--- a/bramleybeam/operators/_commands.py
+++ b/bramleybeam/operators/_commands.py
@@ -24,7 +24,13 @@
     run_with_store,
     unwrap,
 )
-from bramleybeam.operators._queries import explain, reference, report, status
+from bramleybeam.operators._queries import (
+    explain,
+    reference,
+    report,
+    status,
+    trace,
+)
 from bramleybeam.operators._tables import format_table
 
 
@@ -164,3 +170,4 @@
 ctl.add_command(explain)
 ctl.add_command(report)
 ctl.add_command(reference)
+ctl.add_command(trace)
--- a/bramleybeam/operators/_queries.py
+++ b/bramleybeam/operators/_queries.py
@@ -9,6 +9,7 @@
 
 from bramleybeam.keyvalue.http import HttpKeyValue
 from bramleybeam.operators._client import (
+    EXIT_NOT_FOUND,
     EXIT_UNAVAILABLE,
     JSON_OPTION,
     ask_entry,
@@ -24,6 +25,11 @@
     report_page,
 )
 from bramleybeam.operators._tables import format_table
+from bramleybeam.operators._trace import (
+    TraceLine,
+    parse_lines,
+    trace_request,
+)
 
 
 @click.command()
@@ -53,6 +59,43 @@
         click.echo(format_table(('FIELD', 'VALUE'), rows))
 
 
+@click.command()
+@click.argument('request_id')
+@click.argument(
+    'logs',
+    nargs=-1,
+    required=True,
+    type=click.Path(exists=True, dir_okay=False, path_type=Path),
+)
+@JSON_OPTION
+def trace(
+    request_id: str,
+    logs: tuple[Path, ...],
+    as_json: bool,  # noqa: FBT001
+) -> None:
+    """Show from log files what became of a request, and what explains it."""
+    lines: list[TraceLine] = []
+    for path in logs:
+        with path.open(errors='replace') as texts:
+            lines.extend(parse_lines(texts))
+    found = trace_request(lines, request_id)
+    if not found:
+        fail(f'No line of these logs names {request_id}.', EXIT_NOT_FOUND)
+    rows = [
+        (
+            line.moment.isoformat(timespec='milliseconds'),
+            line.process,
+            line.event,
+            json.dumps(line.details),
+        )
+        for line in found
+    ]
+    if as_json:
+        click.echo(json.dumps(rows))
+        return
+    click.echo(format_table(('TIME', 'PROCESS', 'LINE', 'TELLS'), rows))
+
+
 @click.command()
 @click.option('--from', 'begin', type=click.DateTime(), required=True)
 @click.option('--to', 'end', type=click.DateTime(), required=True)
--- a/bramleybeam/simulation/__init__.py
+++ b/bramleybeam/simulation/__init__.py
@@ -12,7 +12,7 @@
 )
 from bramleybeam.simulation._day import play_day
 from bramleybeam.simulation._engine import EngineModel
-from bramleybeam.simulation._loop import run_in_virtual_time
+from bramleybeam.simulation._loop import VirtualLoop, run_in_virtual_time
 from bramleybeam.simulation._results import DayResult, Served
 from bramleybeam.simulation._run import Run
 from bramleybeam.simulation._sites import SITES
@@ -26,6 +26,7 @@
     'RequestClass',
     'Run',
     'Served',
+    'VirtualLoop',
     'draw_arrivals',
     'play_day',
     'run_in_virtual_time',
--- a/bramleybeam/simulation/_loop.py
+++ b/bramleybeam/simulation/_loop.py
@@ -2,51 +2,42 @@
 
 import asyncio
 import selectors
-from collections.abc import Coroutine, Mapping
+from collections.abc import Coroutine
 from typing import Any, TypeVar
 
 _Result = TypeVar('_Result')
 
 
-class _JumpingSelector(selectors.BaseSelector):
-    """Watches nothing; the time that it would wait passes at once."""
+class _JumpingSelector(selectors.DefaultSelector):
+    """Watches files, but the time that it would wait passes at once."""
 
     def __init__(self) -> None:
+        super().__init__()
         self.now = 0.0
-        self._keys: dict[Any, selectors.SelectorKey] = {}
-
-    def register(
-        self,
-        fileobj: Any,
-        events: int,
-        data: Any = None,
-    ) -> selectors.SelectorKey:
-        key = selectors.SelectorKey(fileobj, 0, events, data)
-        self._keys[fileobj] = key
-        return key
-
-    def unregister(self, fileobj: Any) -> selectors.SelectorKey:
-        return self._keys.pop(fileobj)
 
     def select(
         self,
         timeout: float | None = None,
     ) -> list[tuple[selectors.SelectorKey, int]]:
+        ready = super().select(0)
+        if ready:
+            return ready
         if timeout is None:
             raise RuntimeError('Everything waits and no timer is set.')
         self.now += max(0, timeout)
-        return []
+        return ready
 
-    def get_map(self) -> Mapping[Any, selectors.SelectorKey]:
-        return self._keys
 
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """Sleeps take no time; ``time`` moves on by what they would take."""
 
-class _VirtualTimeLoop(asyncio.SelectorEventLoop):
     def __init__(self) -> None:
+        """Start at second 0."""
         self._jumping = _JumpingSelector()
         super().__init__(self._jumping)
 
     def time(self) -> float:
+        """Return the virtual time, in seconds."""
         return self._jumping.now
 
 
@@ -55,5 +46,5 @@
 
     Raises ``RuntimeError`` when everything waits and no timer is set.
     """
-    with asyncio.Runner(loop_factory=_VirtualTimeLoop) as runner:
+    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
         return runner.run(work)
--- a/tests/test_memory_machine.py
+++ b/tests/test_memory_machine.py
@@ -33,7 +33,7 @@
 )
 from bramleybeam.documents import Model
 from bramleybeam.messages import ArtifactState, Order, Report
-from tests.virtual_time import VirtualLoop
+from bramleybeam.simulation import VirtualLoop
 
 CAPACITY_MB = 100
 LOAD_S = 0.4
