--- a/bramleybeam/gateway/tests/test_ledger.py
+++ b/bramleybeam/gateway/tests/test_ledger.py
@@ -96,3 +96,19 @@
 def test_entry_that_shows_another_hand_is_looked_into(ledger):
     ledger.see_entry(make_replica('m1', 'm9'), 12)
     assert ledger.check_at == 12
+
+
+@pytest.mark.parametrize(
+    ('order', 'expected'),
+    [
+        (LoadModel('e1', 'm2'), 'm2'),
+        (UnloadModel('e1', 'm1', 'm3'), 'm3'),
+        (UnloadModel('e1', 'm1'), ''),
+        (LoadAdapter('e1', 'm1', 'a2'), ''),
+    ],
+)
+def test_order_on_its_way_counts_as_coming(ledger, order, expected):
+    assert not ledger.expected
+    ledger.giving = order
+    assert ledger.expected == expected
+    assert not ledger.is_open
