--- a/bramleybeam/orders/_balance.py
+++ b/bramleybeam/orders/_balance.py
@@ -6,7 +6,7 @@
 that a replica spends on reading prompts slows everything that it runs.
 """
 
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Callable, Collection, Mapping
 from typing import Final
 
 import attrs
@@ -26,9 +26,6 @@
 # Times that each model's demand is spread anew beside the others'.
 _ROUNDS: Final = 2
 
-# The replicas that hold each busy model.
-_Holders = dict[str, tuple[str, ...]]
-
 
 @attrs.frozen
 class Copy:
@@ -38,11 +35,33 @@
     replica: str
 
 
+@attrs.define
+class _Busyness:
+    """A replica's share of time for prompts, and its requests a second."""
+
+    share: float = 0
+    rate: float = 0
+
+    @property
+    def late(self) -> float:
+        return self.rate * late_share(self.share)
+
+
+@attrs.frozen
+class _Change:
+    """How a change of copies spreads the demand, and how many are late."""
+
+    late: float
+    replicas: Mapping[str, _Busyness]
+    parts: Mapping[str, list[tuple[str, float]]]
+
+
 class LoadBalance:
     """The demand for busy models, spread over the replicas that hold them.
 
     ``holders`` names the replicas of each model; shares are of a replica's
-    time, counts are of requests a second.
+    time, counts are of requests a second. A change of copies spreads only the
+    models anew that it concerns, and those beside them at the same replica.
     """
 
     def __init__(
@@ -57,44 +76,113 @@
             if one.tokens >= _NOTICED_SHARE * PREFILL_TOKENS_PER_S
         }
         self._rates = {model: demand.of(model).rate for model in self._shares}
+        self._replicas: dict[str, _Busyness] = {}
+        self._parts: dict[str, list[tuple[str, float]]] = {}
         self._holders = {
             model: tuple(holders.get(model, ())) for model in self._shares
         }
-        self._known: dict[tuple[Copy | None, Copy | None], float] = {}
-        self.late = self._count_late(self._holders)
+        self._models_at: dict[str, list[str]] = {}
+        for model, names in self._holders.items():
+            for name in names:
+                self._models_at.setdefault(name, []).append(model)
+        self.late = sum(self._missing(model) for model in self._shares)
+        for _ in range(_ROUNDS):
+            for model in self._shares:
+                self._take_over(self._spread_anew(self._holders, (model,)))
 
     def late_without(self, removed: Copy) -> float:
         """Return how many are late after a copy is removed.
 
         Requests of a model that has no copy left count several times.
         """
-        return self._late_after(None, removed)
+        return self._try(None, removed).late
 
     def late_with(self, added: Copy, removed: Copy | None = None) -> float:
         """Return how many are late after a copy is added, one removed."""
-        return self._late_after(added, removed)
+        return self._try(added, removed).late
 
     def apply(self, added: Copy, removed: Copy | None = None) -> None:
         """Count a copy as added, and one as removed, from now on."""
+        self._take_over(self._try(added, removed))
         self._holders = self._changed(added, removed)
-        self._known.clear()
-        self.late = self._count_late(self._holders)
 
     def is_busy(self, model: str) -> bool:
         """Whether there is enough demand for a model to be noticed."""
         return model in self._shares
 
-    def _late_after(self, added: Copy | None, removed: Copy | None) -> float:
-        if added is not None and not self.is_busy(added.model):
-            added = None
-        if removed is not None and not self.is_busy(removed.model):
-            removed = None
-        change = (added, removed)
-        if change not in self._known:
-            self._known[change] = self._count_late(self._changed(*change))
-        return self._known[change]
-
-    def _changed(self, added: Copy | None, removed: Copy | None) -> _Holders:
+    def late_of(self, model: str) -> float:
+        """Return how many requests of a busy model are late."""
+        scale = self._rates[model] / self._shares[model]
+        return scale * sum(
+            part * late_share(self._replicas[name].share)
+            for name, part in self._parts[model]
+        )
+
+    def share_of(self, replica: str) -> float:
+        """Return the share of a replica's time that prompts take."""
+        found = self._replicas.get(replica)
+        return found.share if found else 0
+
+    def _try(self, added: Copy | None, removed: Copy | None) -> _Change:
+        copies = [
+            copy
+            for copy in (removed, added)
+            if copy is not None and self.is_busy(copy.model)
+        ]
+        if not copies:
+            return _Change(self.late, {}, {})
+        # Those beside the copies go first, since they may make way for them.
+        models = dict.fromkeys(
+            model
+            for copy in copies
+            for model in self._models_at.get(copy.replica, ())
+        )
+        for copy in copies:
+            models.pop(copy.model, None)
+            models[copy.model] = None
+        return self._spread_anew(self._changed(added, removed), tuple(models))
+
+    def _spread_anew(
+        self,
+        holders: Mapping[str, Collection[str]],
+        models: Collection[str],
+    ) -> _Change:
+        """Spread some models' demand beside that of all others."""
+        draft = _Draft(self._replicas)
+        parts = {model: self._parts.get(model, []) for model in models}
+        for model in (*models, *models):
+            per_share = self._rates[model] / self._shares[model]
+            for name, part in parts[model]:
+                draft.add(name, -part, -part * per_share)
+            parts[model] = _spread(
+                self._shares[model], holders[model], draft.share_of
+            )
+            for name, part in parts[model]:
+                draft.add(name, part, part * per_share)
+        late = self.late + sum(
+            self._missing_weight(model) * (not parts[model])
+            - self._missing(model)
+            for model in models
+        )
+        return _Change(late + draft.late_change(), draft.replicas, parts)
+
+    def _take_over(self, change: _Change) -> None:
+        self.late = change.late
+        self._replicas.update(change.replicas)
+        self._parts.update(change.parts)
+
+    def _missing(self, model: str) -> float:
+        """Return what a model adds to the late ones while it has no copy."""
+        return 0 if self._parts.get(model) else self._missing_weight(model)
+
+    def _missing_weight(self, model: str) -> float:
+        return self._rates[model] * _MISSING_WEIGHT
+
+    def _changed(
+        self,
+        added: Copy | None,
+        removed: Copy | None,
+    ) -> dict[str, tuple[str, ...]]:
         holders = dict(self._holders)
         if added is not None and added.model in holders:
             holders[added.model] = (*holders[added.model], added.replica)
@@ -106,46 +194,48 @@
             )
         return holders
 
-    def _count_late(self, holders: _Holders) -> float:
-        levels: dict[str, float] = {}
-        parts: dict[str, list[tuple[str, float]]] = {}
-        for _ in range(_ROUNDS):
-            for model, names in holders.items():
-                for name, part in parts.get(model, ()):
-                    levels[name] -= part
-                parts[model] = _spread(self._shares[model], names, levels)
-                for name, part in parts[model]:
-                    levels[name] = levels.get(name, 0) + part
-        return sum(
-            self._rates[model] / self._shares[model] * _late_part(rows, levels)
-            if rows
-            else self._rates[model] * _MISSING_WEIGHT
-            for model, rows in parts.items()
-        )
 
+class _Draft:
+    """Replicas as a change would leave them; the others stay as they are."""
+
+    def __init__(self, base: Mapping[str, _Busyness]) -> None:
+        self.replicas: dict[str, _Busyness] = {}
+        self._base = base
+
+    def add(self, name: str, share: float, rate: float) -> None:
+        known = self.replicas.get(name)
+        if known is None:
+            before = self._base.get(name, _Busyness())
+            known = _Busyness(before.share, before.rate)
+            self.replicas[name] = known
+        known.share += share
+        known.rate += rate
 
-def _late_part(
-    rows: Iterable[tuple[str, float]],
-    levels: Mapping[str, float],
-) -> float:
-    """Return the part of a demand that is late, as a share of a replica."""
-    return sum(part * late_share(levels[name]) for name, part in rows)
+    def share_of(self, name: str) -> float:
+        found = self.replicas.get(name) or self._base.get(name)
+        return found.share if found else 0
+
+    def late_change(self) -> float:
+        return sum(
+            changed.late - self._base.get(name, _Busyness()).late
+            for name, changed in self.replicas.items()
+        )
 
 
 def late_share(busy: float) -> float:
     """Return the late part of the requests of a replica that is so busy."""
-    return min(1, (busy / _ALL_LATE_SHARE) ** _LATE_POWER)
+    return min(1, max(0, busy / _ALL_LATE_SHARE) ** _LATE_POWER)
 
 
 def _spread(
     amount: float,
     names: Collection[str],
-    levels: Mapping[str, float],
+    share_of: Callable[[str], float],
 ) -> list[tuple[str, float]]:
     """Pour an amount over replicas so that the lowest fill up first."""
     if len(names) == 1:
         return [(name, amount) for name in names]
-    ordered = sorted((levels.get(name, 0), name) for name in names)
+    ordered = sorted((share_of(name), name) for name in names)
     poured = 0.0
     level = 0.0
     for count, (height, _) in enumerate(ordered):
--- a/bramleybeam/orders/_costs.py
+++ b/bramleybeam/orders/_costs.py
@@ -8,6 +8,7 @@
 requests ask for, and that a disk can bring back in time.
 """
 
+from collections import Counter
 from collections.abc import Iterable, Sequence
 from typing import Final
 
@@ -17,6 +18,8 @@
 
 # Share of a replica's slots from which its requests slow each other down.
 _CROWDED_SHARE: Final = 0.4
+# Share of a crowded replica's requests that another copy helps.
+_RELIEVED_SHARE: Final = 0.3
 # Share of the requests waiting for a model that each second of its load
 # makes late.
 _WAITING_LATE_PER_S: Final = 0.5
@@ -65,8 +68,8 @@
         self.copies = {model: len(names) for model, names in holders.items()}
         self.balance = LoadBalance(demand, holders)
         self.waiting = demand.waiting_by_model()
-        self._engines = engines
         self._spec = spec
+        self._crowded = _count_crowded(engines, spec)
         self._demand = demand
         self._at_hand = {
             model
@@ -87,19 +90,16 @@
         """Return the requests expected within the horizon."""
         return self._rate(model) * HORIZON_S
 
-    def count_crowded(self, model: str) -> int:
-        """Count a model's requests at crowded replicas, if it isn't coming."""
-        if any(
-            model in {engine.loading, engine.successor}
-            for engine in self._engines
-        ):
-            return 0
-        crowd = self._spec.slots * _CROWDED_SHARE
-        return sum(
-            engine.runs_of(model)
-            for engine in self._engines
-            if engine.runs >= crowd
-        )
+    def relief(self, model: str) -> float:
+        """Return the requests at crowded replicas that a copy would help."""
+        return self._crowded.get(model, 0) * _RELIEVED_SHARE
+
+    def late_ahead(self, model: str) -> float:
+        """Return the requests of a model that are late within the horizon."""
+        relief = self.relief(model)
+        if not self.balance.is_busy(model):
+            return relief
+        return max(relief, self.balance.late_of(model) * HORIZON_S)
 
     def load_time(self, engine: EngineView, model: str) -> float:
         """Return the seconds of a load, from where the weights are."""
@@ -187,6 +187,23 @@
     return holders
 
 
+def _count_crowded(
+    engines: Iterable[EngineView],
+    spec: EngineSpec,
+) -> dict[str, int]:
+    """Count requests at crowded replicas by model, if it isn't coming."""
+    counts: Counter[str] = Counter()
+    coming = set()
+    for engine in engines:
+        coming |= {engine.loading, engine.successor}
+        if engine.runs >= spec.slots * _CROWDED_SHARE:
+            for (model, _), count in engine.running.items():
+                counts[model] += count
+    return {
+        model: count for model, count in counts.items() if model not in coming
+    }
+
+
 def unload_time(engine: EngineView, victim: str) -> float:
     """Return the seconds until a model has left, 0 when there is none."""
     if not victim:
--- a/bramleybeam/orders/_models.py
+++ b/bramleybeam/orders/_models.py
@@ -31,10 +31,13 @@
 )
 from bramleybeam.orders._ranking import most_first
 
-# Share of a crowded replica's requests that another copy helps.
-_RELIEVED_SHARE: Final = 0.3
 # Share of the replicas that may be loading for patient requests at a time.
 _PATIENT_SHARE: Final = 0.5
+# Bounds of one round of planning, so that it doesn't hold the loop: models
+# that may get a copy, models that are brought in, replicas weighed for each.
+_MOST_COPIES: Final = 8
+_MOST_WANTS: Final = 16
+_MOST_ENGINES: Final = 9
 # Loss, in requests, that another copy of a busy model is worth at least.
 _COPY_GAIN_FLOOR: Final = 0.5
 
@@ -111,7 +114,7 @@
             return
         wants = self._list_wants()
         gains = {model: want.gain for model, want in wants.items()}
-        for model in most_first(gains):
+        for model in most_first(gains)[:_MOST_WANTS]:
             if self._may_begin(model):
                 self._bring_in(model, wants[model].most_cost)
 
@@ -122,19 +125,28 @@
             for model, count in self._costs.waiting.items()
             if model in self._spec.models and not copies.get(model)
         }
-        for model in self._demand.models:
-            if model in self._spec.models and copies.get(model):
-                want = self._weigh_copy(model)
-                if want is not None:
-                    wants[model] = want
+        for model in self._list_crowded():
+            want = self._weigh_copy(model)
+            if want is not None:
+                wants[model] = want
         return wants
 
+    def _list_crowded(self) -> list[str]:
+        """Name the models whose requests another copy may help most."""
+        late = {
+            model: self._costs.late_ahead(model)
+            for model in self._demand.models
+            if model in self._spec.models and self._costs.copies.get(model)
+        }
+        return [
+            model
+            for model in most_first(late)[:_MOST_COPIES]
+            if late[model] > _COPY_GAIN_FLOOR
+        ]
+
     def _weigh_copy(self, model: str) -> _Want | None:
         """Tell what another copy saves, if that is more than it costs."""
-        balance = self._costs.balance
-        relief = self._costs.count_crowded(model) * _RELIEVED_SHARE
-        if relief <= _COPY_GAIN_FLOOR and not balance.is_busy(model):
-            return None
+        relief = self._costs.relief(model)
         most_cost = relief - _COPY_GAIN_FLOOR
         best = self._best_choice(model)
         if best is None or best.cost >= most_cost:
@@ -174,7 +186,7 @@
         for only_idle in (True, False):
             choices = [
                 choice
-                for engine in self._engines
+                for engine in self._list_engines(model)
                 for choice in self._choices(engine, model, only_idle=only_idle)
             ]
             if choices:
@@ -183,6 +195,30 @@
                 break
         return None
 
+    def _list_engines(self, model: str) -> list[EngineView]:
+        """Return the replicas that are weighed: open, at hand, least busy."""
+        able = [
+            engine
+            for engine in self._engines
+            if engine.is_reachable
+            and engine.name not in self._ordered
+            and model not in engine.holdings.models
+            and model != engine.successor
+        ]
+        if len(able) <= _MOST_ENGINES:
+            return able
+        ranks = {
+            engine.name: (
+                not engine.is_open,
+                not is_at_hand(engine.holdings, model),
+                self._costs.balance.share_of(engine.name),
+                engine.name,
+            )
+            for engine in able
+        }
+        best = set(sorted(ranks, key=ranks.__getitem__)[:_MOST_ENGINES])
+        return [engine for engine in able if engine.name in best]
+
     def _choices(
         self,
         engine: EngineView,
@@ -190,10 +226,6 @@
         *,
         only_idle: bool,
     ) -> Iterable[_Choice]:
-        if not engine.is_reachable or engine.name in self._ordered:
-            return
-        if model in engine.holdings.models or model == engine.successor:
-            return
         if not self._may_load(engine, model):
             return
         victims = self._victims(engine, model, only_idle=only_idle)
--- a/bramleybeam/orders/tests/test_balance.py
+++ b/bramleybeam/orders/tests/test_balance.py
@@ -1,14 +1,18 @@
 """The spread of demand over copies, and what is late for it."""
 
+import attrs
 import pytest
 
-from bramleybeam.orders import Demand, ModelDemand
+from bramleybeam.catalog import ModelSpec
+from bramleybeam.orders import Demand, ModelDemand, plan_orders
 from bramleybeam.orders._balance import (
     PREFILL_TOKENS_PER_S,
     Copy,
     LoadBalance,
     late_share,
 )
+from bramleybeam.orders._costs import SwapCosts
+from bramleybeam.orders.tests.placement import SPEC, make_engine
 
 
 def ask(**shares):
@@ -80,3 +84,31 @@
     balance.apply(Copy('m1', 'e2'))
     assert balance.late == expected
     assert balance.late_without(Copy('m1', 'e2')) > expected
+
+
+@pytest.mark.parametrize(('replicas', 'models'), [(9, 34), (120, 200)])
+def test_a_round_weighs_a_bounded_number_of_swaps(
+    monkeypatch, replicas, models
+):
+    weighed = []
+    real = SwapCosts.swap_cost
+
+    def count(costs, *swap):
+        weighed.append(swap)
+        return real(costs, *swap)
+
+    monkeypatch.setattr(SwapCosts, 'swap_cost', count)
+    names = [f'm{number}' for number in range(models)]
+    spec = attrs.evolve(
+        SPEC, models={name: ModelSpec(name, 70, 2, 1, 1) for name in names}
+    )
+    engines = [
+        make_engine(f'e{number}', names[number % 9], *names[9 + number :][:2])
+        for number in range(replicas)
+    ]
+    demand = attrs.evolve(
+        ask(**dict.fromkeys(names[:9], 0.6)),
+        waiting={(name, ''): 1 for name in names[-20:]},
+    )
+    assert plan_orders(engines, spec, demand, 3)
+    assert len(weighed) <= 2 * (8 + 16) * 9 * 3
