--- a/bramleybeam/orders/tests/test_balance.py
+++ b/bramleybeam/orders/tests/test_balance.py
@@ -103,7 +103,9 @@
         SPEC, models={name: ModelSpec(name, 70, 2, 1, 1) for name in names}
     )
     engines = [
-        make_engine(f'e{number}', names[number % 9], *names[9 + number :][:2])
+        make_engine(
+            f'e{number}', names[number % 9], *names[9 + number : 11 + number]
+        )
         for number in range(replicas)
     ]
     demand = attrs.evolve(
