--- a/bramleybeam/simulation/_day.py
+++ b/bramleybeam/simulation/_day.py
@@ -2,8 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Coroutine
-from typing import Any, Final
+from typing import Final
 
 import attrs
 
@@ -25,10 +24,10 @@
 from bramleybeam.simulation._orders import EngineOrders, SingleLease
 from bramleybeam.simulation._results import DayResult
 from bramleybeam.simulation._weight_store import WeightStore
+from bramleybeam.timers import Nudge, TaskSet
 
 _SERVICE: Final = 'engines'
 _PLAN_S: Final = 0.05
-_NUDGE_S: Final = 0.01
 # Time until the gateway hears of what a replica holds now.
 _ENTRY_LAG_S: Final = 0.08
 _TELL_VALID_S: Final = 2.5
@@ -47,8 +46,8 @@
         self._engines: dict[str, EngineModel] = {}
         self._store = WeightStore(spec.store_at_once)
         self._service = Service(_SERVICE, '/', 100, spec.engine)
-        self._tasks: set[asyncio.Task[None]] = set()
-        self._is_planning_soon = False
+        self._tasks = TaskSet()
+        self._nudge = Nudge(self._plan_now)
 
     async def play(self, factor: float) -> DayResult:
         loop = asyncio.get_running_loop()
@@ -67,10 +66,10 @@
             OrderTimes(0, loop.time),
             lambda: None,
         )
-        self._knowledge.demand.on_want.append(self._plan_soon)
-        self._knowledge.directory.on_change.append(self._plan_soon)
-        self._spawn(self._keep_planning())
-        self._spawn(self._lose_replicas())
+        self._knowledge.demand.on_want.append(self._nudge.fire)
+        self._knowledge.directory.on_change.append(self._nudge.fire)
+        planning = asyncio.ensure_future(self._keep_planning())
+        self._tasks.spawn(self._lose_replicas())
         arrivals = draw_arrivals(self._spec, self._seed, factor)
         await asyncio.sleep(_LEAD_S)
         requests = []
@@ -79,8 +78,10 @@
             requests.append(asyncio.ensure_future(self._callers.call(arrival)))
         await asyncio.gather(*requests)
         await self._planner.close()
-        for task in tuple(self._tasks):
-            task.cancel()
+        if planning.done():
+            planning.result()
+        planning.cancel()
+        await self._tasks.close()
         for engine in self._engines.values():
             engine.raise_fault()
         return DayResult(
@@ -100,12 +101,9 @@
         )
         directory.is_listed = True
         for name, engine in self._engines.items():
-            engine.on_change = self._make_teller(name)
+            engine.on_change = _Teller(self, name)
             self._tell(name)
 
-    def _make_teller(self, name: str) -> '_Teller':
-        return _Teller(self, name)
-
     def _tell(self, name: str, started_ms: int = 1) -> None:
         engine = self._engines[name]
         directory = self._knowledge.directory
@@ -149,19 +147,8 @@
         elif not self._knowledge.directory.hears_planner():
             self._planner.has_news = True
 
-    def _plan_soon(self) -> None:
-        if not self._is_planning_soon:
-            self._is_planning_soon = True
-            asyncio.get_running_loop().call_later(_NUDGE_S, self._plan_now)
-
     def _plan_now(self) -> None:
-        self._is_planning_soon = False
-        self._spawn(self._plan())
-
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.ensure_future(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._tasks.spawn(self._plan())
 
 
 @attrs.frozen
