--- a/bramleybeam/simulation/_day.py
+++ b/bramleybeam/simulation/_day.py
@@ -77,16 +77,20 @@
             await asyncio.sleep(max(0, arrival.moment + _LEAD_S - loop.time()))
             requests.append(asyncio.ensure_future(self._callers.call(arrival)))
         await asyncio.gather(*requests)
-        await self._planner.close()
+        await self._finish(planning)
+        return DayResult(
+            tuple(self._callers.served), self._store.loads, giver.orders
+        )
+
+    async def _finish(self, planning: asyncio.Future[None]) -> None:
+        """End the background work; raise what went wrong in it."""
         if planning.done():
             planning.result()
         planning.cancel()
+        await self._planner.close()
         await self._tasks.close()
         for engine in self._engines.values():
             engine.raise_fault()
-        return DayResult(
-            tuple(self._callers.served), self._store.loads, giver.orders
-        )
 
     def _start_engines(self) -> None:
         spec = self._spec
