--- a/bramleybeam/gateway/_ledger.py
+++ b/bramleybeam/gateway/_ledger.py
@@ -21,6 +21,8 @@
 
 # Time in which an adapter has arrived at most replicas.
 _ADAPTER_ARRIVAL_S: Final = 0.04
+# Time after its expected end at which an order counts as late.
+_LATE_S: Final = 1.0
 # Time after which a model order that shows no effect is looked into.
 _ORDER_PATIENCE_S: Final = 4.0
 
@@ -56,6 +58,15 @@
         coming = coming_model(self.giving) if self.giving else ''
         return coming or self.loading or self.successor
 
+    def is_late(self, now: float) -> bool:
+        """Whether the replica should have taken its order's effect by now.
+
+        It is also late when it has to be asked, and may not answer.
+        """
+        if self.is_open or self.giving:
+            return False
+        return self.check_at is not None or now > self.coming_at + _LATE_S
+
     def see_entry(self, replica: Replica, now: float) -> None:
         """Take in what the replica wrote of itself."""
         before = self.replica.holdings.models.keys()
--- a/bramleybeam/gateway/_planner.py
+++ b/bramleybeam/gateway/_planner.py
@@ -216,6 +216,7 @@
             ledger.loading,
             ledger.leaving,
             ledger.expected,
+            ledger.is_late(now),
             last_run,
         )
 
--- a/bramleybeam/gateway/tests/test_ledger.py
+++ b/bramleybeam/gateway/tests/test_ledger.py
@@ -112,3 +112,16 @@
     ledger.giving = order
     assert ledger.expected == expected
     assert not ledger.is_open
+
+
+def test_replica_is_late_when_its_order_should_have_ended(ledger):
+    assert not ledger.is_late(10)
+    order = LoadModel('e1', 'm2', takes_s=2)
+    ledger.note_accepted(order, 10, done=False)
+    assert not ledger.is_late(12)
+    assert ledger.is_late(13.5)
+
+
+def test_replica_that_has_to_be_asked_is_late(ledger):
+    ledger.check_at = 10
+    assert ledger.is_late(10)
--- a/bramleybeam/orders/_messages.py
+++ b/bramleybeam/orders/_messages.py
@@ -72,6 +72,7 @@
     given an order now, ``is_reachable`` whether its copies count; ``leaving``
     names the model that is being unloaded, ``loading`` the model that is on
     its way, ``successor`` the one for which room has been or is being made.
+    ``is_late`` is set where a closed replica should have been open by now.
     ``last_run`` tells when targets were last seen to run here, in seconds.
     """
 
@@ -83,8 +84,14 @@
     loading: str = ''
     leaving: str = ''
     successor: str = ''
+    is_late: bool = False
     last_run: Mapping[Target, float] = attrs.field(factory=dict)
 
+    @property
+    def takes_orders_soon(self) -> bool:
+        """Whether it can be given an order now, or in a moment."""
+        return self.is_reachable and not self.is_late
+
     @property
     def adapter_places_used(self) -> int:
         """Adapters that are here or on their way."""
--- a/bramleybeam/orders/_models.py
+++ b/bramleybeam/orders/_models.py
@@ -200,7 +200,7 @@
         able = [
             engine
             for engine in self._engines
-            if engine.is_reachable
+            if engine.takes_orders_soon
             and engine.name not in self._ordered
             and model not in engine.holdings.models
             and model != engine.successor
--- a/bramleybeam/orders/tests/test_plan.py
+++ b/bramleybeam/orders/tests/test_plan.py
@@ -160,6 +160,15 @@
         ask([('m4', '')], m1=20, m2=20, m3=20),
         [LoadAdapter('e2', 'm1', 'a1')],
     ),
+    # One that should have been open by now isn't.
+    (
+        [
+            make_engine('e1', 'm5', is_open=False, is_late=True),
+            make_engine('e2', *FULL),
+        ],
+        ask([('m4', '')], m1=0.1, m2=20, m3=20),
+        [UnloadModel('e2', 'm1', 'm4')],
+    ),
     # Loads for patient requests leave some replicas free for an order.
     (
         [
