--- a/bramleybeam/catalog/_configuration.py
+++ b/bramleybeam/catalog/_configuration.py
@@ -30,8 +30,8 @@
     ``timeout_s`` is the longest time that a request is kept waiting,
     ``objective_s`` the time to the answer, or to its first event, that earns
     full credit. ``longest_gap_s`` is the longest pause between events of a
-    stream that is still on time. Priority 0 is the most urgent. ``attempts`` bounds the
-    replicas that may run one request.
+    stream that is still on time. Priority 0 is the most urgent. ``attempts``
+    bounds the replicas that may run one request.
     """
 
     name: str
@@ -107,7 +107,7 @@
 
 @attrs.frozen
 class RequestLimits:
-    """Bounds of what a caller may send; times in seconds."""
+    """What a caller may send, and how long it may take or stay idle."""
 
     header_bytes: int = 16_384
     body_bytes: int = 4_194_304
--- a/bramleybeam/gateway/__init__.py
+++ b/bramleybeam/gateway/__init__.py
@@ -5,7 +5,6 @@
 from bramleybeam.gateway._daemon import GatewayDaemon
 from bramleybeam.gateway._job import Job, RefusingError
 from bramleybeam.gateway._knowledge import Knowledge, make_knowledge
-from bramleybeam.gateway._loads import Work
 from bramleybeam.gateway._order_times import OrderTimes
 from bramleybeam.gateway._planner import Planner
 
@@ -17,7 +16,6 @@
     'OrderTimes',
     'Planner',
     'RefusingError',
-    'Work',
     'make_knowledge',
     'urgency_of',
 ]
--- a/bramleybeam/gateway/_answers.py
+++ b/bramleybeam/gateway/_answers.py
@@ -70,23 +70,13 @@
     return round(moment - job.received_at, 3) if moment else None
 
 
-def refuse_unplaced(job: Job) -> Refusal:
-    """Refuse a request that may not be sent once more."""
-    if job.runs:
-        return refuse(
-            ErrorKind.UPSTREAM_LOST,
-            execution=Execution.OUTCOME_UNKNOWN,
-        )
-    return refuse(ErrorKind.TARGET_UNREACHABLE, retry_after=_SOON_S)
-
+def refuse_unfinished(job: Job, if_run: ErrorKind) -> Refusal:
+    """Refuse a request that isn't sent again.
 
-def refuse_timeout(job: Job) -> Refusal:
-    """Refuse a request whose time is over."""
+    ``if_run`` is the kind where it may have run, its outcome unknown.
+    """
     if job.runs:
-        return refuse(
-            ErrorKind.DEADLINE_EXCEEDED,
-            execution=Execution.OUTCOME_UNKNOWN,
-        )
+        return refuse(if_run, execution=Execution.OUTCOME_UNKNOWN)
     return refuse(ErrorKind.TARGET_UNREACHABLE, retry_after=_SOON_S)
 
 
--- a/bramleybeam/gateway/_daemon.py
+++ b/bramleybeam/gateway/_daemon.py
@@ -22,7 +22,6 @@
 from bramleybeam.keyvalue import LeaseKeeper
 from bramleybeam.relay import (
     CallerConnection,
-    CallerLimits,
     CallerServer,
     InboundRequest,
 )
@@ -160,13 +159,7 @@
     def _take_limits(self) -> None:
         configuration = self._directory.configuration
         if configuration is not None:
-            limits = configuration.limits
-            self._callers.limits = CallerLimits(
-                limits.header_bytes,
-                limits.body_bytes,
-                limits.header_timeout_s,
-                limits.idle_timeout_s,
-            )
+            self._callers.limits = configuration.limits
 
     def _act(self) -> None:
         """Plan at once, or tell the planner what is wanted."""
--- a/bramleybeam/gateway/_forward.py
+++ b/bramleybeam/gateway/_forward.py
@@ -28,8 +28,7 @@
     describe_outcome,
     failure_of,
     pass_failure,
-    refuse_timeout,
-    refuse_unplaced,
+    refuse_unfinished,
 )
 from bramleybeam.gateway._choose import Chooser
 from bramleybeam.gateway._job import Job, RefusingError
@@ -85,7 +84,8 @@
         except RefusingError as refusing:
             self._refuse(job, refusing.refusal)
         except TimeoutError:
-            self._refuse(job, refuse_timeout(job))
+            refusal = refuse_unfinished(job, ErrorKind.DEADLINE_EXCEEDED)
+            self._refuse(job, refusal)
         except asyncio.CancelledError:
             _log.info('caller_left', request=request_id, sends=job.sends)
             raise
@@ -175,7 +175,9 @@
         while True:
             now = self._directory.now()
             if job.sends and not self._take_repeat(job, now):
-                raise RefusingError(refuse_unplaced(job))
+                raise RefusingError(
+                    refuse_unfinished(job, ErrorKind.UPSTREAM_LOST)
+                )
             replica, work = await self._chooser.choose(job, now)
             outcome = await self._send(job, replica, work)
             if isinstance(outcome, outcomes.Delivered):
--- a/bramleybeam/operators/_trace.py
+++ b/bramleybeam/operators/_trace.py
@@ -79,7 +79,7 @@
     return [
         line
         for line in known
-        if line in own
+        if line.details.get('request') == request_id
         or (
             begin <= line.moment <= end
             and 'request' not in line.details
--- a/bramleybeam/orders/_adapters.py
+++ b/bramleybeam/orders/_adapters.py
@@ -5,11 +5,10 @@
 free; places that would stay empty take adapters of busy models ahead.
 """
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from typing import Final
 
 from bramleybeam.catalog import EngineSpec
-from bramleybeam.orders._costs import find_holders
 from bramleybeam.orders._messages import (
     Demand,
     EngineView,
@@ -36,14 +35,15 @@
         engines: Sequence[EngineView],
         spec: EngineSpec,
         demand: Demand,
+        holders: Mapping[str, Sequence[str]],
     ) -> None:
-        """Store the replicas and what is asked for."""
+        """Store the replicas, what is asked for, and who holds each model."""
         self.orders: list[ModelOrder] = []
         self._engines = engines
         self._spec = spec
         self._demand = demand
         self._taken: set[str] = set()
-        self._holders = find_holders(engines)
+        self._holders = holders
         self._known = _find_adapters(engines)
 
     def place_waiting(self) -> None:
--- a/bramleybeam/orders/_costs.py
+++ b/bramleybeam/orders/_costs.py
@@ -9,7 +9,7 @@
 """
 
 from collections import Counter
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from typing import Final
 
 from bramleybeam.catalog import EngineSpec, Holdings
@@ -62,9 +62,9 @@
         engines: Sequence[EngineView],
         spec: EngineSpec,
         demand: Demand,
+        holders: Mapping[str, Sequence[str]],
     ) -> None:
-        """Count the copies that there are, and spread the demand."""
-        holders = find_holders(engines)
+        """Count the copies that there are, and spread the demand on them."""
         self.copies = {model: len(names) for model, names in holders.items()}
         self.balance = LoadBalance(demand, holders)
         self.waiting = demand.waiting_by_model()
@@ -77,6 +77,11 @@
             for model in engine.holdings.in_memory | engine.holdings.on_disk
         }
 
+    @property
+    def asked_models(self) -> Iterable[str]:
+        """The models that there is demand for."""
+        return self._demand.models
+
     def is_patient(self, model: str) -> bool:
         """Whether only requests that can wait have asked for a model."""
         demand = self._demand.of(model)
--- a/bramleybeam/orders/_models.py
+++ b/bramleybeam/orders/_models.py
@@ -22,7 +22,6 @@
     unload_time,
 )
 from bramleybeam.orders._messages import (
-    Demand,
     EngineView,
     LoadModel,
     ModelOrder,
@@ -73,16 +72,15 @@
         self,
         engines: Sequence[EngineView],
         spec: EngineSpec,
-        demand: Demand,
+        costs: SwapCosts,
         store_loads: int,
     ) -> None:
-        """Price what there is; loads for which room is made are reserved."""
+        """Store what there is; loads for which room is made are reserved."""
         self.orders: list[ModelOrder] = []
         self._engines = engines
         self._spec = spec
-        self._demand = demand
         self._ordered: set[str] = set()
-        self._costs = SwapCosts(engines, spec, demand)
+        self._costs = costs
         self._store_loads = store_loads - sum(
             bool(engine.leaving)
             and not is_at_hand(engine.holdings, engine.successor)
@@ -135,7 +133,7 @@
         """Name the models whose requests another copy may help most."""
         late = {
             model: self._costs.late_ahead(model)
-            for model in self._demand.models
+            for model in self._costs.asked_models
             if model in self._spec.models and self._costs.copies.get(model)
         }
         return [
--- a/bramleybeam/orders/_plan.py
+++ b/bramleybeam/orders/_plan.py
@@ -4,6 +4,7 @@
 
 from bramleybeam.catalog import EngineSpec
 from bramleybeam.orders._adapters import AdapterPlacement
+from bramleybeam.orders._costs import SwapCosts, find_holders
 from bramleybeam.orders._messages import Demand, EngineView, ModelOrder
 from bramleybeam.orders._models import ModelPlacement
 
@@ -20,9 +21,12 @@
     to a replica for the seconds in which it loads a model.
     ``store_loads`` is how many loads from the weight store may begin now.
     """
-    adapters = AdapterPlacement(engines, spec, demand)
+    holders = find_holders(engines)
+    adapters = AdapterPlacement(engines, spec, demand, holders)
     adapters.place_waiting()
-    models = ModelPlacement(engines, spec, demand, store_loads)
+    models = ModelPlacement(
+        engines, spec, SwapCosts(engines, spec, demand, holders), store_loads
+    )
     models.leave_out({order.replica for order in adapters.orders})
     models.finish_swaps()
     models.place()
--- a/bramleybeam/platform/_orders.py
+++ b/bramleybeam/platform/_orders.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 from collections.abc import Mapping
+from contextlib import closing
 from typing import Any, Final
 
 import attrs
@@ -24,7 +25,6 @@
 _MAX_REPORT_BYTES: Final = 1 << 20
 _ACCEPTED: Final = 202
 _ALREADY_HOLDS: Final = 200
-_CONFLICT: Final = 409
 _FENCED: Final = 412
 _OK: Final = 200
 _log = structlog.get_logger('orders')
@@ -129,13 +129,12 @@
         (b'Content-Type', b'application/json'),
         (b'Bramleybeam-Expect-Instance', replica.name.encode()),
     )
-    try:
+    with closing(call):
         async with asyncio.timeout(_ANSWER_TIMEOUT_S):
-            call.send(line + b' HTTP/1.1', headers, body)
-            head = await call.read_head()
-            return head.status, await call.read_body(_MAX_REPORT_BYTES)
-    finally:
-        call.close()
+            head, answer = await call.ask(
+                line + b' HTTP/1.1', headers, body, _MAX_REPORT_BYTES
+            )
+    return head.status, answer
 
 
 def _encode_order(order: ModelOrder) -> Mapping[str, Any]:
--- a/bramleybeam/platform/_requests.py
+++ b/bramleybeam/platform/_requests.py
@@ -140,7 +140,6 @@
     is_misdirected: bool
     is_sealed: bool
     echoed_id: str
-    content_type: str
 
 
 def describe_reply(head: ReplyHead) -> ReplyFacts:
@@ -155,7 +154,6 @@
         is_misdirected=misdirected,
         is_sealed=find_header(headers, _SEAL) is not None,
         echoed_id=echoed,
-        content_type=_text(headers, b'content-type'),
     )
 
 
--- a/bramleybeam/platform/_store.py
+++ b/bramleybeam/platform/_store.py
@@ -212,9 +212,8 @@
         )
         call = await open_call(self._address, _CONNECT_TIMEOUT_S)
         with closing(call):
-            call.send(f'{method} {target} HTTP/1.1'.encode(), headers, body)
-            head = await call.read_head()
-            raw = await call.read_body(_MAX_ANSWER_BYTES)
+            line = f'{method} {target} HTTP/1.1'.encode()
+            head, raw = await call.ask(line, headers, body, _MAX_ANSWER_BYTES)
         is_json = head.status == _OK and raw
         return _Answer(head.status, json.loads(raw) if is_json else None)
 
--- a/bramleybeam/relay/__init__.py
+++ b/bramleybeam/relay/__init__.py
@@ -10,14 +10,12 @@
     end_to_end_headers,
     find_header,
 )
-from bramleybeam.relay._parser import CallerLimits
 from bramleybeam.relay._pool import CallPool
 
 __all__ = [
     'BrokenReplyError',
     'CallPool',
     'CallerConnection',
-    'CallerLimits',
     'CallerServer',
     'Headers',
     'InboundRequest',
--- a/bramleybeam/relay/_call.py
+++ b/bramleybeam/relay/_call.py
@@ -107,6 +107,18 @@
                 raise BrokenReplyError(f'body of more than {limit} bytes')
         return bytes(collected)
 
+    async def ask(
+        self,
+        first_line: bytes,
+        headers: Headers,
+        body: bytes,
+        limit: int,
+    ) -> tuple[ReplyHead, bytes]:
+        """Send a request and return the whole answer to it."""
+        self.send(first_line, headers, body)
+        head = await self.read_head()
+        return head, await self.read_body(limit)
+
     def close(self) -> None:
         """Drop the connection at once; an unfinished run is cancelled."""
         if self._transport is not None:
--- a/bramleybeam/relay/_caller.py
+++ b/bramleybeam/relay/_caller.py
@@ -12,6 +12,7 @@
 
 import structlog
 
+from bramleybeam.catalog import RequestLimits
 from bramleybeam.relay._messages import (
     Headers,
     InboundRequest,
@@ -19,7 +20,6 @@
     render_head,
 )
 from bramleybeam.relay._parser import (
-    CallerLimits,
     RequestParser,
     UnreadableRequestError,
 )
@@ -246,7 +246,7 @@
         """Store where to listen, ``IP:PORT``, and who answers."""
         self.address = address
         self.handler = handler
-        self.limits = CallerLimits()
+        self.limits = RequestLimits()
         self.connections: set[CallerConnection] = set()
         self.is_closing = False
         self._server: asyncio.Server | None = None
--- a/bramleybeam/relay/_parser.py
+++ b/bramleybeam/relay/_parser.py
@@ -3,25 +3,15 @@
 from collections.abc import Callable
 from http import HTTPStatus
 
-import attrs
 import httptools
 
+from bramleybeam.catalog import RequestLimits
 from bramleybeam.relay._messages import InboundRequest
 
 # Bytes that a header takes besides its name and value.
 _HEADER_OVERHEAD = 4
 
 
-@attrs.frozen
-class CallerLimits:
-    """What a caller may send, and how long it may take or stay idle."""
-
-    header_bytes: int = 16_384
-    body_bytes: int = 4_194_304
-    header_timeout_s: float = 5
-    idle_timeout_s: float = 60
-
-
 class UnreadableRequestError(Exception):
     """What came is no request, or too long; ``status`` says so."""
 
@@ -36,7 +26,7 @@
 
     def __init__(
         self,
-        limits: CallerLimits,
+        limits: RequestLimits,
         clock: Callable[[], float],
     ) -> None:
         """Start without a request."""
--- a/bramleybeam/relay/tests/test_relay.py
+++ b/bramleybeam/relay/tests/test_relay.py
@@ -6,15 +6,15 @@
 
 import pytest
 
+from bramleybeam.catalog import RequestLimits
 from bramleybeam.relay import (
     BrokenReplyError,
-    CallerLimits,
     CallerServer,
     open_call,
 )
 from bramleybeam.relay._parser import RequestParser, UnreadableRequestError
 
-LIMITS = CallerLimits(header_bytes=200, body_bytes=20)
+LIMITS = RequestLimits(header_bytes=200, body_bytes=20)
 # A linger time of 0 s: closing sends a reset.
 RESET = struct.pack('ii', 1, 0)
 CHUNKED = b'Transfer-Encoding: chunked\r\n'
--- a/bramleybeam/simulation/_callers.py
+++ b/bramleybeam/simulation/_callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Mapping
+from functools import partial
 from typing import Final, cast
 
 import attrs
@@ -13,7 +14,6 @@
     Job,
     Knowledge,
     RefusingError,
-    Work,
     urgency_of,
 )
 from bramleybeam.limits import is_patient, quiet_limit
@@ -52,7 +52,8 @@
     ) -> None:
         """Store what requests are decided from, and where they run."""
         self.served: list[Served] = []
-        self._knowledge = knowledge
+        self._demand = knowledge.demand
+        self._loads = knowledge.loads
         self._chooser = chooser
         self._engines = engines
         self._service = service
@@ -100,7 +101,7 @@
         loop = asyncio.get_running_loop()
         one = arrival.request_class
         job = self._make_job(arrival, deadline)
-        self._knowledge.demand.note_request(
+        self._demand.note_request(
             job.target,
             job.facts.prompt_tokens,
             loop.time(),
@@ -114,9 +115,9 @@
                 arrival.parts,
                 arrival.output_tokens,
                 urgency_of(job) or 0,
+                partial(self._loads.note_read, replica.name, work),
             )
-            with self._knowledge.loads.track(replica.name, work):
-                run.on_first = _Reader(self._knowledge, replica.name, work)
+            with self._loads.track(replica.name, work):
                 if self._engines[replica.name].submit(run):
                     is_whole = await self._follow(run, replica.name, job)
                     break
@@ -169,16 +170,6 @@
         )
 
 
-@attrs.frozen
-class _Reader:
-    knowledge: Knowledge
-    name: str
-    work: Work
-
-    def __call__(self) -> None:
-        self.knowledge.loads.note_read(self.name, self.work)
-
-
 def make_route(one: RequestClass, service: str) -> Route:
     """Return the route of a class of requests."""
     return Route(
--- a/bramleybeam/simulation/_day.py
+++ b/bramleybeam/simulation/_day.py
@@ -2,10 +2,9 @@
 
 import asyncio
 import random
+from functools import partial
 from typing import Final
 
-import attrs
-
 from bramleybeam.catalog import (
     Replica,
     ReplicaState,
@@ -105,9 +104,13 @@
         )
         directory.is_listed = True
         for name, engine in self._engines.items():
-            engine.on_change = _Teller(self, name)
+            engine.on_change = partial(self._tell_soon, name)
             self._tell(name)
 
+    def _tell_soon(self, name: str) -> None:
+        loop = asyncio.get_running_loop()
+        loop.call_later(_ENTRY_LAG_S, self._tell, name)
+
     def _tell(self, name: str, started_ms: int = 1) -> None:
         engine = self._engines[name]
         directory = self._knowledge.directory
@@ -153,13 +156,3 @@
 
     def _plan_now(self) -> None:
         self._tasks.spawn(self._plan())
-
-
-@attrs.frozen
-class _Teller:
-    day: _Day
-    name: str
-
-    def __call__(self) -> None:
-        loop = asyncio.get_running_loop()
-        loop.call_later(_ENTRY_LAG_S, self.day._tell, self.name)
--- a/bramleybeam/simulation/_engine.py
+++ b/bramleybeam/simulation/_engine.py
@@ -2,8 +2,8 @@
 
 import asyncio
 from collections import OrderedDict
-from collections.abc import Callable, Coroutine
-from typing import Any, Final
+from collections.abc import Callable
+from typing import Final
 
 from bramleybeam.catalog import EngineSpec, Holdings
 from bramleybeam.orders import (
@@ -16,6 +16,7 @@
 )
 from bramleybeam.simulation._run import Run
 from bramleybeam.simulation._weight_store import WeightStore
+from bramleybeam.timers import TaskSet
 
 # Time of a step with an empty batch, and more for each request in it
 # (SYSTEM.md, engines of both sites).
@@ -57,7 +58,7 @@
         self._is_stepping = False
         self._leaving = ''
         self._fault: RuntimeError | None = None
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = TaskSet()
         for name in models:
             self._keep_copies(name)
 
@@ -85,7 +86,7 @@
         self._queue.sort(key=_urgency_of)
         if not self._is_stepping:
             self._is_stepping = True
-            self._spawn(self._step_on())
+            self._tasks.spawn(self._step_on())
         return True
 
     def drop(self, run: Run) -> None:
@@ -103,15 +104,15 @@
         match order:
             case LoadModel(model=model):
                 self.is_busy = True
-                self._spawn(self._load(model))
+                self._tasks.spawn(self._load(model))
             case UnloadModel(model=model):
                 self.is_busy = True
                 self._leaving = model
-                self._spawn(self._unload(model))
+                self._tasks.spawn(self._unload(model))
             case LoadAdapter(model=model, adapter=adapter):
                 self.coming.add((model, adapter))
                 self._check_room()
-                self._spawn(self._load_adapter(model, adapter))
+                self._tasks.spawn(self._load_adapter(model, adapter))
             case UnloadAdapter(model=model, adapter=adapter):
                 self.models[model].discard(adapter)
         return True
@@ -123,8 +124,7 @@
 
     def crash(self) -> None:
         """Lose everything that runs and all models; the disk stays."""
-        for task in tuple(self._tasks):
-            task.cancel()
+        self._tasks.cancel()
         dropped = [*self._queue, *self._batch]
         for run in dropped:
             run.end(is_whole=False)
@@ -139,11 +139,6 @@
         self._leaving = ''
         self.sequence = 0
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.ensure_future(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
     async def _step_on(self) -> None:
         while self._queue or self._batch:
             self._admit()
--- a/bramleybeam/timers/_tasks.py
+++ b/bramleybeam/timers/_tasks.py
@@ -18,8 +18,12 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def close(self) -> None:
-        """Cancel what still runs and wait for it."""
+    def cancel(self) -> None:
+        """Cancel what still runs, without waiting for it."""
         for task in tuple(self._tasks):
             task.cancel()
+
+    async def close(self) -> None:
+        """Cancel what still runs and wait for it."""
+        self.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/tests/platform_replica.py
+++ b/tests/platform_replica.py
@@ -5,7 +5,8 @@
 
 import attrs
 
-from bramleybeam.relay import CallerServer, find_header
+from bramleybeam.relay import find_header
+from tests.platform_port import PortStandIn
 
 SEAL = b'Bramleybeam-Response-Seal'
 REQUEST_ID = b'Bramleybeam-Request-Id'
@@ -22,7 +23,7 @@
 
 
 @attrs.define
-class ReplicaStandIn:
+class ReplicaStandIn(PortStandIn):
     """A replica of a plain service or of a model service.
 
     ``faults`` maps a request id to what goes wrong with it: ``lost`` (runs,
@@ -46,21 +47,6 @@
     cancelled: list = attrs.field(factory=list)
     highest_fence: int = 0
     on_models: object = None
-    _server: CallerServer | None = None
-
-    async def start(self) -> None:
-        """Open a port."""
-        self._server = CallerServer('127.0.0.1:0', self._answer)
-        await self._server.start()
-
-    async def close(self) -> None:
-        """Close the port."""
-        await self._server.close(0)
-
-    @property
-    def address(self) -> str:
-        """Where it listens."""
-        return self._server.address
 
     def entry(self, **changed) -> dict:
         """Return what it writes of itself in the store."""
--- a/tests/platform_store.py
+++ b/tests/platform_store.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from bramleybeam.relay import CallerServer
+from tests.platform_port import PortStandIn
 
 
 @attrs.define
@@ -21,7 +21,7 @@
 
 
 @attrs.define
-class StoreStandIn:
+class StoreStandIn(PortStandIn):
     """Keys under one revision counter, with watches, leases and faults.
 
     ``mode`` is ``up``, ``silent``, ``busy`` (503) or ``lost`` (writes are
@@ -36,21 +36,6 @@
     oldest: int = 0
     calls: list = attrs.field(factory=list)
     _changed: asyncio.Event = attrs.field(factory=asyncio.Event)
-    _server: CallerServer | None = None
-
-    async def start(self) -> None:
-        """Open a port."""
-        self._server = CallerServer('127.0.0.1:0', self._answer)
-        await self._server.start()
-
-    async def close(self) -> None:
-        """Close the port."""
-        await self._server.close(0)
-
-    @property
-    def address(self) -> str:
-        """Where it listens."""
-        return self._server.address
 
     def put(self, key: str, value, lease: int = 0) -> int:
         """Write a key; values that are not bytes are written as JSON."""
