Tell bytes by kind, slow store calls, lateness and the age of knowledge

The logs could not tell the three hypotheses of the postmortem apart: a full link, a busy loop and a store followed badly all look like store_lost. Each gateway now writes a status line a second (bytes and messages to and from peers and store, slowest call, lateness of timers, age of the store's last word), a line for each call to the store that failed, and with each attempt and refusal the version and the age it was decided on. The age is counted from the moment that the store spoke of, not from the arrival of its answer, which may have waited on a full link.

No decision reads any of it yet. Tests: gateway/tests/test_follower.py.

--- a/bramleybeam/gateway/_daemon.py
+++ b/bramleybeam/gateway/_daemon.py
@@ -19,6 +19,7 @@
 from bramleybeam.gateway._peers import Beat, PeerLink
 from bramleybeam.gateway._planner import Planner
 from bramleybeam.gateway._planner_lease import PlannerLease
+from bramleybeam.gateway._status import StatusReporter, Traffic
 from bramleybeam.keyvalue import LeaseKeeper
 from bramleybeam.relay import (
     CallerConnection,
@@ -35,6 +36,7 @@
 _PLACEMENT_VALID_S: Final = 2.5
 _PEER_TTL_S: Final = 10.0
 _PEER_RENEW_S: Final = 3.0
+_STATUS_S: Final = 1.0
 # How long the balancer takes to leave a gateway that fails its readiness.
 _BALANCER_LAG_S: Final = 2.6
 # Part of the grace period that is kept for the end of the process.
@@ -50,7 +52,10 @@
         rng = random.Random(seed)
         self._settings = settings
         self._is_stopping = False
-        self._store = platform.PlatformStore(settings.store_address)
+        self._traffic = Traffic()
+        self._store = platform.PlatformStore(
+            settings.store_address, on_call=self._traffic.note_store_call
+        )
         knowledge = make_knowledge(time.monotonic)
         self._directory = knowledge.directory
         self._loads = knowledge.loads
@@ -78,6 +83,10 @@
             f'{settings.ip_address}:{settings.peer_port}',
             self._hear,
             self._planner.order_times.hear,
+            self._traffic,
+        )
+        self._status = StatusReporter(
+            self._directory, self._traffic, self._timers.take_lateness
         )
         self._callers = CallerServer(settings.listen, self._forwarder.handle)
         self._readiness = CallerServer(
@@ -120,6 +129,7 @@
         )
         self._timers.subscribe('idle', _IDLE_CHECK_S, self._forwarder.drop_idle)
         self._timers.subscribe('plan', _PLAN_S, self._plan)
+        self._timers.subscribe('status', _STATUS_S, self._status.report)
         _log.info(
             'started',
             callers=self._callers.address,
--- a/bramleybeam/gateway/_directory.py
+++ b/bramleybeam/gateway/_directory.py
@@ -68,6 +68,7 @@
         self._placement_until = 0.0
         self._placement_heard_at = 0.0
         self._store_lost_at: float | None = None
+        self._store_word_at: float | None = None
         self._store_back_at = float('-inf')
 
     @property
@@ -134,6 +135,23 @@
         """Whether a planner has told of its placement a moment ago."""
         return self._clock() <= self._placement_until
 
+    @property
+    def store_age_s(self) -> float | None:
+        """How old the store's last word is; ``None`` before the first."""
+        if self._store_word_at is None:
+            return None
+        return round(self._clock() - self._store_word_at, 3)
+
+    def describe_belief(self) -> dict[str, float | None]:
+        """Return what a log line tells of the knowledge in use."""
+        configuration = self.configuration
+        version = configuration.version if configuration else None
+        return {'version': version, 'store_age_s': self.store_age_s}
+
+    def note_word(self, as_of: float) -> None:
+        """Note that the store's state was known as of a moment, in seconds."""
+        self._store_word_at = max(as_of, self._store_word_at or as_of)
+
     def note_store(self, *, answers: bool) -> None:
         """Note whether the store answers; a return starts a grace period."""
         if not answers and self._store_lost_at is None:
--- a/bramleybeam/gateway/_follower.py
+++ b/bramleybeam/gateway/_follower.py
@@ -41,10 +41,12 @@
             await asyncio.sleep(_RETRY_S * self._rng.uniform(0.5, 1))
 
     async def _read_all(self) -> int | None:
+        asked_at = self._directory.now()
         match await self._store.list_items(''):
             case Result(tag='ok', ok=listing):
                 self._directory.note_store(answers=True)
                 self._directory.replace(listing)
+                self._directory.note_word(asked_at)
                 return listing.revision
             case Result(error=error):
                 _log.debug('listing_failed', error=str(error))
@@ -54,11 +56,15 @@
     async def _follow(self, revision: int) -> None:
         """Follow until the history is lost."""
         while True:
+            asked_at = self._directory.now()
             reply = await self._store.follow('', revision, _WATCH_S)
             match reply:
                 case Result(tag='ok', ok=Changes() as changes):
                     self._directory.note_store(answers=True)
                     self._directory.apply(changes)
+                    # Without changes the store has waited all the time.
+                    waited = 0 if changes.events else _WATCH_S
+                    self._directory.note_word(asked_at + waited)
                     revision = max(revision, changes.revision)
                     await asyncio.sleep(_GATHER_S)
                 case Result(error=HistoryLost()):
--- a/bramleybeam/gateway/_forward.py
+++ b/bramleybeam/gateway/_forward.py
@@ -182,14 +182,25 @@
             outcome = await self._send(job, replica, work)
             if isinstance(outcome, outcomes.Delivered):
                 self._directory.reach.note_reachable(replica.name)
-                _log.info('answered', **describe_outcome(job, replica, outcome))
+                self._log_attempt('answered', job, replica, outcome)
                 return
-            _log.info(
-                'attempt_failed', **describe_outcome(job, replica, outcome)
-            )
+            self._log_attempt('attempt_failed', job, replica, outcome)
             if not await self._settle(job, replica, outcome):
                 return
 
+    def _log_attempt(
+        self,
+        event: str,
+        job: Job,
+        replica: Replica,
+        outcome: outcomes.Outcome,
+    ) -> None:
+        _log.info(
+            event,
+            **describe_outcome(job, replica, outcome),
+            **self._directory.describe_belief(),
+        )
+
     async def _send(
         self,
         job: Job,
@@ -277,6 +288,7 @@
             model=job.facts.model,
             adapter=job.facts.adapter,
             age_s=round(self._directory.now() - job.received_at, 3),
+            **self._directory.describe_belief(),
         )
         if job.connection.answer_started:
             job.connection.break_off()
--- a/bramleybeam/gateway/_peers.py
+++ b/bramleybeam/gateway/_peers.py
@@ -16,6 +16,7 @@
 from bramleybeam.catalog import Holdings
 from bramleybeam.gateway._directory import Directory, PlacedHoldings
 from bramleybeam.gateway._loads import LoadReport
+from bramleybeam.gateway._status import Traffic
 from bramleybeam.links import FrameDecoder, FrameError, Notice, encode_frame
 from bramleybeam.orders import Demand, ModelDemand, Target
 
@@ -57,8 +58,10 @@
         address: str,
         hear: Callable[[Beat], None],
         hear_orders: Callable[[Mapping[str, float]], None],
+        traffic: Traffic,
     ) -> None:
         """Store own address ``IP:PORT``, who takes beats and order ages."""
+        self._traffic = traffic
         self._hear_orders = hear_orders
         self.address = address
         self._directory = directory
@@ -92,6 +95,7 @@
     def datagram_received(self, received: bytes, addr: Any) -> None:
         """Take a beat from a gateway that the store lists."""
         sender = f'{addr[0]}:{addr[1]}'
+        self._traffic.note_received('peers', len(received))
         if sender not in self._directory.peers.values():
             return
         try:
@@ -111,6 +115,7 @@
             host, _, port = address.rpartition(':')
             if address != self.address and port.isdigit():
                 self._transport.sendto(datagram, (host, int(port)))
+                self._traffic.note_sent('peers', len(datagram))
 
     def _take(self, received: bytes, sender: str) -> None:
         decoder = FrameDecoder()
--- /dev/null
+++ b/bramleybeam/gateway/tests/test_follower.py
@@ -0,0 +1,81 @@
+"""How a gateway follows the store, and what it tells of its knowledge."""
+
+import asyncio
+import random
+
+import attrs
+import pytest
+from expression import Error, Ok
+
+from bramleybeam.gateway._directory import Directory
+from bramleybeam.gateway._follower import StoreFollower
+from bramleybeam.gateway._status import Traffic
+from bramleybeam.keyvalue import Changes, Item, Listing, Unavailable
+from bramleybeam.simulation import run_in_virtual_time
+
+EVENT = Item('servers/odd', b'{', 2)
+
+
+@attrs.define
+class ScriptedStore:
+    """Answers each watch as the script says: after a time, with a reply.
+
+    When the script is over it never answers.
+    """
+
+    script: list
+
+    async def list_items(self, prefix):
+        return Ok(Listing((), 1))
+
+    async def follow(self, prefix, after, wait):
+        if not self.script:
+            await asyncio.sleep(3600)
+        took_s, reply = self.script.pop(0)
+        await asyncio.sleep(took_s)
+        return reply
+
+
+@pytest.mark.parametrize(
+    ('script', 'age_s'),
+    [
+        # The store has waited for a second: its word is as of then.
+        ([(1.2, Ok(Changes((), 1)))], 10 - 1.0),
+        # A change may have waited on its way for all of the time it took.
+        ([(0.7, Ok(Changes((EVENT,), 2)))], 10 - 0.0),
+        ([(5, Error(Unavailable('no answer')))], 10 - 0.0),
+    ],
+)
+def test_age_is_of_the_moment_that_the_store_spoke_of(script, age_s):
+    async def follow():
+        loop = asyncio.get_running_loop()
+        directory = Directory(loop.time)
+        follower = StoreFollower(
+            ScriptedStore(script), directory, random.Random(1)
+        )
+        assert directory.store_age_s is None
+        task = asyncio.create_task(follower.run())
+        await asyncio.sleep(10)
+        task.cancel()
+        return directory.store_age_s
+
+    assert run_in_virtual_time(follow()) == pytest.approx(age_s, abs=0.01)
+
+
+def test_traffic_is_told_once():
+    traffic = Traffic()
+    traffic.note_sent('peers', 100)
+    traffic.note_sent('peers', 50)
+    traffic.note_store_call(0.25, (40, 900), answered=True)
+    traffic.note_store_call(1.5, (40, 0), answered=False)
+    assert traffic.take() == {
+        'peers_out': 2,
+        'peers_out_bytes': 150,
+        'store_out': 2,
+        'store_out_bytes': 80,
+        'store_in': 1,
+        'store_in_bytes': 900,
+        'store_failed': 1,
+        'store_slowest_s': 1.5,
+    }
+    assert traffic.take() == {'store_slowest_s': 0}
--- a/bramleybeam/platform/_store.py
+++ b/bramleybeam/platform/_store.py
@@ -9,10 +9,11 @@
 import json
 import time
 from contextlib import closing
-from typing import Any, Final
+from typing import Any, Final, Protocol
 from urllib.parse import urlencode
 
 import attrs
+import structlog
 from expression import Error, Ok, Result
 
 from bramleybeam.keyvalue import (
@@ -32,15 +33,36 @@
 _MAX_ANSWER_BYTES: Final = 1 << 24
 _OK: Final = 200
 _MAX_PAGES: Final = 40
+# Also a key that is taken, a lease that has ended, a history that is gone.
+_USUAL_STATUSES: Final = frozenset((_OK, 404, 410, 412))
+_log = structlog.get_logger('store')
 _NO_ANSWER: Final = (OSError, TimeoutError, BrokenReplyError, ValueError)
 
 
+class CallObserver(Protocol):
+    """Is told of calls to the store that have ended."""
+
+    def __call__(
+        self, took_s: float, sizes: tuple[int, int], *, answered: bool
+    ) -> None:
+        """Take in seconds, bytes sent and received, and if it answered."""
+
+
 @attrs.frozen
 class _Answer:
     status: int
     content: Any
 
 
+@attrs.frozen
+class _Ended:
+    """A call that has ended, and when it began, in seconds."""
+
+    name: str
+    answer: _Answer | str
+    began: float
+
+
 @attrs.define
 class _OwnLease:
     """A lease in the store and the key that was written under it."""
@@ -52,9 +74,18 @@
 class PlatformStore:
     """Reads, follows and writes keys, and keeps leases by name."""
 
-    def __init__(self, address: str, key_prefix: str = 'bramleybeam/') -> None:
-        """Store the address ``IP:PORT`` and the prefix of own keys."""
+    def __init__(
+        self,
+        address: str,
+        key_prefix: str = 'bramleybeam/',
+        on_call: CallObserver | None = None,
+    ) -> None:
+        """Store the address ``IP:PORT`` and the prefix of own keys.
+
+        ``on_call`` is told of each call that has ended.
+        """
         self.calls = 0
+        self._on_call = on_call
         self._address = address
         self._key_prefix = key_prefix
         self._own: dict[str, _OwnLease] = {}
@@ -194,18 +225,41 @@
         extra_wait: float = 0,
     ) -> _Answer | str:
         self.calls += 1
+        began = time.monotonic()
+        answer: _Answer | str
+        received = 0
         try:
             async with asyncio.timeout(_CALL_TIMEOUT_S + extra_wait):
-                return await self._exchange(method, target, body)
+                answer, received = await self._exchange(method, target, body)
         except _NO_ANSWER as error:
-            return f'no answer: {error!r}'
+            answer = f'no answer: {error!r}'
+        self._account(
+            _Ended(f'{method} {target.partition("?")[0]}', answer, began),
+            (len(target) + len(body), received),
+        )
+        return answer
+
+    def _account(self, call: _Ended, sizes: tuple[int, int]) -> None:
+        """Log a call that failed, and count any that has ended."""
+        took_s = time.monotonic() - call.began
+        answer = call.answer
+        answered = isinstance(answer, _Answer)
+        if isinstance(answer, str) or answer.status not in _USUAL_STATUSES:
+            _log.info(
+                'store_call_failed',
+                call=call.name,
+                took_s=round(took_s, 3),
+                answer=str(answer),
+            )
+        if self._on_call is not None:
+            self._on_call(took_s, sizes, answered=answered)
 
     async def _exchange(
         self,
         method: str,
         target: str,
         body: bytes,
-    ) -> _Answer:
+    ) -> tuple[_Answer, int]:
         headers = (
             (b'Host', self._address.encode()),
             (b'Content-Type', b'application/json'),
@@ -215,7 +269,8 @@
             line = f'{method} {target} HTTP/1.1'.encode()
             head, raw = await call.ask(line, headers, body, _MAX_ANSWER_BYTES)
         is_json = head.status == _OK and raw
-        return _Answer(head.status, json.loads(raw) if is_json else None)
+        content = json.loads(raw) if is_json else None
+        return _Answer(head.status, content), len(raw)
 
 
 def boot_time() -> float:
--- a/bramleybeam/timers/_service.py
+++ b/bramleybeam/timers/_service.py
@@ -43,6 +43,7 @@
         """Store the generator that jitter is drawn from."""
         self._rng = rng or random.Random()
         self._subscriptions: list[Subscription] = []
+        self._lateness = 0.0
         self._log = structlog.get_logger('timers')
 
     @property
@@ -54,6 +55,12 @@
         """Return the monotonic time in seconds."""
         return time.monotonic()
 
+    def take_lateness(self) -> float:
+        """Return by how much a call was late at most, since the last time."""
+        lateness = self._lateness
+        self._lateness = 0
+        return lateness
+
     def subscribe(
         self,
         name: str,
@@ -87,4 +94,6 @@
             except Exception:
                 self._log.exception('timer_failed', timer=name)
             spread = self._rng.uniform(-_JITTER_SHARE, _JITTER_SHARE)
+            due = self.now() + period * (1 + spread)
             await asyncio.sleep(period * (1 + spread))
+            self._lateness = max(self._lateness, self.now() - due)
