Split the tests' gateway process from the site that it runs in

A fleet of gateways needs the process, its callers and its log without the one site of two replicas.

--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -1,16 +1,13 @@
 """A gateway process between stand-ins of the platform's store and replicas."""
 
 import asyncio
-import json
-import signal
-import sys
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager, closing
+from contextlib import asynccontextmanager
 from pathlib import Path
 
 import attrs
 
-from bramleybeam.relay import BrokenReplyError, open_call
+from tests.platform_gateway import Answer, GatewayProcess, start_gateway
 from tests.platform_replica import ReplicaStandIn
 from tests.platform_store import StoreStandIn
 
@@ -106,46 +103,6 @@
     }
 
 
-@attrs.frozen
-class Answer:
-    """What a caller got; ``broken`` tells that it ended early."""
-
-    status: int
-    headers: dict
-    body: bytes
-    broken: bool = False
-
-
-@attrs.define(eq=False)
-class GatewayProcess:
-    """A gateway as a process of its own, with the log that it wrote."""
-
-    process: asyncio.subprocess.Process
-    callers: str = ''
-    readiness: str = ''
-    log: list = attrs.field(factory=list)
-    _reader: asyncio.Task | None = None
-
-    async def read_log(self, started: asyncio.Event) -> None:
-        """Collect the JSON lines of standard output."""
-        async for line in self.process.stdout:
-            shown = json.loads(line)
-            self.log.append(shown)
-            if shown['event'] == 'started':
-                self.callers = shown['callers']
-                self.readiness = shown['readiness']
-                started.set()
-
-    def events(self, name: str) -> list:
-        """Return the log lines of one event."""
-        return [line for line in self.log if line['event'] == name]
-
-    async def stop(self) -> int:
-        """Send SIGTERM and wait for the end."""
-        self.process.send_signal(signal.SIGTERM)
-        return await self.process.wait()
-
-
 @attrs.define(eq=False)
 class Site:
     """A store, replicas, and a gateway between them and the test."""
@@ -172,36 +129,16 @@
         """Start a gateway and wait until its ports are open."""
         settings = self.folder / 'settings.toml'
         settings.write_text(SETTINGS.format(store=self.store.address))
-        process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            '-m',
-            'bramleybeam.gateway',
-            env={'BRAMLEYBEAM_NODE_FILE': str(settings)},
-            cwd=Path(__file__).parent.parent,
-            stdout=asyncio.subprocess.PIPE,
-        )
-        self.gateway = GatewayProcess(process)
-        started = asyncio.Event()
-        task = asyncio.create_task(self.gateway.read_log(started))
-        self.gateway._reader = task
-        await asyncio.wait_for(started.wait(), 30)
+        self.gateway = await start_gateway(settings)
         return self.gateway
 
     async def wait_ready(self) -> None:
         """Wait until the balancer would send callers here."""
-        async with asyncio.timeout(30):
-            while (await self.is_ready()) != 200:
-                await asyncio.sleep(0.02)
+        await self.gateway.wait_ready()
 
     async def is_ready(self) -> int:
         """Ask as the balancer does; 0 when nobody answers."""
-        try:
-            call = await open_call(self.gateway.readiness, 1)
-            with closing(call):
-                call.send(b'GET /api/readiness HTTP/1.1', (), b'')
-                return (await call.read_head()).status
-        except (OSError, BrokenReplyError):
-            return 0
+        return await self.gateway.is_ready()
 
     async def ask(self, path: str, **headers) -> Answer:
         """Send a request to the gateway and read its answer."""
@@ -212,20 +149,7 @@
         self, request_id: str, path: str, method='POST', **headers
     ) -> Answer:
         """Send a request under an id of the test's choice."""
-        named = {
-            'Host': 'desk.example',
-            'Bramleybeam-Request-Id': request_id,
-            'Bramleybeam-Request-Deadline': '4000',
-            **{key.replace('_', '-'): field for key, field in headers.items()},
-        }
-        encoded = tuple(
-            (key.encode(), field.encode()) for key, field in named.items()
-        )
-        call = await open_call(self.gateway.callers, 1)
-        with closing(call):
-            body = b'' if method == 'GET' else b'body'
-            call.send(f'{method} {path} HTTP/1.1'.encode(), encoded, body)
-            return await _read_answer(call)
+        return await self.gateway.ask_as(request_id, path, method, **headers)
 
     def runs(self, request_id: str) -> list:
         """Return all runs of a request, at any replica."""
@@ -245,28 +169,13 @@
 
     async def close(self) -> None:
         """End the gateway, by its id, and the stand-ins."""
-        if self.gateway and self.gateway.process.returncode is None:
-            self.gateway.process.kill()
-            await self.gateway.process.wait()
+        if self.gateway:
+            await self.gateway.kill()
         for replica in self.replicas.values():
             await replica.close()
         await self.store.close()
 
 
-async def _read_answer(call) -> Answer:
-    head = await call.read_head()
-    headers = {
-        key.decode().lower(): field.decode() for key, field in head.headers
-    }
-    body = b''
-    try:
-        while piece := await call.read_piece():
-            body += piece
-    except BrokenReplyError:
-        return Answer(head.status, headers, body, broken=True)
-    return Answer(head.status, headers, body)
-
-
 @asynccontextmanager
 async def run_site(folder: Path) -> AsyncIterator[Site]:
     """Run a store, two replicas of each service, and a gateway."""
