Tell a few neighbours in a tree what was told to every gateway

Cause: each gateway told each other one its whole knowledge five times a second, and the planner its whole placement after each round that changed something: 200 to 470 KB/s out of each of 28 gateways, 1,777 KB/s out of the planner, on links of 625 KB/s that also carry the store's word and callers' bytes. The class: traffic from everybody to everybody, of whole tables, without a bound.

Now a gateway reports to one parent and summarises to its children; the planner is the root, wide links stand near it, and one gateway of a zone has its parent in another. Sums go up, the planner's rows go down by changes, numbered, so that a lost datagram costs a period. Orders are announced to the planner's children only; who is none waits the pause out before it gives orders. A planner that lost the store hears of its successor from its children. Narrow links leave the lease to wider ones.

Weighed and left: the store as the carrier (each call is counted, and each change would wake everybody); all to all, less often (still grows with the square); gossip to random peers (loads of the same replica come by many ways and can't be summed).

--- a/bramleybeam/catalog/_host.py
+++ b/bramleybeam/catalog/_host.py
@@ -26,7 +26,8 @@
     Addresses are ``IP:PORT``. Retries to one service stay under
     ``retry_ratio`` of its requests plus ``retry_allowance`` in a window,
     summed over all hosts. ``replicas_check_epochs`` tells whether replicas
-    refuse orders of an older epoch than they have seen.
+    refuse orders of an older epoch than they have seen. ``link_bytes_per_s`` is
+    the rate of the host's link, 0 when it isn't told.
     """
 
     name: str
@@ -42,3 +43,4 @@
     load_excess: float = 1.1
     replicas_check_epochs: bool = False
     max_descriptors: int = 4096
+    link_bytes_per_s: float = 0
--- a/bramleybeam/gateway/_choose.py
+++ b/bramleybeam/gateway/_choose.py
@@ -16,10 +16,10 @@
 )
 from bramleybeam.errors import ErrorKind, Refusal, refuse
 from bramleybeam.gateway._demand import DemandTable
-from bramleybeam.gateway._directory import Signal
 from bramleybeam.gateway._job import Job, RefusingError
 from bramleybeam.gateway._knowledge import Knowledge
 from bramleybeam.gateway._loads import Work
+from bramleybeam.gateway._signal import Signal
 from bramleybeam.orders import PREFILL_TOKENS_PER_S, Target
 
 _WAIT_STEP_S: Final = 0.25
@@ -132,9 +132,9 @@
                 retry_after=_PLAIN_RETRY_AFTER_S,
             )
         left = job.received_at + job.patience_s - self._directory.now()
-        if is_absent and not self._directory.hears_planner():
+        if is_absent and not self._directory.placement.hears_planner:
             return _refuse(job, _NO_PLANNER_S)
-        arrival = self._directory.arrival_in(job.facts.model)
+        arrival = self._directory.placement.arrival_in(job.facts.model)
         if is_absent and arrival is not None and arrival > left:
             return _refuse(job, arrival + _ARRIVAL_MARGIN_S)
         return _refuse(job) if left <= 0 else None
--- a/bramleybeam/gateway/_daemon.py
+++ b/bramleybeam/gateway/_daemon.py
@@ -3,23 +3,29 @@
 import asyncio
 import random
 import time
+from collections.abc import Collection
 from http import HTTPStatus
 from typing import Final
 
+import attrs
 import structlog
 
 from bramleybeam import platform
 from bramleybeam.catalog import HostSettings
+from bramleybeam.gateway._beats import Beat
 from bramleybeam.gateway._choose import Chooser
 from bramleybeam.gateway._directory import OWN_PREFIX, PEER_PREFIX
+from bramleybeam.gateway._exchange import PeerExchange
 from bramleybeam.gateway._follower import StoreFollower
 from bramleybeam.gateway._forward import Forwarder
 from bramleybeam.gateway._knowledge import make_knowledge
 from bramleybeam.gateway._order_times import OrderTimes
-from bramleybeam.gateway._peers import Beat, PeerLink
+from bramleybeam.gateway._parent import ParentChoice
+from bramleybeam.gateway._peers import PeerPort
 from bramleybeam.gateway._planner import Planner
 from bramleybeam.gateway._planner_lease import PlannerLease
 from bramleybeam.gateway._status import StatusReporter, Traffic
+from bramleybeam.gateway._tree import Peer, encode_peer
 from bramleybeam.keyvalue import LeaseKeeper
 from bramleybeam.relay import (
     CallerConnection,
@@ -28,12 +34,12 @@
 )
 from bramleybeam.timers import Nudge, TaskSet, TimerService
 
-_BEAT_S: Final = 0.2
+_TICK_S: Final = 0.1
 _PLAN_S: Final = 0.05
 _IDLE_CHECK_S: Final = 0.5
 _LEASE_CHECK_S: Final = 0.1
-_PLACEMENT_EVERY_S: Final = 1.0
-_PLACEMENT_VALID_S: Final = 2.5
+# How often the planner's word is renewed when nothing changes.
+_PUBLISH_S: Final = 0.25
 _PEER_TTL_S: Final = 10.0
 _PEER_RENEW_S: Final = 3.0
 _STATUS_S: Final = 1.0
@@ -58,8 +64,6 @@
         )
         knowledge = make_knowledge(time.monotonic)
         self._directory = knowledge.directory
-        self._loads = knowledge.loads
-        self._demand = knowledge.demand
         self._timers = TimerService(rng)
         self._tasks = TaskSet()
         self._chooser = Chooser(knowledge, settings.zone, rng)
@@ -78,12 +82,23 @@
             self._announce_orders,
         )
         self._follower = StoreFollower(self._store, self._directory, rng)
-        self._peers = PeerLink(
-            self._directory,
+        self._own = Peer(
             f'{settings.ip_address}:{settings.peer_port}',
-            self._hear,
-            self._planner.order_times.hear,
-            self._traffic,
+            settings.name,
+            settings.zone,
+            settings.link_bytes_per_s,
+        )
+        self._peers = PeerPort(
+            self._directory, self._own.address, self._hear, self._traffic
+        )
+        self._nudge = Nudge(self._act)
+        self._exchange = PeerExchange(
+            knowledge,
+            order_times,
+            ParentChoice(self._own, self._directory),
+            self._peers.send,
+            self._nudge.fire,
+            self._is_planner,
         )
         self._status = StatusReporter(
             self._directory, self._traffic, self._timers.take_lateness
@@ -92,11 +107,10 @@
         self._readiness = CallerServer(
             settings.readiness_listen, self._answer_readiness
         )
-        self._placement_told_at = float('-inf')
+        self._published_at = float('-inf')
         self._directory.on_change.append(self._take_limits)
-        self._nudge = Nudge(self._act)
-        self._demand.on_want.append(self._nudge.fire)
-        self._directory.on_change.append(self._nudge.fire)
+        knowledge.demand.on_want.append(self._nudge.fire)
+        self._directory.on_change.append(self._plan_on_change)
 
     @property
     def callers_address(self) -> str:
@@ -115,15 +129,16 @@
         await self._peers.start()
         self._tasks.spawn(self._follower.run())
         name = PEER_PREFIX.removeprefix(OWN_PREFIX) + self._peers.address
+        shown = attrs.evolve(self._own, address=self._peers.address)
         listed = LeaseKeeper(
             self._store,
             name,
-            self._peers.address,
+            encode_peer(shown),
             platform.boot_time,
             _PEER_TTL_S,
         )
         self._timers.subscribe('listing', _PEER_RENEW_S, listed.keep)
-        self._timers.subscribe('beat', _BEAT_S, self._send_beat)
+        self._timers.subscribe('exchange', _TICK_S, self._tick)
         self._timers.subscribe(
             'lease', _LEASE_CHECK_S, self._planner.keep_lease
         )
@@ -171,57 +186,43 @@
         if configuration is not None:
             self._callers.limits = configuration.limits
 
+    def _hear(self, beat: Beat, sender: str) -> None:
+        self._exchange.receive(beat, sender)
+
     def _act(self) -> None:
         """Plan at once, or tell the planner what is wanted."""
         if self._planner.epoch:
             self._tasks.spawn(self._plan())
-        elif self._demand.has_waiting:
-            self._tasks.spawn(self._send_beat())
+        else:
+            self._exchange.tell_wants()
+
+    def _plan_on_change(self) -> None:
+        if self._planner.epoch:
+            self._nudge.fire()
 
     async def _plan(self) -> None:
         if self._is_stopping:
             return
         await self._planner.plan()
-        if self._planner.has_news:
-            await self._send_beat()
-
-    def _announce_orders(self) -> None:
-        """Tell of the planner's orders; twice, as datagrams get lost."""
-        ages = self._planner.order_times.ages()
-        if ages:
-            self._peers.announce_orders(ages)
-            self._peers.announce_orders(ages)
-
-    async def _send_beat(self) -> None:
         now = time.monotonic()
-        self._announce_orders()
-        epoch = self._planner.epoch
-        placement = None
-        due = now - self._placement_told_at >= _PLACEMENT_EVERY_S
-        if epoch and (due or self._planner.has_news):
-            self._placement_told_at = now
-            self._planner.has_news = False
-            placement = self._planner.placement()
-            self._directory.hear_placement(epoch, placement, _PLACEMENT_VALID_S)
-        self._peers.send(
-            Beat(
-                sender=self._peers.address,
-                loads=self._loads.own_reports(),
-                demand=self._demand.own(now),
-                unreachable=self._directory.reach.list_passed_over(),
-                epoch=epoch,
-                placement=placement,
-            ),
-        )
-
-    def _hear(self, beat: Beat) -> None:
-        now = time.monotonic()
-        self._loads.hear(beat.sender, beat.loads, now)
-        self._demand.hear(beat.sender, beat.demand, now)
-        self._directory.reach.hear(beat.unreachable)
-        if beat.demand.waiting and self._planner.epoch:
-            self._nudge.fire()
-        if beat.placement is not None:
-            self._directory.hear_placement(
-                beat.epoch, beat.placement, _PLACEMENT_VALID_S
-            )
+        is_due = now - self._published_at >= _PUBLISH_S
+        if self._planner.epoch and (self._planner.has_news or is_due):
+            self._published_at = now
+            self._publish()
+
+    def _publish(self) -> None:
+        """Tell the planner's placement, here and to the children."""
+        self._planner.has_news = False
+        placement = self._planner.placement()
+        if self._directory.placement.publish(self._planner.epoch, placement):
+            self._directory.signal()
+            self._exchange.tell_news()
+
+    def _announce_orders(self, replicas: Collection[str]) -> None:
+        self._exchange.announce_orders(dict.fromkeys(replicas, 0.0))
+
+    def _is_planner(self) -> bool:
+        return bool(self._planner.epoch)
+
+    async def _tick(self) -> None:
+        self._exchange.tick()
--- a/bramleybeam/gateway/_demand.py
+++ b/bramleybeam/gateway/_demand.py
@@ -2,20 +2,20 @@
 
 import math
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterator, Mapping
 from functools import partial
 from typing import Final
 
 import attrs
 
-from bramleybeam.orders import Demand, ModelDemand, Target
+from bramleybeam.orders import NO_DEMAND, Demand, ModelDemand, Target
 
 # Time constants of the rates, in seconds: one that is steady, and one that
 # shows soon that demand has moved to a model.
 _FADE_S: Final = 8.0
 _QUICK_FADE_S: Final = 2.0
-# Age at which another gateway's word no longer counts.
-_STALE_S: Final = 3.0
+# Requests a second below which a model is not told of.
+_LEAST_RATE: Final = 0.01
 
 
 @attrs.define
@@ -69,12 +69,12 @@
 
 @attrs.frozen
 class _Told:
-    moment: float
+    until: float
     demand: Demand
 
 
 class DemandTable:
-    """Own demand, and what the other gateways tell of theirs.
+    """Own demand, and that of the gateways below in the tree.
 
     ``on_want`` is called when a request begins to wait for a load.
     """
@@ -84,13 +84,9 @@
         self.on_want: list[Callable[[], None]] = []
         self._models: dict[str, _OwnDemand] = {}
         self._waiting: Counter[Target] = Counter()
+        self._was_urgent: set[str] = set()
         self._told: dict[str, _Told] = {}
 
-    @property
-    def has_waiting(self) -> bool:
-        """Whether a request waits for a load here."""
-        return bool(self._waiting)
-
     def note_request(
         self,
         target: Target,
@@ -123,24 +119,64 @@
         if self._waiting[target] <= 0:
             self._waiting.pop(target)
 
-    def hear(self, gateway: str, demand: Demand, now: float) -> None:
-        """Take in another gateway's demand."""
-        self._told[gateway] = _Told(now, demand)
+    def hear(self, child: str, demand: Demand, until: float) -> bool:
+        """Take in the demand below a child; it counts until a moment.
 
-    def own(self, now: float) -> Demand:
-        """Return this gateway's own demand."""
-        models = {name: own.read(now) for name, own in self._models.items()}
-        return Demand(models, dict(self._waiting))
+        Tells whether other requests wait there than before.
+        """
+        known = self._told.get(child)
+        before = known.demand.waiting if known else {}
+        self._told[child] = _Told(until, demand)
+        self._was_urgent.update(
+            name for name, one in demand.models.items() if one.was_urgent
+        )
+        return before != demand.waiting
 
-    def total(self, now: float) -> Demand:
-        """Return the demand at all gateways."""
-        models = {name: own.read(now) for name, own in self._models.items()}
+    def hear_waiting(self, child: str, waiting: Mapping[Target, int]) -> None:
+        """Take in what requests wait for below a child."""
+        told = self._told.get(child)
+        if told is not None:
+            demand = attrs.evolve(told.demand, waiting=waiting)
+            self._told[child] = attrs.evolve(told, demand=demand)
+
+    def forget(self, child: str) -> None:
+        """Drop what a gateway told that is no longer a child."""
+        self._told.pop(child, None)
+
+    def waiting(self, now: float, besides: str = '') -> dict[Target, int]:
+        """Count what requests wait for here and below, but one child."""
         waiting = Counter(self._waiting)
-        for told in self._told.values():
-            if now - told.moment >= _STALE_S:
-                continue
-            waiting.update(told.demand.waiting)
-            for name, one in told.demand.models.items():
+        for told in self._fresh(now, besides):
+            waiting.update(told.waiting)
+        return dict(waiting)
+
+    def total(self, now: float, besides: str = '') -> Demand:
+        """Return the demand here and below, but that of one child.
+
+        Models that nobody asks for any more are named only if a request
+        that is urgent has come for them.
+        """
+        models = {name: own.read(now) for name, own in self._models.items()}
+        for told in self._fresh(now, besides):
+            for name, one in told.models.items():
                 known = models.get(name)
                 models[name] = known.plus(one) if known else one
-        return Demand(models, dict(waiting))
+        for name in self._was_urgent:
+            known = models.get(name, NO_DEMAND)
+            models[name] = attrs.evolve(known, was_urgent=True)
+        return Demand(models, self.waiting(now, besides))
+
+    def tell(self, now: float, parent: str) -> Demand:
+        """Return what a parent is told: the models that are asked for."""
+        total = self.total(now, besides=parent)
+        models = {
+            name: one
+            for name, one in total.models.items()
+            if one.rate >= _LEAST_RATE
+        }
+        return Demand(models, total.waiting)
+
+    def _fresh(self, now: float, besides: str) -> Iterator[Demand]:
+        for child, told in self._told.items():
+            if child != besides and now < told.until:
+                yield told.demand
--- a/bramleybeam/gateway/_directory.py
+++ b/bramleybeam/gateway/_directory.py
@@ -5,21 +5,21 @@
 its entry again. A configuration is only ever replaced by a newer one.
 """
 
-import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from typing import Final
 
-import attrs
 import structlog
 
 from bramleybeam import platform
 from bramleybeam.catalog import (
-    Holdings,
     Replica,
     ReplicaState,
     RoutingConfiguration,
 )
+from bramleybeam.gateway._freshness import Freshness
+from bramleybeam.gateway._placement import PlacedHoldings, PlacementTable
 from bramleybeam.gateway._reach import ReachTable
+from bramleybeam.gateway._tree import Peer, PlannerSeen, decode_peer
 from bramleybeam.keyvalue import Changes, Item, Listing, Removal
 
 OWN_PREFIX: Final = 'bramleybeam/'
@@ -32,22 +32,6 @@
 _log = structlog.get_logger('directory')
 
 
-@attrs.frozen
-class PlacedHoldings:
-    """What the planner says a replica holds, and what is being dropped.
-
-    ``started_ms`` tells which start of the replica is meant. ``coming`` is the
-    model on its way and ``coming_in_s`` when it is expected, from when it was
-    told.
-    """
-
-    holdings: Holdings
-    leaving: str = ''
-    started_ms: int = 0
-    coming: str = ''
-    coming_in_s: float = 0
-
-
 class Directory:
     """Beliefs of one gateway; ``clock`` gives seconds that never go back."""
 
@@ -55,20 +39,18 @@
         """Start without any knowledge."""
         self.configuration: RoutingConfiguration | None = None
         self.replicas: dict[str, Replica] = {}
-        self.peers: dict[str, str] = {}
-        self.planner_revision = 0
+        self.peers: dict[str, Peer] = {}
+        self.planner = PlannerSeen()
+        self.newest_planner = PlannerSeen()
         self.is_listed = False
         self.on_change: list[Callable[[], None]] = []
         self.reach = ReachTable(clock)
+        self.placement = PlacementTable(clock)
+        self.freshness = Freshness(clock)
         self._clock = clock
         self._lapsed: dict[str, float] = {}
         self._lost_peers: dict[str, float] = {}
-        self._placement: Mapping[str, PlacedHoldings] = {}
-        self._placement_epoch = 0
-        self._placement_until = 0.0
-        self._placement_heard_at = 0.0
         self._store_lost_at: float | None = None
-        self._store_word_at: float | None = None
         self._store_back_at = float('-inf')
 
     @property
@@ -76,6 +58,27 @@
         """Whether requests can be judged."""
         return self.configuration is not None and self.is_listed
 
+    @property
+    def is_behind(self) -> bool:
+        """Whether others know of changes that should have come long ago."""
+        return self.freshness.is_behind
+
+    def lists_peer(self, address: str) -> bool:
+        """Whether a gateway of this address is listed in the store."""
+        return any(peer.address == address for peer in self.peers.values())
+
+    def see_planner(self, planner: PlannerSeen) -> None:
+        """Take in the planner's key as the store shows it now."""
+        self.planner = planner
+        self.hear_planner(planner)
+
+    def hear_planner(self, planner: PlannerSeen) -> None:
+        """Take in which planner another gateway has seen in the store.
+
+        The store's own word is not changed: it may have removed that one.
+        """
+        self.newest_planner = max(self.newest_planner, planner)
+
     def now(self) -> float:
         """Return the time by the directory's clock."""
         return self._clock()
@@ -92,65 +95,14 @@
 
     def placed(self, replica: Replica) -> PlacedHoldings:
         """Return what a replica holds, by the planner if it was heard."""
-        told = self._placement.get(replica.name)
-        if told is None or self._clock() > self._placement_until:
-            return PlacedHoldings(replica.holdings)
-        if told.started_ms != replica.started_ms:
-            return PlacedHoldings(replica.holdings)
-        return told
-
-    def hear_placement(
-        self,
-        epoch: int,
-        placement: Mapping[str, PlacedHoldings],
-        valid_s: float,
-    ) -> None:
-        """Take in the planner's word; that of an older planner is dropped."""
-        if epoch < self._placement_epoch:
-            return
-        self._placement_epoch = epoch
-        self._placement = placement
-        self._placement_heard_at = self._clock()
-        self._placement_until = self._placement_heard_at + valid_s
-        self.signal()
-
-    def arrival_in(self, model: str) -> float | None:
-        """Return the seconds until a model is expected, if it is coming."""
-        spent = self._clock() - self._placement_heard_at
-        return min(
-            (
-                max(0, placed.coming_in_s - spent)
-                for placed in self._placement.values()
-                if placed.coming == model
-            ),
-            default=None,
-        )
-
-    @property
-    def placement_epoch(self) -> int:
-        """The highest epoch of a planner that was heard of."""
-        return self._placement_epoch
-
-    def hears_planner(self) -> bool:
-        """Whether a planner has told of its placement a moment ago."""
-        return self._clock() <= self._placement_until
-
-    @property
-    def store_age_s(self) -> float | None:
-        """How old the store's last word is; ``None`` before the first."""
-        if self._store_word_at is None:
-            return None
-        return round(self._clock() - self._store_word_at, 3)
+        told = self.placement.find(replica.name, replica.started_ms)
+        return told or PlacedHoldings(replica.holdings)
 
     def describe_belief(self) -> dict[str, float | None]:
         """Return what a log line tells of the knowledge in use."""
         configuration = self.configuration
         version = configuration.version if configuration else None
-        return {'version': version, 'store_age_s': self.store_age_s}
-
-    def note_word(self, as_of: float) -> None:
-        """Note that the store's state was known as of a moment, in seconds."""
-        self._store_word_at = max(as_of, self._store_word_at or as_of)
+        return {'version': version, 'store_age_s': self.freshness.age_s}
 
     def note_store(self, *, answers: bool) -> None:
         """Note whether the store answers; a return starts a grace period."""
@@ -174,7 +126,7 @@
             if key not in present:
                 self._remove(key)
         if OWN_PREFIX + PLANNER_NAME not in present:
-            self.planner_revision = 0
+            self.see_planner(PlannerSeen())
         for item in listing.items:
             self._put(item)
         self.is_listed = True
@@ -203,11 +155,10 @@
         elif key.startswith(platform.REPLICA_PREFIX):
             self._take_replica(key, item.content)
         elif key.startswith(PEER_PREFIX):
-            name = key.removeprefix(PEER_PREFIX)
-            self._lost_peers.pop(name, None)
-            self.peers[name] = item.content.decode('ascii', 'replace')
+            self._take_peer(key.removeprefix(PEER_PREFIX), item.content)
         elif key == OWN_PREFIX + PLANNER_NAME:
-            self.planner_revision = item.revision
+            host = item.content.decode('utf-8', 'replace')
+            self.see_planner(PlannerSeen(item.revision, host))
 
     def _take_configuration(self, content: bytes) -> None:
         newer = platform.decode_configuration(content)
@@ -223,6 +174,14 @@
             routes=len(newer.routes),
         )
 
+    def _take_peer(self, name: str, content: bytes) -> None:
+        peer = decode_peer(content)
+        if peer is None:
+            _log.warning('peer_unreadable', peer=name)
+            return
+        self._lost_peers.pop(name, None)
+        self.peers[name] = peer
+
     def _take_replica(self, key: str, content: bytes) -> None:
         replica = platform.decode_replica(key, content)
         if replica is None:
@@ -240,7 +199,7 @@
 
     def _remove(self, key: str) -> None:
         if key == OWN_PREFIX + PLANNER_NAME:
-            self.planner_revision = 0
+            self.see_planner(PlannerSeen())
         elif key.startswith(PEER_PREFIX):
             name = key.removeprefix(PEER_PREFIX)
             self._lost_peers.setdefault(name, self._clock())
@@ -256,40 +215,20 @@
             self._lapsed[name] = held_until
             _log.info('replica_lapsed', replica=name)
             return
-        self.replicas.pop(name)
-        _log.info('replica_gone', replica=name)
+        self._drop_replica(name)
+
+    def _drop_replica(self, name: str, **reason: str) -> None:
+        self.replicas.pop(name, None)
+        self.placement.drop(name)
+        _log.info('replica_gone', replica=name, **reason)
 
     def _drop_lapsed(self) -> None:
         now = self._clock()
         for name, until in tuple(self._lapsed.items()):
             if now >= until:
                 self._lapsed.pop(name)
-                self.replicas.pop(name, None)
-                _log.info('replica_gone', replica=name, after='lapse')
+                self._drop_replica(name, after='lapse')
         for name, lost_at in tuple(self._lost_peers.items()):
             if now - lost_at > _PEER_GRACE_S:
                 self._lost_peers.pop(name)
                 self.peers.pop(name, None)
-
-
-class Signal:
-    """Wakes everyone who waits, in order, once for each change."""
-
-    def __init__(self) -> None:
-        """Start with nobody waiting."""
-        self._waiters: dict[asyncio.Future[None], None] = {}
-
-    def fire(self) -> None:
-        """Wake everyone who waits now."""
-        for waiter in self._waiters:
-            if not waiter.done():
-                waiter.set_result(None)
-
-    async def wait(self, timeout: float) -> None:
-        """Wait for the next change, at most ``timeout`` seconds."""
-        waiter = asyncio.get_running_loop().create_future()
-        self._waiters[waiter] = None
-        try:
-            await asyncio.wait({waiter}, timeout=timeout)
-        finally:
-            self._waiters.pop(waiter)
--- /dev/null
+++ b/bramleybeam/gateway/_exchange.py
@@ -0,0 +1,263 @@
+"""What a gateway tells its neighbours in the tree, and takes from them.
+
+Reports go up: the work, the demand and the wants of a gateway and all below
+it. Summaries go down: the work of all others and the planner's rows. Each
+neighbour is told as often as a fixed number of bytes a second allows, so that
+long messages come less often and never crowd a link.
+"""
+
+from collections.abc import Callable, Collection, Mapping
+from typing import Final
+
+import attrs
+
+from bramleybeam.gateway._beats import (
+    Beat,
+    OrdersGiven,
+    Report,
+    StoreSeen,
+    Summary,
+    Wants,
+    encode_beat,
+)
+from bramleybeam.gateway._knowledge import Knowledge
+from bramleybeam.gateway._order_times import OrderTimes
+from bramleybeam.gateway._parent import ParentChoice
+from bramleybeam.gateway._placement import Mark
+from bramleybeam.limits import ByteBudget
+
+# Shortest time between two regular messages to a neighbour.
+PERIOD_S: Final = 0.25
+# A node may spend 27 KB/s on control, both ways together (letter 1); it has at
+# most a parent, three children in its zone and three heads of other zones.
+EDGE_BYTES_PER_S: Final = 1_900.0
+_EDGE_CREDIT_BYTES: Final = 1_000.0
+# Time after which what a neighbour told no longer counts: a least one, and a
+# number of its own periods.
+_STALE_S: Final = 1.5
+_STALE_PERIODS: Final = 3
+# How often the tree is looked after.
+_REFRESH_S: Final = 0.5
+# Rows of gateways below one another; more can only be a circle.
+_MAX_DEPTH: Final = 16
+
+
+def _make_budget() -> ByteBudget:
+    return ByteBudget(EDGE_BYTES_PER_S, EDGE_BYTES_PER_S, _EDGE_CREDIT_BYTES)
+
+
+@attrs.define
+class _Edge:
+    """What a neighbour was sent, and what it may be sent now."""
+
+    address: str
+    budget: ByteBudget = attrs.field(factory=_make_budget)
+    sent_at: float = float('-inf')
+    period_s: float = PERIOD_S
+
+    def is_due(self, now: float) -> bool:
+        """Whether it is time for a regular message."""
+        return now - self.sent_at >= self.period_s
+
+    def note_sent(self, size: int, now: float) -> None:
+        """Note a regular message; the next waits longer after a long one."""
+        self.sent_at = now
+        self.period_s = max(PERIOD_S, size / EDGE_BYTES_PER_S)
+
+
+@attrs.define
+class _Child:
+    """A gateway that reports here; its word counts until a moment."""
+
+    edge: _Edge
+    until: float = 0
+    mark: Mark = Mark()
+    depth: int = 0
+    unreachable: Collection[str] = ()
+
+
+class PeerExchange:
+    """Keeps in touch with a parent and with children.
+
+    ``send`` takes an address and a datagram; ``on_wants`` is called when a
+    child tells what requests wait for.
+    """
+
+    def __init__(
+        self,
+        knowledge: Knowledge,
+        order_times: OrderTimes,
+        parent: ParentChoice,
+        send: Callable[[str, bytes], None],
+        on_wants: Callable[[], None],
+        is_planner: Callable[[], bool],
+    ) -> None:
+        """Store what is told, to whom, and how."""
+        self._is_planner = is_planner
+        self._directory = knowledge.directory
+        self._loads = knowledge.loads
+        self._demand = knowledge.demand
+        self._order_times = order_times
+        self._parent = parent
+        self._send = send
+        self._on_wants = on_wants
+        self._up = _Edge('')
+        self._children: dict[str, _Child] = {}
+        self._refreshed_at = float('-inf')
+
+    @property
+    def children(self) -> tuple[str, ...]:
+        """The addresses of the gateways that report here."""
+        return tuple(self._children)
+
+    @property
+    def parent(self) -> str:
+        """The address of the gateway that this one reports to."""
+        return self._parent.address
+
+    def tick(self) -> None:
+        """Look after the tree, and send what is due."""
+        now = self._directory.now()
+        if now - self._refreshed_at >= _REFRESH_S:
+            self._refreshed_at = now
+            self._drop_silent_children(now)
+            self._refresh_parent(now)
+        if self._parent.address and self._up.is_due(now):
+            self._send_regular(self._up, self._make_report(now), now)
+        for child in self._children.values():
+            if child.edge.is_due(now):
+                summary = self._make_summary(child, now)
+                self._send_regular(child.edge, summary, now)
+
+    def receive(self, beat: Beat, sender: str) -> None:
+        """Take in a message of another gateway."""
+        now = self._directory.now()
+        match beat:
+            case Report():
+                if beat.depth < _MAX_DEPTH:
+                    self._hear_child(beat, sender, now)
+            case Summary():
+                if sender == self._parent.address:
+                    self._hear_parent(beat, now)
+            case Wants(waiting=waiting):
+                self._demand.hear_waiting(sender, waiting)
+                self._on_wants()
+            case OrdersGiven(ages=ages):
+                self._order_times.hear(ages)
+
+    def tell_wants(self) -> None:
+        """Tell the parent at once what requests wait for."""
+        now = self._directory.now()
+        waiting = self._demand.waiting(now, besides=self._parent.address)
+        if self._parent.address and waiting:
+            self._send_ahead(self._up, Wants(waiting), now)
+
+    def tell_news(self) -> None:
+        """Tell the children at once which rows have changed."""
+        now = self._directory.now()
+        for child in self._children.values():
+            news = self._directory.placement.news_after(child.mark)
+            if news.rows:
+                summary = Summary(child.edge.period_s, news, self._store_seen())
+                self._send_ahead(child.edge, summary, now)
+
+    def announce_orders(self, ages: Mapping[str, float]) -> None:
+        """Tell the children of orders that are about to be given."""
+        now = self._directory.now()
+        for child in self._children.values():
+            self._send_ahead(child.edge, OrdersGiven(ages), now)
+
+    def _drop_silent_children(self, now: float) -> None:
+        for address, child in tuple(self._children.items()):
+            if now >= child.until:
+                self._children.pop(address)
+                self._forget(address)
+
+    def _refresh_parent(self, now: float) -> None:
+        left = self._parent.refresh(now)
+        if left:
+            self._forget(left)
+        if self._up.address != self._parent.address:
+            self._up = _Edge(self._parent.address)
+
+    def _forget(self, address: str) -> None:
+        self._loads.forget(address)
+        self._demand.forget(address)
+
+    def _hear_child(self, report: Report, sender: str, now: float) -> None:
+        is_new = sender not in self._children
+        child = self._children.setdefault(sender, _Child(_Edge(sender)))
+        stale_s = max(_STALE_S, _STALE_PERIODS * report.period_s)
+        child.until = now + stale_s
+        child.mark = report.mark
+        child.depth = report.depth
+        child.unreachable = report.unreachable
+        self._loads.hear(sender, report.loads, child.until)
+        wants = self._demand.hear(sender, report.demand, child.until)
+        self._directory.reach.hear(report.unreachable)
+        self._hear_store(report.store)
+        if wants:
+            self._on_wants()
+        if is_new:
+            summary = self._make_summary(child, now)
+            self._send_regular(child.edge, summary, now)
+
+    def _hear_parent(self, summary: Summary, now: float) -> None:
+        self._parent.note_heard(summary.period_s, now)
+        self._hear_store(summary.store)
+        if summary.order_ages is not None:
+            self._order_times.hear(summary.order_ages)
+        if summary.loads is not None:
+            stale_s = max(_STALE_S, _STALE_PERIODS * summary.period_s)
+            self._loads.hear(self._up.address, summary.loads, now + stale_s)
+        if self._directory.placement.take(summary.news):
+            self._directory.signal()
+            self.tell_news()
+
+    def _hear_store(self, seen: StoreSeen) -> None:
+        self._directory.freshness.note_others(seen.revision)
+        self._directory.hear_planner(seen.planner)
+
+    def _store_seen(self) -> StoreSeen:
+        return StoreSeen(
+            self._directory.freshness.revision, self._directory.newest_planner
+        )
+
+    def _make_report(self, now: float) -> Report:
+        parent = self._parent.address
+        below = [
+            child
+            for address, child in self._children.items()
+            if address != parent
+        ]
+        unreachable = set(self._directory.reach.list_passed_over())
+        unreachable.update(*(child.unreachable for child in below))
+        return Report(
+            self._up.period_s,
+            1 + max((child.depth for child in below), default=-1),
+            self._directory.placement.mark,
+            self._store_seen(),
+            self._loads.tell(parent, now),
+            self._demand.tell(now, parent),
+            sorted(unreachable),
+        )
+
+    def _make_summary(self, child: _Child, now: float) -> Summary:
+        return Summary(
+            child.edge.period_s,
+            self._directory.placement.news_after(child.mark),
+            self._store_seen(),
+            self._loads.tell(child.edge.address, now),
+            self._order_times.ages() if self._is_planner() else None,
+        )
+
+    def _send_regular(self, edge: _Edge, beat: Beat, now: float) -> None:
+        datagram = encode_beat(beat)
+        if edge.budget.take(len(datagram), now):
+            edge.note_sent(len(datagram), now)
+            self._send(edge.address, datagram)
+
+    def _send_ahead(self, edge: _Edge, beat: Beat, now: float) -> None:
+        datagram = encode_beat(beat)
+        if edge.budget.take_ahead(len(datagram), now):
+            self._send(edge.address, datagram)
--- a/bramleybeam/gateway/_follower.py
+++ b/bramleybeam/gateway/_follower.py
@@ -46,7 +46,7 @@
             case Result(tag='ok', ok=listing):
                 self._directory.note_store(answers=True)
                 self._directory.replace(listing)
-                self._directory.note_word(asked_at)
+                self._directory.freshness.note_word(listing.revision, asked_at)
                 return listing.revision
             case Result(error=error):
                 _log.debug('listing_failed', error=str(error))
@@ -64,7 +64,9 @@
                     self._directory.apply(changes)
                     # Without changes the store has waited all the time.
                     waited = 0 if changes.events else _WATCH_S
-                    self._directory.note_word(asked_at + waited)
+                    self._directory.freshness.note_word(
+                        changes.revision, asked_at + waited
+                    )
                     revision = max(revision, changes.revision)
                     await asyncio.sleep(_GATHER_S)
                 case Result(error=HistoryLost()):
--- a/bramleybeam/gateway/_loads.py
+++ b/bramleybeam/gateway/_loads.py
@@ -1,21 +1,17 @@
-"""Work in flight at each replica, own and as other gateways tell."""
+"""Work in flight at each replica, own and as neighbours in the tree tell."""
 
 from collections import Counter
 from collections.abc import Iterator, Mapping
 from contextlib import contextmanager
-from typing import Final
 
 import attrs
 
 from bramleybeam.orders import Target
 
-# Age at which what another gateway told of its load no longer counts.
-_STALE_S: Final = 1.5
-
 
 @attrs.frozen
 class LoadReport:
-    """Work of one gateway at one replica, in requests and tokens.
+    """Work of one gateway or more at one replica, in requests and tokens.
 
     ``unread_tokens`` are of prompts whose first event has not come.
     """
@@ -49,12 +45,16 @@
 
 @attrs.frozen
 class _Told:
-    moment: float
+    until: float
     loads: Mapping[str, LoadReport]
 
 
 class LoadTable:
-    """Sums the work of all gateways by replica."""
+    """Sums the work of all gateways by replica.
+
+    A neighbour tells the work of all gateways on its side of the tree, so
+    that the sum of own work and of what neighbours tell is the whole.
+    """
 
     def __init__(self) -> None:
         """Start with nothing in flight."""
@@ -80,23 +80,35 @@
 
     def hear(
         self,
-        gateway: str,
+        neighbour: str,
         loads: Mapping[str, LoadReport],
-        now: float,
+        until: float,
     ) -> None:
-        """Take in what another gateway tells."""
-        self._told[gateway] = _Told(now, loads)
-
-    def own_reports(self) -> dict[str, LoadReport]:
-        """Return this gateway's own work, to be told to the others."""
-        return {name: _freeze(own) for name, own in self._own.items()}
+        """Take in what a neighbour tells; it counts until a moment."""
+        self._told[neighbour] = _Told(until, loads)
+
+    def forget(self, neighbour: str) -> None:
+        """Drop what a gateway told that is no longer a neighbour."""
+        self._told.pop(neighbour, None)
+
+    def tell(self, neighbour: str, now: float) -> dict[str, LoadReport]:
+        """Return the work of all gateways but those on a neighbour's side."""
+        parts: dict[str, list[LoadReport]] = {
+            name: [_freeze(own)] for name, own in self._own.items()
+        }
+        for name, told in self._told.items():
+            if name == neighbour or now >= told.until:
+                continue
+            for replica, load in told.loads.items():
+                parts.setdefault(replica, []).append(load)
+        return {replica: _add_up(loads) for replica, loads in parts.items()}
 
     def total(self, replica: str, now: float) -> LoadReport:
         """Return the work of all gateways at a replica."""
         parts = [_freeze(self._own[replica])] if replica in self._own else []
         for told in self._told.values():
             known = told.loads.get(replica)
-            if known is not None and now - told.moment < _STALE_S:
+            if known is not None and now < told.until:
                 parts.append(known)
         return _add_up(parts)
 
--- a/bramleybeam/gateway/_order_times.py
+++ b/bramleybeam/gateway/_order_times.py
@@ -1,14 +1,21 @@
 """When each replica was last given an order, by this gateway or another.
 
 A new planner may order a replica only some time after the last planner did.
-The planner announces each order before it gives it and repeats the times for
-a while, so that whoever takes over knows them for each replica.
+The planner announces each order to its children in the tree before it gives it
+and repeats the times for a while, so that a child that takes over knows them
+for each replica. Others don't, and wait for all.
 """
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
+from typing import Final
 
 import attrs
 
+# Pause between two words of a planner after which an order may be unknown.
+_GAP_S: Final = 1.5
+# Age of the last word at which a planner may have given unknown orders.
+_LAST_WORD_S: Final = 3.0
+
 
 @attrs.define
 class OrderTimes:
@@ -21,24 +28,26 @@
     clock: Callable[[], float]
     _own: dict[str, float] = attrs.field(factory=dict)
     _others: dict[str, float] = attrs.field(factory=dict)
-    _listening_since: float = attrs.field(init=False)
-
-    def __attrs_post_init__(self) -> None:
-        """Begin to listen."""
-        self._listening_since = self.clock()
+    _listening_since: float = attrs.field(init=False, default=float('inf'))
+    _heard_at: float = attrs.field(init=False, default=float('-inf'))
 
     @property
     def is_complete(self) -> bool:
         """Whether any order that still counts would have been heard of."""
-        return self.clock() - self._listening_since >= self.pause_s
+        now = self.clock()
+        is_close = now - self._heard_at <= _LAST_WORD_S
+        return is_close and now - self._listening_since >= self.pause_s
 
-    def note_own(self, replica: str) -> None:
-        """Note an order that is about to be given here."""
-        self._own[replica] = self.clock()
+    def note_own(self, replicas: Collection[str]) -> None:
+        """Note orders that are about to be given here."""
+        self._own.update(dict.fromkeys(replicas, self.clock()))
 
     def hear(self, ages: Mapping[str, float]) -> None:
-        """Take in the ages, in seconds, of another planner's orders."""
+        """Take in the ages, in seconds, of a planner's own orders."""
         now = self.clock()
+        if now - self._heard_at > _GAP_S:
+            self._listening_since = now
+        self._heard_at = now
         for replica, age in ages.items():
             known = self._others.get(replica, now - age)
             self._others[replica] = max(known, now - age)
--- a/bramleybeam/gateway/_planner.py
+++ b/bramleybeam/gateway/_planner.py
@@ -5,7 +5,7 @@
 out, by a clock that goes on while the host is suspended.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import Final, Protocol
 
 import structlog
@@ -13,10 +13,10 @@
 from bramleybeam import platform
 from bramleybeam.catalog import EngineSpec, Holdings, Replica, ReplicaState
 from bramleybeam.decisions import TokenBucket
-from bramleybeam.gateway._directory import PlacedHoldings
 from bramleybeam.gateway._knowledge import Knowledge
 from bramleybeam.gateway._ledger import ReplicaLedger
 from bramleybeam.gateway._order_times import OrderTimes
+from bramleybeam.gateway._placement import PlacedHoldings
 from bramleybeam.orders import (
     Demand,
     EngineView,
@@ -77,11 +77,12 @@
         lease: Lease,
         giver: OrderGiver,
         order_times: OrderTimes,
-        announce: Callable[[], None],
+        announce: Callable[[Collection[str]], None],
     ) -> None:
         """Store what plans are made from, and how orders are given.
 
-        ``name`` is this gateway's; ``announce`` tells the others of orders.
+        ``name`` is this gateway's; ``announce`` tells others of the replicas
+        that are about to be given orders.
         """
         self.has_news = False
         self.order_times = order_times
@@ -127,7 +128,7 @@
         now = self._directory.now()
         return {
             name: PlacedHoldings(
-                ledger.holdings,
+                Holdings(0, ledger.holdings.models),
                 ledger.leaving,
                 ledger.replica.started_ms,
                 ledger.expected,
@@ -193,7 +194,10 @@
             and ledger.replica.state == ReplicaState.READY
         ]
         allowed = int(bucket.level(now))
-        for order in plan_orders(views, spec, demand, allowed):
+        orders = plan_orders(views, spec, demand, allowed)
+        if orders:
+            self._announce_orders([order.replica for order in orders])
+        for order in orders:
             if isinstance(order, LoadModel) and order.from_store:
                 bucket.take(now)
             ledger = self._ledgers[order.replica]
@@ -220,15 +224,19 @@
             last_run,
         )
 
+    def _announce_orders(self, replicas: Collection[str]) -> None:
+        self.order_times.note_own(replicas)
+        self._announce(replicas)
+
     async def _give(self, ledger: ReplicaLedger, order: ModelOrder) -> None:
         """Give an order until it is answered; a repeat is taken only once."""
         try:
-            for _ in range(_MAX_TRIES):
+            for number in range(_MAX_TRIES):
                 epoch = self.epoch
                 if not epoch:
                     return
-                self.order_times.note_own(ledger.replica.name)
-                self._announce()
+                if number:
+                    self._announce_orders([ledger.replica.name])
                 terms = platform.OrderTerms(
                     self._name, epoch, ledger.holdings.sequence
                 )
--- a/bramleybeam/gateway/_planner_lease.py
+++ b/bramleybeam/gateway/_planner_lease.py
@@ -20,6 +20,9 @@
 # A gateway that has just started leaves the lease to others, which know of
 # the last orders and needn't wait.
 _NEWCOMER_DELAY_S: Final = 0.5
+# A gateway leaves the lease to those whose links are this many times wider.
+_NARROW_DELAY_S: Final = 0.3
+_WIDER: Final = 2
 _log = structlog.get_logger('planner')
 
 
@@ -74,7 +77,7 @@
             self.give_up()
         elif self._held_epoch:
             await self._renew()
-        elif self._directory.is_ready and not self._directory.planner_revision:
+        elif self._directory.is_ready and not self._directory.planner.revision:
             return await self._try_to_take()
         return False
 
@@ -103,10 +106,13 @@
         """Whether the store shows that the lease's key is no longer ours."""
         if not self._held_epoch:
             return False
-        shown = self._directory.planner_revision
+        shown = self._directory.planner.revision
         if shown == self._held_epoch:
             self._has_seen_own = True
-        newest = max(shown, self._directory.placement_epoch)
+        newest = max(
+            self._directory.newest_planner.revision,
+            self._directory.placement.mark.epoch,
+        )
         is_removed = self._has_seen_own and not shown
         return is_removed or newest > self._held_epoch
 
@@ -131,8 +137,10 @@
         delay = self._rng.uniform(0, _RENEW_S / 2)
         if not self._order_times.is_complete:
             delay += _NEWCOMER_DELAY_S
+        if self._has_wider_peers():
+            delay += _NARROW_DELAY_S
         await asyncio.sleep(delay)
-        if self._is_closed or self._directory.planner_revision:
+        if self._is_closed or self._directory.planner.revision:
             return False
         await self._keeper.renew()
         epoch = self._keeper.epoch
@@ -141,6 +149,13 @@
         self._begin(epoch)
         return True
 
+    def _has_wider_peers(self) -> bool:
+        widest = max(
+            (peer.link_bytes_per_s for peer in self._directory.peers.values()),
+            default=0,
+        )
+        return widest > _WIDER * self._settings.link_bytes_per_s
+
     def _begin(self, epoch: int) -> None:
         self._held_epoch = epoch
         self._has_seen_own = False
--- /dev/null
+++ b/bramleybeam/gateway/_tree.py
@@ -0,0 +1,94 @@
+"""The tree over which gateways tell each other how things stand.
+
+Each gateway reports to one parent, so that what a gateway sends and takes does
+not grow with their number. The planner is the root. Within a zone the parents
+are the gateways with the widest links; only one gateway of a zone, its head,
+has a parent in another. Everybody derives the tree from the same list; whoever
+passes over a silent gateway derives it without that one, and since a parent
+always stands before its children in the list, no circle can last.
+"""
+
+import json
+from collections.abc import Collection, Sequence
+from typing import Final
+
+import attrs
+
+# Children of a gateway in its own zone, and of a head among the heads.
+FANOUT: Final = 3
+
+
+@attrs.frozen
+class Peer:
+    """A gateway as its entry in the store shows it.
+
+    ``host`` is its name in the settings, ``address`` where it takes datagrams,
+    ``link_bytes_per_s`` the rate of its machine's link.
+    """
+
+    address: str
+    host: str = ''
+    zone: str = ''
+    link_bytes_per_s: float = 0
+
+
+@attrs.frozen(order=True)
+class PlannerSeen:
+    """The planner's key as the store shows it; revision 0 for none."""
+
+    revision: int = 0
+    host: str = ''
+
+
+def encode_peer(peer: Peer) -> str:
+    """Encode a gateway's entry in the store."""
+    return json.dumps(attrs.asdict(peer))
+
+
+def decode_peer(content: bytes) -> Peer | None:
+    """Decode a gateway's entry; ``None`` when it can't be read."""
+    try:
+        plain = json.loads(content)
+        return Peer(
+            str(plain['address']),
+            str(plain['host']),
+            str(plain['zone']),
+            float(plain['link_bytes_per_s']),
+        )
+    except (ValueError, KeyError, TypeError):
+        return None
+
+
+def choose_parent(
+    own: Peer,
+    peers: Collection[Peer],
+    root: str,
+    silent: Collection[str] = (),
+) -> Peer | None:
+    """Return whom to report to; ``None`` for the root itself.
+
+    ``root`` is the host of the planner, if there is one; ``silent`` are
+    addresses to pass over.
+    """
+    others = [
+        peer
+        for peer in peers
+        if peer.host != own.host and peer.address not in silent
+    ]
+    ranked = sorted((own, *others), key=lambda peer: _rank(peer, root))
+    zone = [peer for peer in ranked if peer.zone == own.zone]
+    if zone[0] != own:
+        return _parent_in(zone, own)
+    heads = {peer.zone: peer for peer in reversed(ranked)}
+    ranked_heads = sorted(heads.values(), key=lambda peer: _rank(peer, root))
+    return _parent_in(ranked_heads, own)
+
+
+def _rank(peer: Peer, root: str) -> tuple[bool, float, str]:
+    return (peer.host != root, -peer.link_bytes_per_s, peer.host)
+
+
+def _parent_in(row: Sequence[Peer], own: Peer) -> Peer | None:
+    """Return the parent in a tree that is laid out row by row."""
+    place = row.index(own)
+    return row[(place - 1) // FANOUT] if place else None
--- /dev/null
+++ b/bramleybeam/gateway/tests/exchange_network.py
@@ -0,0 +1,155 @@
+"""Gateways' exchanges in virtual time, joined by links that lose datagrams."""
+
+import asyncio
+import random
+from collections import Counter
+
+import attrs
+
+from bramleybeam.catalog import Holdings
+from bramleybeam.gateway._beats import decode_beat
+from bramleybeam.gateway._exchange import PeerExchange
+from bramleybeam.gateway._knowledge import Knowledge, make_knowledge
+from bramleybeam.gateway._loads import Work
+from bramleybeam.gateway._order_times import OrderTimes
+from bramleybeam.gateway._parent import ParentChoice
+from bramleybeam.gateway._placement import PlacedHoldings
+from bramleybeam.gateway._tree import Peer, PlannerSeen
+
+_TICK_S = 0.1
+_DELAY_S = 0.002
+PLANNER = 'host-0'
+
+
+@attrs.define
+class Node:
+    """One gateway's exchange and what it knows."""
+
+    peer: Peer
+    knowledge: Knowledge
+    exchange: PeerExchange
+    order_times: OrderTimes
+    sent: int = 0
+    received: int = 0
+    is_down: bool = False
+    wants_heard: int = 0
+    works: list = attrs.field(factory=list)
+
+
+class Network:
+    """``loss`` is the share of datagrams that are lost."""
+
+    def __init__(self, gateways, zones=4, loss=0.0, seed=1):
+        self._loop = asyncio.get_running_loop()
+        self._rng = random.Random(seed)
+        self._loss = loss
+        self.across = Counter()
+        self.nodes = {}
+        for number in range(gateways):
+            peer = Peer(
+                f'10.0.0.{number}:7',
+                f'host-{number}',
+                f'zone-{number % zones}',
+                625_000.0,
+            )
+            self.nodes[peer.address] = self._make_node(peer)
+        for node in self.nodes.values():
+            for address, other in self.nodes.items():
+                node.knowledge.directory.peers[address] = other.peer
+        self.name_planner(1, PLANNER)
+
+    @property
+    def planner(self):
+        return self.nodes['10.0.0.0:7']
+
+    def name_planner(self, revision, host):
+        """Let all gateways see the planner in the store, but the last one."""
+        for node in self.nodes.values():
+            if node is not self.planner or revision == 1:
+                node.knowledge.directory.hear_planner(
+                    PlannerSeen(revision, host)
+                )
+
+    def _make_node(self, peer):
+        knowledge = make_knowledge(self._loop.time)
+        times = OrderTimes(3, self._loop.time)
+
+        def send(address, datagram):
+            self._send(node, address, datagram)
+
+        def hear_wants():
+            node.wants_heard += 1
+            if node.peer.host != PLANNER:
+                exchange.tell_wants()
+
+        exchange = PeerExchange(
+            knowledge,
+            times,
+            ParentChoice(peer, knowledge.directory),
+            send,
+            hear_wants,
+            lambda: peer.host == PLANNER,
+        )
+        node = Node(peer, knowledge, exchange, times)
+        return node
+
+    def _send(self, sender, address, datagram):
+        sender.sent += len(datagram)
+        receiver = self.nodes[address]
+        if sender.peer.zone != receiver.peer.zone:
+            self.across['bytes'] += len(datagram)
+        if self._rng.random() >= self._loss and not sender.is_down:
+            self._loop.call_later(
+                _DELAY_S, self._deliver, receiver, sender, datagram
+            )
+
+    def _deliver(self, receiver, sender, datagram):
+        if not receiver.is_down:
+            receiver.received += len(datagram)
+            receiver.exchange.receive(
+                decode_beat(datagram), sender.peer.address
+            )
+
+    async def run(self, seconds):
+        """Let time pass; the planner renews its placement meanwhile."""
+        end = self._loop.time() + seconds
+        while self._loop.time() < end:
+            for node in self.nodes.values():
+                if not node.is_down:
+                    self._loop.call_later(
+                        self._rng.random() * _TICK_S, node.exchange.tick
+                    )
+            await asyncio.sleep(_TICK_S)
+
+    def place(self, epoch, replicas, models):
+        """Let the planner tell that each replica holds three models."""
+        placement = {
+            f'replica-{number:04d}': PlacedHoldings(
+                Holdings(
+                    0,
+                    {
+                        f'model{(number * 3 + each) % models:04d}': frozenset(
+                            ('a1', 'a2')
+                        )
+                        for each in range(3)
+                    },
+                )
+            )
+            for number in range(replicas)
+        }
+        if self.planner.knowledge.directory.placement.publish(epoch, placement):
+            self.planner.exchange.tell_news()
+
+    def load(self, replicas, models, requests):
+        """Let each gateway run requests, and be asked for models."""
+        for node in self.nodes.values():
+            now = self._loop.time()
+            for _ in range(requests):
+                target = (f'model{self._rng.randrange(models):04d}', '')
+                replica = f'replica-{self._rng.randrange(replicas):04d}'
+                work = node.knowledge.loads.track(replica, Work(target, 100))
+                work.__enter__()
+                node.works.append(work)
+                node.knowledge.demand.note_request(
+                    target, 1400, now, is_patient=False
+                )
--- a/bramleybeam/limits/__init__.py
+++ b/bramleybeam/limits/__init__.py
@@ -1,6 +1,13 @@
 """Limits of waiting and of retries, as pure functions and counters."""
 
+from bramleybeam.limits._byte_budget import ByteBudget
 from bramleybeam.limits._patience import is_patient, patience_of, quiet_limit
 from bramleybeam.limits._retry_budget import RetryBudget
 
-__all__ = ['RetryBudget', 'is_patient', 'patience_of', 'quiet_limit']
+__all__ = [
+    'ByteBudget',
+    'RetryBudget',
+    'is_patient',
+    'patience_of',
+    'quiet_limit',
+]
--- a/bramleybeam/limits/tests/test_limits.py
+++ b/bramleybeam/limits/tests/test_limits.py
@@ -4,6 +4,7 @@
 
 from bramleybeam.catalog import RequestKind, Route, RouteTarget
 from bramleybeam.limits import (
+    ByteBudget,
     RetryBudget,
     is_patient,
     patience_of,
@@ -66,3 +67,32 @@
                 sent += 1
     requests = 5 * 10
     assert sent / 4 <= 0.2 * requests + 50
+
+
+@pytest.mark.parametrize(
+    ('sizes', 'seconds', 'expected'),
+    [
+        # Short messages, ten a second: all fit within the rate.
+        ([50] * 100, 10, 5000),
+        # Long ones, ten a second: as many as the rate and the burst allow.
+        ([900] * 100, 10, 10_800),
+        # Longer than the burst: one at once, then one each three seconds.
+        ([3000] * 100, 10, 12_000),
+    ],
+)
+def test_byte_budget_holds_its_rate(sizes, seconds, expected):
+    budget = ByteBudget(rate=1000, burst=1000, credit=500)
+    sent = 0
+    for number, size in enumerate(sizes):
+        if budget.take(size, 100 + number * seconds / len(sizes)):
+            sent += size
+    assert sent == expected
+
+
+def test_message_that_cannot_wait_is_made_up_for_later():
+    budget = ByteBudget(rate=1000, burst=1000, credit=500)
+    assert budget.take(1000, 100)
+    assert budget.take_ahead(500, 100)
+    assert not budget.take_ahead(1, 100)
+    assert not budget.take(100, 100.5)
+    assert budget.take(100, 100.7)
--- a/bramleybeam/orders/__init__.py
+++ b/bramleybeam/orders/__init__.py
@@ -2,6 +2,7 @@
 
 from bramleybeam.orders._balance import PREFILL_TOKENS_PER_S
 from bramleybeam.orders._messages import (
+    NO_DEMAND,
     Demand,
     EngineView,
     LoadAdapter,
@@ -16,6 +17,7 @@
 from bramleybeam.orders._plan import plan_orders
 
 __all__ = [
+    'NO_DEMAND',
     'PREFILL_TOKENS_PER_S',
     'Demand',
     'EngineView',
--- a/bramleybeam/platform/_settings.py
+++ b/bramleybeam/platform/_settings.py
@@ -15,6 +15,7 @@
 
 SETTINGS_VARIABLE: Final = 'BRAMLEYBEAM_NODE_FILE'
 _BAD_FIELD: Final = (KeyError, TypeError, ValueError, IndexError)
+_BYTES_PER_MBIT: Final = 125_000
 _REMEDY: Final = f'{SETTINGS_VARIABLE} must name the settings of this host.'
 
 
@@ -52,9 +53,14 @@
         load_excess=float(bounds['ceiling-over']),
         replicas_check_epochs=bounds.get('require-fence', False) is True,
         max_descriptors=int(raw['limits']['max-fds']),
+        link_bytes_per_s=_link_rate(raw['limits']),
     )
 
 
+def _link_rate(limits: dict[str, Any]) -> float:
+    return float(limits.get('link-mbps', 0)) * _BYTES_PER_MBIT
+
+
 def _decode_bounds(bounds: dict[str, Any]) -> TimeBounds:
     return TimeBounds(
         drain_s=bounds['drain-ms'] / 1000,
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -17,6 +17,7 @@
 
 PEERS = 'bramleybeam/peers/'
 ZONES = ('zone-a', 'zone-b', 'zone-c', 'zone-d')
+BYTES_PER_MBIT = 125_000
 _HELD_BY_EACH = 3
 _START_AT_ONCE = 4
 
@@ -123,6 +124,8 @@
         text = text.replace(
             'ip-address = "127.0.0.1"', f'ip-address = "{host}"'
         )
+        mbps = self.links[host].out.bytes_per_s / BYTES_PER_MBIT
+        text = text.replace('[limits]', f'[limits]\nlink-mbps = {mbps:f}')
         settings = self.folder / f'settings-{number}.toml'
         settings.write_text(text)
         async with free:
