Know when the knowledge is too old, and act on it

A gateway that the store didn't reach could not tell whether the store was away or only it was cut off: it went on denying routes that all others served.

Neighbours tell which revision of the store they have read. One that is missing here for a second means being behind: the watch is repeated on a new connection beside the one that may be silent, the balancer is answered 503, and a path without a route is refused as not run instead of denied.

All gateways read changes together now, for 0.3 s; the planner, who passes on what others need at once, for 0.03 s as before.

--- a/bramleybeam/gateway/_daemon.py
+++ b/bramleybeam/gateway/_daemon.py
@@ -81,7 +81,9 @@
             order_times,
             self._announce_orders,
         )
-        self._follower = StoreFollower(self._store, self._directory, rng)
+        self._follower = StoreFollower(
+            self._store, self._directory, rng, self._is_planner
+        )
         self._own = Peer(
             f'{settings.ip_address}:{settings.peer_port}',
             settings.name,
@@ -174,7 +176,8 @@
         request: InboundRequest,
         connection: CallerConnection,
     ) -> None:
-        ready = self._directory.is_ready and not self._is_stopping
+        knows = self._directory.is_ready and not self._directory.is_behind
+        ready = knows and not self._is_stopping
         if request.path == platform.READINESS_PATH:
             status = HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE
             connection.respond(status, (), b'')
--- a/bramleybeam/gateway/_follower.py
+++ b/bramleybeam/gateway/_follower.py
@@ -2,21 +2,31 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 from typing import Final
 
 import structlog
 from expression import Result
 
 from bramleybeam.gateway._directory import Directory
-from bramleybeam.keyvalue import Changes, HistoryLost, ListingStore
+from bramleybeam.keyvalue import (
+    Changes,
+    HistoryLost,
+    ListingStore,
+    Unavailable,
+)
 
 # Longest wait of one call, so that a watch that died is found soon.
 _WATCH_S: Final = 1.0
-# Changes that come together are read by one call.
-_GATHER_S: Final = 0.03
+# Changes that come together are read by one call. The planner reads them
+# sooner; it passes on what others need at once.
+_GATHER_S: Final = 0.3
+_PLANNER_GATHER_S: Final = 0.03
 _RETRY_S: Final = 0.2
 _log = structlog.get_logger('follower')
 
+Reply = Result[Changes, HistoryLost | Unavailable]
+
 
 class StoreFollower:
     """Reads all keys once, then follows their changes for ever."""
@@ -26,11 +36,15 @@
         store: ListingStore,
         directory: Directory,
         rng: random.Random,
+        is_planner: Callable[[], bool],
     ) -> None:
-        """Store what to follow and whom to tell."""
+        """Store what to follow, whom to tell, and who reads changes soon."""
         self._store = store
         self._directory = directory
         self._rng = rng
+        self._is_planner = is_planner
+        self._is_behind = asyncio.Event()
+        directory.freshness.on_behind.append(self._is_behind.set)
 
     async def run(self) -> None:
         """Follow the store until cancelled."""
@@ -38,7 +52,10 @@
             revision = await self._read_all()
             if revision is not None:
                 await self._follow(revision)
-            await asyncio.sleep(_RETRY_S * self._rng.uniform(0.5, 1))
+            await self._pause()
+
+    async def _pause(self) -> None:
+        await asyncio.sleep(_RETRY_S * self._rng.uniform(0.5, 1))
 
     async def _read_all(self) -> int | None:
         asked_at = self._directory.now()
@@ -57,22 +74,56 @@
         """Follow until the history is lost."""
         while True:
             asked_at = self._directory.now()
-            reply = await self._store.follow('', revision, _WATCH_S)
+            reply = await self._ask(revision)
             match reply:
                 case Result(tag='ok', ok=Changes() as changes):
-                    self._directory.note_store(answers=True)
-                    self._directory.apply(changes)
-                    # Without changes the store has waited all the time.
-                    waited = 0 if changes.events else _WATCH_S
-                    self._directory.freshness.note_word(
-                        changes.revision, asked_at + waited
-                    )
                     revision = max(revision, changes.revision)
-                    await asyncio.sleep(_GATHER_S)
+                    self._take(changes, asked_at)
+                    await self._gather()
                 case Result(error=HistoryLost()):
                     _log.info('history_lost', revision=revision)
                     return
                 case _:
                     self._directory.note_store(answers=False)
-                    pause = _RETRY_S * self._rng.uniform(0.5, 1)
-                    await asyncio.sleep(pause)
+                    await self._pause()
+
+    def _take(self, changes: Changes, asked_at: float) -> None:
+        self._directory.note_store(answers=True)
+        self._directory.apply(changes)
+        # Without changes the store has waited all the time.
+        waited = 0 if changes.events else _WATCH_S
+        self._directory.freshness.note_word(changes.revision, asked_at + waited)
+
+    async def _gather(self) -> None:
+        quick = self._is_planner()
+        await asyncio.sleep(_PLANNER_GATHER_S if quick else _GATHER_S)
+
+    async def _ask(self, revision: int) -> Reply:
+        """Ask for changes, a second time when others already have some."""
+        self._is_behind.clear()
+        first = asyncio.create_task(self._watch(revision))
+        again = asyncio.create_task(self._watch_when_behind(revision))
+        try:
+            return await _first_answer(first, again)
+        finally:
+            first.cancel()
+            again.cancel()
+
+    async def _watch_when_behind(self, revision: int) -> Reply:
+        await self._is_behind.wait()
+        _log.info('watch_repeated', revision=revision)
+        return await self._watch(revision)
+
+    async def _watch(self, revision: int) -> Reply:
+        return await self._store.follow('', revision, _WATCH_S)
+
+
+async def _first_answer(
+    first: asyncio.Task[Reply],
+    again: asyncio.Task[Reply],
+) -> Reply:
+    """Return the answer that comes first; the first call's failure counts."""
+    await asyncio.wait({first, again}, return_when='FIRST_COMPLETED')
+    if again.done() and again.result().is_ok():
+        return again.result()
+    return await first
--- a/bramleybeam/gateway/_forward.py
+++ b/bramleybeam/gateway/_forward.py
@@ -108,9 +108,7 @@
         configuration = self._check_state()
         route = configuration.match(request.host, request.path)
         if route is None:
-            raise RefusingError(
-                refuse(ErrorKind.UNKNOWN_SERVICE, request.path),
-            )
+            raise RefusingError(self._refuse_unknown(request.path))
         if facts is None:
             raise RefusingError(
                 refuse(ErrorKind.INVALID_REQUEST, 'The request id is missing.'),
@@ -122,6 +120,12 @@
             )
         return self._make_job(request, facts, route, service, connection)
 
+    def _refuse_unknown(self, path: str) -> Refusal:
+        """Refuse a path without a route, for good only if that is certain."""
+        if self._directory.is_behind:
+            return refuse(ErrorKind.NOT_CONFIGURED, retry_after=_SOON_S)
+        return refuse(ErrorKind.UNKNOWN_SERVICE, path)
+
     def _check_state(self) -> RoutingConfiguration:
         """Return the configuration, unless requests can't be taken now."""
         if self._is_stopping:
--- a/bramleybeam/gateway/tests/test_follower.py
+++ b/bramleybeam/gateway/tests/test_follower.py
@@ -53,7 +53,7 @@
         loop = asyncio.get_running_loop()
         directory = Directory(loop.time)
         follower = StoreFollower(
-            ScriptedStore(script), directory, random.Random(1)
+            ScriptedStore(script), directory, random.Random(1), bool
         )
         assert directory.freshness.age_s is None
         task = asyncio.create_task(follower.run())
@@ -64,6 +64,45 @@
     assert run_in_virtual_time(follow()) == pytest.approx(age_s, abs=0.01)
 
 
+def test_silent_watch_is_repeated_when_others_know_more():
+    async def follow():
+        loop = asyncio.get_running_loop()
+        directory = Directory(loop.time)
+        silent = (3600, None)
+        store = ScriptedStore([silent, (0.01, Ok(Changes((EVENT,), 2)))])
+        follower = StoreFollower(store, directory, random.Random(1), bool)
+        task = asyncio.create_task(follower.run())
+        for _ in range(4):
+            await asyncio.sleep(0.5)
+            directory.freshness.note_others(2)
+        await asyncio.sleep(0.1)
+        assert store.calls == 2
+        assert directory.freshness.revision == 2
+        assert not directory.is_behind
+        task.cancel()
+
+    run_in_virtual_time(follow())
+
+
+@pytest.mark.parametrize(('is_planner', 'calls'), [(True, 20), (False, 3)])
+def test_changes_are_read_together_but_by_the_planner(is_planner, calls):
+    async def follow():
+        loop = asyncio.get_running_loop()
+        changes = [
+            (0.01, Ok(Changes((EVENT,), number))) for number in range(50)
+        ]
+        store = ScriptedStore(changes)
+        follower = StoreFollower(
+            store, Directory(loop.time), random.Random(1), lambda: is_planner
+        )
+        task = asyncio.create_task(follower.run())
+        await asyncio.sleep(0.8)
+        task.cancel()
+        return store.calls
+
+    assert run_in_virtual_time(follow()) == calls
+
+
 def test_traffic_is_told_once():
     traffic = Traffic()
     traffic.note_sent('peers', 100)
--- a/tests/platform_links.py
+++ b/tests/platform_links.py
@@ -14,6 +14,7 @@
 # Longest wait of a datagram at a full link.
 _LONGEST_WAIT_S = 1.0
 _PIECE_BYTES = 4096
+_CUT_POLL_S = 0.02
 
 
 @attrs.define
@@ -50,13 +51,17 @@
 
 
 class MachineLink:
-    """The link of one gateway's machine, with a relay to the store."""
+    """The link of one gateway's machine, with a relay to the store.
+
+    While ``is_cut`` nothing passes between the gateway and the store.
+    """
 
     def __init__(self, bytes_per_s: float, store_address: str) -> None:
         """Store the rate of each direction and where the store is."""
         self.out = Lane(bytes_per_s)
         self.inward = Lane(bytes_per_s)
         self._store_address = store_address
+        self.is_cut = False
         self._server: asyncio.Server | None = None
 
     @property
@@ -79,8 +84,10 @@
         host, _, port = self._store_address.rpartition(':')
         far_reader, far_writer = await asyncio.open_connection(host, int(port))
         pumps = [
-            asyncio.create_task(_pump(near_reader, far_writer, self.out)),
-            asyncio.create_task(_pump(far_reader, near_writer, self.inward)),
+            asyncio.create_task(self._pump(near_reader, far_writer, self.out)),
+            asyncio.create_task(
+                self._pump(far_reader, near_writer, self.inward)
+            ),
         ]
         try:
             await asyncio.wait(pumps, return_when=asyncio.FIRST_COMPLETED)
@@ -90,15 +97,16 @@
             near_writer.transport.abort()
             far_writer.transport.abort()
 
-
-async def _pump(reader, writer, lane: Lane) -> None:
-    try:
-        while piece := await reader.read(_PIECE_BYTES):
-            await lane.pass_piece(len(piece))
-            writer.write(piece)
-            await writer.drain()
-    except ConnectionError:
-        return
+    async def _pump(self, reader, writer, lane: Lane) -> None:
+        try:
+            while piece := await reader.read(_PIECE_BYTES):
+                await lane.pass_piece(len(piece))
+                while self.is_cut:
+                    await asyncio.sleep(_CUT_POLL_S)
+                writer.write(piece)
+                await writer.drain()
+        except ConnectionError:
+            return
 
 
 class PeerRelay:
