--- a/tests/test_peer_traffic.py
+++ b/tests/test_peer_traffic.py
@@ -29,6 +29,14 @@
                 assert carried / len(lines) < CONTROL_BYTES_PER_S
 
 
+async def wait_for_peers(fleet):
+    """Wait until every gateway knows of all."""
+    async with asyncio.timeout(30):
+        for gateway in fleet.gateways:
+            while gateway.events('status')[-1]['peers'] < len(fleet.gateways):
+                await asyncio.sleep(0.1)
+
+
 async def wait_for_readiness(gateway, status):
     async with asyncio.timeout(30):
         while await gateway.is_ready() != status:
@@ -42,6 +50,7 @@
     added = make_route('added', 'ledger', 'idempotent')
     rates = [WIDE_LINK] * 3
     async with run_fleet(tmp_path, rates, models=4, engines=2) as fleet:
+        await wait_for_peers(fleet)
         cut_off, *others = reversed(fleet.gateways)
         answer = await cut_off.ask_as('r1', '/added/2f')
         assert answer.status == 404
