Bound a head, an event or a body that never ends

What could happen: a replica in trouble that sends bytes without end fills the gateway's memory until the process is killed: the head of an answer (one header, many, or interim answers), an event without its end, up to 16 MB of each body; a caller could do the same with the head of a request, and hold a connection for ever by sending a byte now and then.

Now a head has 64 KB, an event 1 MB, an unfinished request head twice the limit, and the time for a head isn't extended by its pieces. An answer of more than 256 KB is passed on as it comes, at the pace of its caller, and not repeated after that; bytes behind a whole answer close their connection at once.

Tests that failed before: relay/tests/test_relay.py (heads of answers and of requests, a slow head, bytes after an answer), gateway/tests/test_stream.py, tests/test_gateway.py test_answer_without_end_fills_no_memory (five cases, the gateway process's memory and the end of each run).

--- a/bramleybeam/gateway/_attempt.py
+++ b/bramleybeam/gateway/_attempt.py
@@ -21,7 +21,10 @@
 )
 
 _CONNECT_TIMEOUT_S: Final = 0.3
-_MAX_BODY_BYTES: Final = 1 << 24
+# Longest answer to another request that is read past.
+_MAX_SKIPPED_BYTES: Final = 1 << 20
+# Bytes of an answer that are held, so that a broken one can be repeated.
+_HELD_BYTES: Final = 1 << 18
 _SERVER_ERROR: Final = 500
 _OK: Final = 200
 # Statuses that promise a caller that nothing ran.
@@ -162,17 +165,36 @@
             )
             if not facts.echoed_id or not call.answers:
                 raise BrokenReplyError('an answer without this request id')
-            await call.skip_answer(_MAX_BODY_BYTES)
+            await call.skip_answer(_MAX_SKIPPED_BYTES)
 
     async def _pass_whole(self, call: PeerCall, head: ReplyHead) -> Outcome:
-        body = await call.read_body(_MAX_BODY_BYTES)
+        body, is_whole = await call.read_held(_HELD_BYTES)
         if head.status >= _SERVER_ERROR:
-            return FailedReply(head.status, head.headers, body)
+            if is_whole:
+                return FailedReply(head.status, head.headers, body)
+            return Lost(f'a failure of more than {_HELD_BYTES} bytes')
         if self._job.connection.answer_started:
             return Lost(f'a resumed stream was answered with {head.status}')
-        self._job.connection.respond(head.status, head.headers, body)
+        if is_whole:
+            self._job.connection.respond(head.status, head.headers, body)
+        else:
+            await self._pass_long(call, head, body)
         return Delivered(head.status)
 
+    async def _pass_long(
+        self,
+        call: PeerCall,
+        head: ReplyHead,
+        begun: bytes,
+    ) -> None:
+        """Pass on an answer that is too long to be held, as it comes."""
+        connection = self._job.connection
+        connection.start(head.status, head.headers)
+        await connection.write_piece(begun)
+        while piece := await call.read_piece():
+            await connection.write_piece(piece)
+        connection.finish()
+
     async def _pass_stream(self, call: PeerCall, head: ReplyHead) -> Outcome:
         job = self._job
         connection = job.connection
--- a/bramleybeam/gateway/_forward.py
+++ b/bramleybeam/gateway/_forward.py
@@ -11,6 +11,7 @@
 from bramleybeam.catalog import (
     HostSettings,
     Replica,
+    RequestKind,
     Route,
     RoutingConfiguration,
     Service,
@@ -245,12 +246,14 @@
 
     def _history(self, job: Job) -> AttemptHistory:
         now = self._directory.now()
+        is_stream = job.route.kind == RequestKind.STREAMING
+        is_partly_answered = job.connection.answer_started and not is_stream
         return AttemptHistory(
             attempts=job.sends,
             idempotent=job.route.may_repeat,
             started=job.connection.answer_started,
             time_left=job.received_at + job.patience_s - now,
-            may_retry=job.runs < job.route.attempts,
+            may_retry=job.runs < job.route.attempts and not is_partly_answered,
         )
 
     def _note_outcome(
--- a/bramleybeam/gateway/_stream.py
+++ b/bramleybeam/gateway/_stream.py
@@ -6,6 +6,7 @@
 
 _END_OF_EVENT: Final = b'\n\n'
 _ID_FIELD: Final = b'id:'
+_MAX_EVENT_BYTES: Final = 1 << 20
 
 
 class EventSplitter:
@@ -31,6 +32,10 @@
         joined = self._rest + piece
         end = joined.rfind(_END_OF_EVENT)
         if end < 0:
+            if len(joined) > _MAX_EVENT_BYTES:
+                raise BrokenReplyError(
+                    f'an event of more than {_MAX_EVENT_BYTES} bytes'
+                )
             self._rest = joined
             return b''
         end += len(_END_OF_EVENT)
--- a/bramleybeam/gateway/tests/test_stream.py
+++ b/bramleybeam/gateway/tests/test_stream.py
@@ -27,6 +27,13 @@
     assert splitter.has_rest
 
 
+def test_event_without_end_is_given_up():
+    splitter = EventSplitter()
+    with pytest.raises(BrokenReplyError):
+        for _ in range(1000):
+            splitter.feed(b'data: ' + b'x' * 10_000)
+
+
 @pytest.mark.parametrize('last_id', ['2', '4', '5'])
 def test_refuses_a_gap_or_a_repeat(last_id):
     with pytest.raises(BrokenReplyError):
--- a/bramleybeam/relay/_answer.py
+++ b/bramleybeam/relay/_answer.py
@@ -10,6 +10,8 @@
 
 _NO_BODY_STATUSES: Final = frozenset((204, 304))
 _FINAL_STATUS: Final = 200
+# Longest head of an answer, with interim answers before it.
+_MAX_HEAD_BYTES: Final = 65_536
 
 
 @attrs.define
@@ -39,10 +41,12 @@
         self.is_spoiled = False
         self._parser = httptools.HttpResponseParser(self)
         self._headers: list[tuple[bytes, bytes]] = []
+        self._head_bytes = 0
 
     def begin(self) -> None:
         """Forget the last answer and wait for the next."""
         self.answer = Answer()
+        self._head_bytes = 0
 
     def feed(self, received: bytes) -> str | None:
         """Parse bytes; returns what is wrong with an unfinished answer."""
@@ -54,7 +58,7 @@
         except (httptools.HttpParserUpgrade, httptools.HttpParserError) as bad:
             self.is_spoiled = True
             return None if self.answer.is_complete else repr(bad)
-        return None
+        return self._check_head(len(received))
 
     def note_end(self) -> None:
         """Take a clean end as the end of an answer without a length."""
@@ -92,6 +96,15 @@
             answer.is_complete = True
             answer.may_stay = self._parser.should_keep_alive()
 
+    def _check_head(self, size: int) -> str | None:
+        if self.answer.head is not None:
+            return None
+        self._head_bytes += size
+        if self._head_bytes <= _MAX_HEAD_BYTES:
+            return None
+        self.is_spoiled = True
+        return f'a head of more than {_MAX_HEAD_BYTES} bytes'
+
 
 def _is_framed(headers: Headers) -> bool:
     for name, field in headers:
--- a/bramleybeam/relay/_call.py
+++ b/bramleybeam/relay/_call.py
@@ -107,6 +107,16 @@
                 raise BrokenReplyError(f'body of more than {limit} bytes')
         return bytes(collected)
 
+    async def read_held(self, limit: int) -> tuple[bytes, bool]:
+        """Return the body, or about ``limit`` first bytes; tells if whole."""
+        collected = bytearray()
+        while len(collected) <= limit:
+            piece = await self.read_piece()
+            if not piece:
+                return bytes(collected), True
+            collected += piece
+        return bytes(collected), False
+
     async def ask(
         self,
         first_line: bytes,
@@ -135,6 +145,9 @@
         problem = self._parser.feed(received)
         if problem is not None:
             self._failure = f'no HTTP answer: {problem}'
+        if self._parser.is_spoiled:
+            # What has come of a whole answer can still be read.
+            self.close()
         buffered = self._parser.answer.buffered
         if buffered > _HIGH_WATER_BYTES and self._transport is not None:
             self._transport.pause_reading()
--- a/bramleybeam/relay/_caller.py
+++ b/bramleybeam/relay/_caller.py
@@ -70,6 +70,7 @@
         if self._closing:
             return
         self._parser.limits = self._owner.limits
+        was_within_head = self._parser.is_within_head
         try:
             requests = self._parser.feed(received)
         except UnreadableRequestError as error:
@@ -78,7 +79,9 @@
         self._queue.extend(requests)
         if len(self._queue) > _MAX_QUEUED_REQUESTS and self._transport:
             self._transport.pause_reading()
-        self._start_timer()
+        # The time for a head is not extended by each of its pieces.
+        if not (was_within_head and self._parser.is_within_head):
+            self._start_timer()
         self._start_next()
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/bramleybeam/relay/_parser.py
+++ b/bramleybeam/relay/_parser.py
@@ -10,6 +10,9 @@
 
 # Bytes that a header takes besides its name and value.
 _HEADER_OVERHEAD = 4
+# An unfinished head may be this many times longer than a whole one, since the
+# request line and blank space are not told apart in it.
+_UNFINISHED_ALLOWANCE = 2
 
 
 class UnreadableRequestError(Exception):
@@ -42,14 +45,22 @@
         """Whether a part of a request has come."""
         return self._is_within
 
+    @property
+    def is_within_head(self) -> bool:
+        """Whether a part of a head has come, and not its end."""
+        return self._is_within and not self._has_head
+
     def feed(self, received: bytes) -> list[InboundRequest]:
         """Return the requests that are whole now; raises when unreadable."""
+        self._received += len(received)
         try:
             self._parser.feed_data(received)
         except httptools.HttpParserUpgrade:
             self._note_problem(HTTPStatus.BAD_REQUEST, 'upgrade')
         except httptools.HttpParserError as error:
             self._note_problem(HTTPStatus.BAD_REQUEST, repr(error))
+        if self.is_within_head and not self._whole:
+            self._check_head(self._received // _UNFINISHED_ALLOWANCE)
         if self._problem is not None:
             raise self._problem
         whole = self._whole
@@ -72,11 +83,8 @@
 
     def on_headers_complete(self) -> None:
         """Check the size of the head."""
-        if self._header_bytes > self.limits.header_bytes:
-            self._note_problem(
-                HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
-                f'{self._header_bytes} bytes of headers',
-            )
+        self._has_head = True
+        self._check_head(self._header_bytes)
 
     def on_body(self, piece: bytes) -> None:
         """Collect the body within its limit."""
@@ -102,8 +110,17 @@
         )
         self._reset()
 
+    def _check_head(self, size: int) -> None:
+        if size > self.limits.header_bytes:
+            self._note_problem(
+                HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+                f'{size} bytes of headers',
+            )
+
     def _reset(self) -> None:
         self._is_within = False
+        self._has_head = False
+        self._received = 0
         self._target = b''
         self._headers: list[tuple[bytes, bytes]] = []
         self._header_bytes = 0
--- a/bramleybeam/relay/tests/test_relay.py
+++ b/bramleybeam/relay/tests/test_relay.py
@@ -12,6 +12,7 @@
     CallerServer,
     open_call,
 )
+from bramleybeam.relay._answer import AnswerParser
 from bramleybeam.relay._parser import RequestParser, UnreadableRequestError
 
 LIMITS = RequestLimits(header_bytes=200, body_bytes=20)
@@ -111,6 +112,93 @@
     server.close()
 
 
+ENDLESS_LINE = b'x' * 1000
+MANY_HEADERS = b'A: b\r\n' * 100
+
+
+@pytest.mark.parametrize(
+    ('start', 'repeated'),
+    [
+        (b'HTTP/1.1 200 ', ENDLESS_LINE),
+        (b'HTTP/1.1 200 OK\r\nA: ', ENDLESS_LINE),
+        (b'HTTP/1.1 200 OK\r\n', MANY_HEADERS),
+        (b'', b'HTTP/1.1 100 Continue\r\n\r\n' * 10),
+    ],
+)
+def test_head_of_an_answer_without_end_is_given_up(start, repeated):
+    parser = AnswerParser()
+    problem = parser.feed(start) if start else None
+    fed = 0
+    while problem is None:
+        problem = parser.feed(repeated)
+        fed += len(repeated)
+        assert fed < 100_000
+    assert parser.answer.head is None
+
+
+@pytest.mark.parametrize(
+    ('start', 'repeated'),
+    [
+        (b'GET /', ENDLESS_LINE),
+        (b'GET / HTTP/1.1\r\nA: ', ENDLESS_LINE),
+        (b'GET / HTTP/1.1\r\n', MANY_HEADERS),
+    ],
+)
+def test_head_of_a_request_without_end_is_refused(start, repeated):
+    parser = make_parser()
+    parser.feed(start)
+    fed = 0
+    with pytest.raises(UnreadableRequestError) as caught:
+        while fed < 100_000:
+            fed += len(repeated)
+            parser.feed(repeated)
+    assert caught.value.status == 431
+    assert fed < 100_000
+
+
+async def test_slow_head_is_not_waited_for_without_end():
+    limits = RequestLimits(header_timeout_s=0.3)
+    server = CallerServer('127.0.0.1:0', None)
+    server.limits = limits
+    await server.start()
+    host, _, port = server.address.rpartition(':')
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(b'GET /')
+    answer = asyncio.create_task(reader.read())
+    for _ in range(40):
+        if not answer.done():
+            writer.write(b'x')
+            await asyncio.sleep(0.05)
+    assert answer.done()
+    assert b' 408 ' in answer.result()
+    writer.close()
+    await server.close(0)
+
+
+async def test_bytes_after_an_answer_close_the_connection():
+    closed = asyncio.Event()
+
+    async def answer(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok')
+        try:
+            while True:
+                writer.write(b'more' * 1000)
+                await writer.drain()
+                await asyncio.sleep(0.01)
+        except ConnectionError:
+            closed.set()
+
+    server = await asyncio.start_server(answer, '127.0.0.1', 0)
+    port = server.sockets[0].getsockname()[1]
+    call = await open_call(f'127.0.0.1:{port}', 1)
+    call.send(b'GET / HTTP/1.1', (), b'')
+    assert await call.read_body(10) == b'ok'
+    await asyncio.wait_for(closed.wait(), 10)
+    assert not call.may_be_kept
+    server.close()
+
+
 async def test_answers_follow_requests_on_a_kept_connection():
     async def echo(request, connection):
         await asyncio.sleep(0.01)
--- a/tests/platform_replica.py
+++ b/tests/platform_replica.py
@@ -30,7 +30,9 @@
     then resets), ``refuse`` (503, not run), ``error`` (500), ``bare`` (503 without
     a word on whether it ran), ``other_id``,
     ``cut`` (a stream breaks off after some events), ``torn`` (within an
-    event), ``unframed`` (no length), ``extra`` (bytes after the answer).
+    event), ``unframed`` (no length), ``extra`` (bytes after the answer),
+    ``endless_head``, ``endless_body`` and ``endless_event`` (bytes until the
+    connection is closed).
     """
 
     name: str
@@ -142,6 +144,12 @@
         if is_stream and fault not in {'lost', 'hang'}:
             await self._stream(run, fault, head, connection)
             return
+        if fault == 'endless_head':
+            connection._write(b'HTTP/1.1 200 OK\r\nA: ')
+            await _write_without_end(connection, is_head=True)
+        if fault == 'endless_body':
+            connection.start(200, head)
+            await _write_without_end(connection)
         match fault:
             case 'lost':
                 connection.break_off()
@@ -167,6 +175,8 @@
         first = int(run.headers.get('last-event-id', -1)) + 1
         kind = (b'Content-Type', b'text/event-stream')
         connection.start(200, (*head, kind))
+        if fault == 'endless_event':
+            await _write_without_end(connection)
         for number in range(first, self.events):
             if fault in {'cut', 'torn'} and number == 2:
                 if fault == 'torn':
@@ -177,3 +187,14 @@
             await connection.write_piece(b'id: %d\ndata: piece\n\n' % number)
             await asyncio.sleep(self.pause_s)
         connection.finish()
+
+
+async def _write_without_end(connection, *, is_head: bool = False) -> None:
+    """Write bytes of no event until the other side closes."""
+    while True:
+        if is_head:
+            await connection._writable.wait()
+            connection._write(b'x' * 10_000)
+        else:
+            await connection.write_piece(b'x' * 10_000)
+        await asyncio.sleep(0)
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -160,6 +160,15 @@
             if run.request_id == request_id
         ]
 
+    def cancelled(self, request_id: str) -> list:
+        """Return the runs of a request that its gateway broke off."""
+        return [
+            one
+            for replica in self.replicas.values()
+            for one in replica.cancelled
+            if one == request_id
+        ]
+
     async def wait_for_planner(self) -> None:
         """Wait until the gateway gives orders."""
         async with asyncio.timeout(20):
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import psutil
 import pytest
 import pytest_asyncio
 
@@ -12,6 +13,9 @@
     'Bramleybeam_Token_Counts': '100,8',
     'Bramleybeam_Prompt_Prefix': 'aa:60,bb:40',
 }
+# More than a gateway may need for one request.
+MANY_BYTES = 8_000_000
+ASK_IF = {'/post/2f': {}, '/look/2f': {}, '/ask/2f': ASK}
 EVENTS = tuple(b'id: %d\ndata: piece\n\n' % number for number in range(4))
 WHOLE_STREAM = b''.join(EVENTS)
 
@@ -74,6 +78,34 @@
         assert 'bramleybeam-response-seal' not in answer.headers
 
 
+@pytest.mark.parametrize(
+    ('path', 'fault', 'status', 'runs'),
+    [
+        ('/post/2f', 'endless_head', 502, 1),
+        ('/look/2f', 'endless_head', 502, 2),
+        ('/post/2f', 'endless_body', 200, 1),
+        ('/look/2f', 'endless_body', 200, 1),
+        ('/ask/2f', 'endless_event', 502, 1),
+    ],
+)
+async def test_answer_without_end_fills_no_memory(
+    site, path, fault, status, runs
+):
+    set_fault(site, 'r1', fault)
+    process = psutil.Process(site.gateway.process.pid)
+    before = process.memory_info().rss
+    async with site.gateway.send('r1', path, **ASK_IF[path]) as call:
+        head = await call.read_head()
+        assert head.status == status
+        # A caller that reads no further holds the replica back.
+        await asyncio.sleep(1)
+        assert process.memory_info().rss - before < MANY_BYTES
+    async with asyncio.timeout(10):
+        while len(site.cancelled('r1')) < runs:
+            await asyncio.sleep(0.05)
+    assert len(site.runs('r1')) == runs
+
+
 async def test_refused_by_one_replica_runs_at_the_other(site):
     site.replicas['l1'].faults['r1'] = 'refuse'
     site.replicas['l2'].faults['r2'] = 'refuse'
