Never say that nothing ran after an attempt that may have

What callers could see: a 503, which promises that the request has not run, for a resumable stream that a replica had begun.

Cause: the refusals of waiting and choosing tell what they know, that there is no replica to send to; they were passed on also after an earlier attempt was lost. The same held for a gateway that stops between two attempts. Now every refusal passes one place that knows of earlier runs, and becomes a 502.

Test: tests/test_gateway.py test_refusal_after_a_run_does_not_say_that_nothing_ran, 503 before.

--- a/bramleybeam/gateway/_forward.py
+++ b/bramleybeam/gateway/_forward.py
@@ -22,7 +22,7 @@
     TryAgain,
     decide_retry,
 )
-from bramleybeam.errors import ErrorKind, Refusal, refuse
+from bramleybeam.errors import ErrorKind, Execution, Refusal, refuse
 from bramleybeam.gateway import _attempt as outcomes
 from bramleybeam.gateway._answers import (
     answer_refusal,
@@ -283,12 +283,16 @@
             )
         return self._budgets[service]
 
-    def _refuse(self, job: Job, refusal: Refusal) -> None:
+    def _refuse(self, job: Job, refused: Refusal) -> None:
+        refusal = refused
+        if job.runs and refused.execution == Execution.NOT_RUN:
+            # No replica for another try; an earlier one may have run it.
+            refusal = refuse_unfinished(job, ErrorKind.UPSTREAM_LOST)
         _log.warning(
             'refused',
             request=job.facts.request_id,
             route=job.route.name,
-            kind=refusal.kind,
+            kind=refused.kind,
             status=refusal.status,
             execution=refusal.execution,
             sends=job.sends,
--- a/tests/platform_replica.py
+++ b/tests/platform_replica.py
@@ -14,12 +14,24 @@
 
 @attrs.define
 class Run:
-    """One run of a request."""
+    """One run of a request; moments are in loop seconds."""
 
     request_id: str
     path: str
     headers: dict
     body: bytes
+    began_at: float
+    ended_at: float = 0
+    is_sound: bool = True
+
+
+@attrs.frozen
+class GivenOrder:
+    """An accepted order, and when it came, in loop seconds."""
+
+    moment: float
+    holder: str
+    epoch: int
 
 
 @attrs.define
@@ -32,7 +44,9 @@
     ``cut`` (a stream breaks off after some events), ``torn`` (within an
     event), ``unframed`` (no length), ``extra`` (bytes after the answer),
     ``endless_head``, ``endless_body`` and ``endless_event`` (bytes until the
-    connection is closed).
+    connection is closed), ``die`` (runs, then the replica is gone). ``draw_fault`` may name one for any other request.
+    With ``echoes`` answers hold the request's id. ``places`` is how many
+    models it holds; what was ordered beyond is kept in ``overfull``.
     """
 
     name: str
@@ -49,6 +63,13 @@
     cancelled: list = attrs.field(factory=list)
     highest_fence: int = 0
     on_models: object = None
+    draw_fault: object = None
+    echoes: bool = False
+    places: int = 100
+    overfull: list = attrs.field(factory=list)
+    accepted: list = attrs.field(factory=list)
+    loading: int = 0
+    born: int = 1
 
     def entry(self, **changed) -> dict:
         """Return what it writes of itself in the store."""
@@ -61,7 +82,7 @@
             'state': 'ready',
             'cold-left-ms': 0,
             'sequence': 99,
-            'born': 1,
+            'born': self.born,
             'models': self._show_models(),
             **changed,
         }
@@ -99,11 +120,23 @@
             connection.respond(409, (), b'{}')
             return
         self.sequence += 1
+        self._note_accepted(order)
         asyncio.get_running_loop().call_later(self.load_s, self._apply, order)
         connection.respond(202, (), b'{}')
 
+    def _note_accepted(self, order: dict) -> None:
+        now = asyncio.get_running_loop().time()
+        given = GivenOrder(now, order['holder-id'], order['fencing-token'])
+        self.accepted.append(given)
+        if order['op'] == 'load' and not order.get('adapter'):
+            self.loading += 1
+            if len(self.models) + self.loading > self.places:
+                self.overfull.append(order)
+
     def _apply(self, order: dict) -> None:
         model, adapter = order['model'], order.get('adapter')
+        if order['op'] == 'load' and not adapter:
+            self.loading -= 1
         if adapter:
             self.models[model] = self.models[model] | {adapter}
         elif order['op'] == 'load':
@@ -119,7 +152,8 @@
             for name, field in request.headers
         }
         request_id = headers['bramleybeam-request-id']
-        fault = self.faults.pop(request_id, '')
+        drawn = self.draw_fault() if self.draw_fault else ''
+        fault = self.faults.pop(request_id, drawn)
         model, _, adapter = headers.get('bramleybeam-model', '').partition('/')
         if model and model not in self.models:
             connection.respond(421, ((REQUEST_ID, request_id.encode()),), b'')
@@ -129,19 +163,25 @@
             shown = (REQUEST_ID, request_id.encode())
             connection.respond(503, (refused, shown), b'')
             return
-        run = Run(request_id, request.target.decode(), headers, request.body)
+        now = asyncio.get_running_loop().time
+        run = Run(
+            request_id, request.target.decode(), headers, request.body, now()
+        )
+        run.is_sound = not fault
         self.runs.append(run)
         try:
             await self._carry_out(run, fault, bool(model), connection)
         except asyncio.CancelledError:
             self.cancelled.append(request_id)
             raise
+        finally:
+            run.ended_at = now()
 
     async def _carry_out(self, run, fault, is_stream, connection) -> None:
         shown = b'other' if fault == 'other_id' else run.request_id.encode()
         head = ((REQUEST_ID, shown), (SEAL, b'seal-1'))
         await asyncio.sleep(self.pause_s)
-        if is_stream and fault not in {'lost', 'hang'}:
+        if is_stream and fault not in {'lost', 'die', 'hang'}:
             await self._stream(run, fault, head, connection)
             return
         if fault == 'endless_head':
@@ -153,6 +193,9 @@
         match fault:
             case 'lost':
                 connection.break_off()
+            case 'die':
+                connection.break_off()
+                await self.close()
             case 'hang':
                 await asyncio.sleep(60)
             case 'error':
@@ -160,12 +203,22 @@
             case 'bare':
                 connection.respond(503, head[:1], b'went away')
             case 'unframed':
-                self._write_unframed(head, connection, b'whole answer')
+                self._write_unframed(head, connection, self.whole(run))
             case _:
-                connection.respond(200, head, b'whole answer')
+                connection.respond(200, head, self.whole(run))
         if fault == 'extra':
             connection.respond(200, head, b'second answer')
 
+    def is_sound_at(self, run: Run) -> bool:
+        """Whether a run was answered as it should be."""
+        return run.is_sound and run.request_id not in self.cancelled
+
+    def whole(self, run: Run) -> bytes:
+        """Return the body of a whole plain answer."""
+        if self.echoes:
+            return f'answer to {run.request_id}'.encode()
+        return b'whole answer'
+
     def _write_unframed(self, head, connection, body: bytes) -> None:
         lines = b''.join(key + b': ' + field + b'\r\n' for key, field in head)
         connection._write(b'HTTP/1.1 200 OK\r\n' + lines + b'\r\n' + body)
@@ -184,7 +237,9 @@
                 await asyncio.sleep(self.pause_s)
                 connection.break_off()
                 return
-            await connection.write_piece(b'id: %d\ndata: piece\n\n' % number)
+            told = run.request_id if self.echoes else 'piece'
+            event = f'id: {number}\ndata: {told}\n\n'
+            await connection.write_piece(event.encode())
             await asyncio.sleep(self.pause_s)
         connection.finish()
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -115,6 +115,17 @@
         assert len(site.runs(request_id)) == 1
 
 
+async def test_refusal_after_a_run_does_not_say_that_nothing_ran(site):
+    """The second try finds no replica that holds the model."""
+    site.replicas['e2'].models.clear()
+    site.list_replica(site.replicas['e2'])
+    site.replicas['e1'].faults['r1'] = 'die'
+    await asyncio.sleep(0.5)
+    answer = await site.ask_as('r1', '/digest/2f', **ASK)
+    assert len(site.runs('r1')) == 1
+    assert answer.status == 502
+
+
 @pytest.mark.parametrize('fault', ['cut', 'torn'])
 async def test_broken_stream_never_looks_complete(site, fault):
     set_fault(site, 'r1', fault)
