Count the newest start of a gateway, and its own standstill

Two faults of the tree, seen in logs of the soak: a gateway that was killed and came back at another address was listed twice for up to 25 s, and others chose the dead entry as their parent, a second without the planner's word each time; a gateway that was frozen held all its parents for silent when it woke, passed them over for 20 s and took itself for the root.

Now of one host only the entry with the newest revision counts, and silence counts only while this process itself has looked. Tests: gateway/tests/ test_parent.py, test_directory.py test_newest_start_of_a_gateway_counts.

--- a/bramleybeam/gateway/_directory.py
+++ b/bramleybeam/gateway/_directory.py
@@ -155,7 +155,7 @@
         elif key.startswith(platform.REPLICA_PREFIX):
             self._take_replica(key, item.content)
         elif key.startswith(PEER_PREFIX):
-            self._take_peer(key.removeprefix(PEER_PREFIX), item.content)
+            self._take_peer(key.removeprefix(PEER_PREFIX), item)
         elif key == OWN_PREFIX + PLANNER_NAME:
             host = item.content.decode('utf-8', 'replace')
             self.see_planner(PlannerSeen(item.revision, host))
@@ -174,13 +174,23 @@
             routes=len(newer.routes),
         )
 
-    def _take_peer(self, name: str, content: bytes) -> None:
-        peer = decode_peer(content)
+    def _take_peer(self, name: str, item: Item) -> None:
+        """Take in a gateway; of one host only the newest entry counts."""
+        peer = decode_peer(item.content, item.revision)
         if peer is None:
             _log.warning('peer_unreadable', peer=name)
             return
         self._lost_peers.pop(name, None)
         self.peers[name] = peer
+        starts = {
+            key: known
+            for key, known in self.peers.items()
+            if known.host == peer.host
+        }
+        newest = max(known.revision for known in starts.values())
+        for key, known in starts.items():
+            if known.revision < newest:
+                self.peers.pop(key)
 
     def _take_replica(self, key: str, content: bytes) -> None:
         replica = platform.decode_replica(key, content)
--- a/bramleybeam/gateway/_parent.py
+++ b/bramleybeam/gateway/_parent.py
@@ -32,6 +32,7 @@
         self._directory = directory
         self._address = ''
         self._limit = 0.0
+        self._refreshed_at = 0.0
         self._avoided: dict[str, _Avoidance] = {}
 
     @property
@@ -47,7 +48,8 @@
     def refresh(self, now: float) -> str:
         """Choose anew; return the parent that was left, if it changed."""
         if self._address and now > self._limit:
-            self._avoid(self._address, now)
+            self._note_silence(now)
+        self._refreshed_at = now
         left = self._address
         parent = self._choose(now)
         self._address = parent.address if parent else ''
@@ -67,6 +69,13 @@
         root = self._directory.newest_planner.host
         return choose_parent(self.own, peers, root, silent)
 
+    def _note_silence(self, now: float) -> None:
+        """Pass the parent over, unless this process itself stood still."""
+        if now - self._refreshed_at > _SILENCE_S:
+            self._limit = now + _SILENCE_S
+        else:
+            self._avoid(self._address, now)
+
     def _avoid(self, address: str, now: float) -> None:
         known = self._avoided.get(address)
         period = _FIRST_AVOIDANCE_S
--- a/bramleybeam/gateway/_tree.py
+++ b/bramleybeam/gateway/_tree.py
@@ -23,13 +23,15 @@
     """A gateway as its entry in the store shows it.
 
     ``host`` is its name in the settings, ``address`` where it takes datagrams,
-    ``link_bytes_per_s`` the rate of its machine's link.
+    ``link_bytes_per_s`` the rate of its machine's link, ``revision`` that of
+    the entry.
     """
 
     address: str
     host: str = ''
     zone: str = ''
     link_bytes_per_s: float = 0
+    revision: int = attrs.field(default=0, eq=False)
 
 
 @attrs.frozen(order=True)
@@ -42,10 +44,12 @@
 
 def encode_peer(peer: Peer) -> str:
     """Encode a gateway's entry in the store."""
-    return json.dumps(attrs.asdict(peer))
+    plain = attrs.asdict(peer)
+    plain.pop('revision')
+    return json.dumps(plain)
 
 
-def decode_peer(content: bytes) -> Peer | None:
+def decode_peer(content: bytes, revision: int = 0) -> Peer | None:
     """Decode a gateway's entry; ``None`` when it can't be read."""
     try:
         plain = json.loads(content)
@@ -54,6 +58,7 @@
             str(plain['host']),
             str(plain['zone']),
             float(plain['link_bytes_per_s']),
+            revision,
         )
     except (ValueError, KeyError, TypeError):
         return None
--- a/bramleybeam/gateway/tests/test_directory.py
+++ b/bramleybeam/gateway/tests/test_directory.py
@@ -8,6 +8,7 @@
 from bramleybeam.catalog import Holdings
 from bramleybeam.gateway._directory import Directory
 from bramleybeam.gateway._placement import PlacedHoldings
+from bramleybeam.gateway._tree import Peer, encode_peer
 from bramleybeam.keyvalue import Changes, Item, Listing, Removal
 
 
@@ -142,3 +143,17 @@
     directory.reach.note_unreachable('r1')
     clock.now += 0.3
     assert not directory.reach.is_passed_over('r1')
+
+
+@pytest.mark.parametrize('revisions', [(3, 9), (9, 3)])
+def test_newest_start_of_a_gateway_counts(directory, revisions):
+    items = [
+        Item(
+            f'bramleybeam/peers/10.0.0.1:{revision}',
+            encode_peer(Peer(f'10.0.0.1:{revision}', 'host-1')).encode(),
+            revision,
+        )
+        for revision in revisions
+    ]
+    directory.replace(Listing(tuple(items), 9))
+    assert [peer.address for peer in directory.peers.values()] == ['10.0.0.1:9']
--- /dev/null
+++ b/bramleybeam/gateway/tests/test_parent.py
@@ -0,0 +1,63 @@
+"""When a parent counts as silent, and for how long it is passed over."""
+
+import pytest
+
+from bramleybeam.gateway._directory import Directory
+from bramleybeam.gateway._parent import ParentChoice
+from bramleybeam.gateway._tree import Peer, PlannerSeen
+
+OWN = Peer('10.0.0.9:7', 'host-9', 'zone-0')
+REFRESH_S = 0.5
+
+
+@pytest.fixture
+def choice():
+    directory = Directory(float)
+    for number in range(3):
+        peer = Peer(f'10.0.0.{number}:7', f'host-{number}', 'zone-0')
+        directory.peers[peer.host] = peer
+    directory.see_planner(PlannerSeen(1, 'host-0'))
+    return ParentChoice(OWN, directory)
+
+
+def refresh(choice, start, end, heard=()):
+    """Refresh as often as a gateway does; return the parents, as they change."""
+    parents = []
+    now = start
+    while now <= end:
+        if choice.address in heard:
+            choice.note_heard(0.25, now)
+        choice.refresh(now)
+        if not parents or parents[-1] != choice.address:
+            parents.append(choice.address)
+        now += REFRESH_S
+    return parents
+
+
+def test_silent_parents_are_passed_over_one_by_one(choice):
+    assert refresh(choice, 100, 104) == [
+        '10.0.0.0:7',
+        '10.0.0.1:7',
+        '10.0.0.2:7',
+    ]
+
+
+def test_parent_that_speaks_is_kept(choice):
+    assert refresh(choice, 100, 160, ('10.0.0.0:7',)) == ['10.0.0.0:7']
+
+
+def test_silent_parent_is_tried_again_ever_later(choice):
+    heard = ('10.0.0.1:7', '10.0.0.2:7')
+    refresh(choice, 100, 101, heard)
+    tried = [
+        now
+        for now in range(102, 200)
+        if '10.0.0.0:7' in refresh(choice, now, now + 0.5, heard)
+    ]
+    assert len([now for now in tried if now - 1 not in tried]) == 2
+
+
+def test_gateway_that_stood_still_keeps_its_parent(choice):
+    refresh(choice, 100, 101, ('10.0.0.0:7',))
+    # No refresh for five seconds: this process was frozen, not the parent.
+    assert refresh(choice, 106, 106.5, ()) == ['10.0.0.0:7']
