A soak of gateways: series of faults that overlap, and the promises checked

Two faults of the store's stand-in were found with it: leases never lapsed, and two could get one number, so that a loser's end removed the winner's key.

--- a/Makefile
+++ b/Makefile
@@ -34,6 +34,10 @@
 chaos: setup
 	$(BIN)/python -m benchmarks.chaos
 
+# Many gateways, callers and faults; SOAK="--first 100 --seeds 50 --at-once 4".
+soak: setup
+	$(BIN)/python -m tests.soak $(SOAK)
+
 demo: setup
 	$(BIN)/bramleybeam demo examples/permit-office/deployment.toml \
 		examples/feather-guild/deployment.toml
@@ -41,4 +45,4 @@
 demo-serve: setup
 	$(BIN)/bramleybeam demo --serve examples/permit-office/deployment.toml
 
-.PHONY: chaos setup reference binary lint test demo demo-serve
+.PHONY: chaos soak setup reference binary lint test demo demo-serve
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -48,10 +48,12 @@
     gateways: list[GatewayProcess] = attrs.field(factory=list)
     replicas: dict = attrs.field(factory=dict)
     links: dict = attrs.field(factory=dict)
+    ended: list[GatewayProcess] = attrs.field(factory=list)
 
     def configure(self, version: int, *more_routes: dict) -> None:
         """Write a configuration with all models, and perhaps more routes."""
         plain = make_configuration(version)
+        plain['services'].append({**plain['services'][0], 'name': 'desk'})
         engine = plain['services'][1]['engine']
         engine['models'] = [{**MODEL, 'name': name} for name in self.models]
         plain['routes'] += more_routes
@@ -64,12 +66,12 @@
     async def start_replicas(self, engines: int, plain: int) -> None:
         """Start replicas, engines with the first models, three each."""
         for number in range(plain):
-            await self._add(ReplicaStandIn(f'l{number}', 'ledger'))
+            await self.add(ReplicaStandIn(f'l{number}', 'ledger'))
         for number in range(engines):
             first = number * _HELD_BY_EACH
             held = self.models[first : first + _HELD_BY_EACH]
             models = dict.fromkeys(held, frozenset())
-            await self._add(
+            await self.add(
                 ReplicaStandIn(f'e{number}', 'engine', models=models)
             )
 
@@ -83,10 +85,20 @@
         free = asyncio.Semaphore(_START_AT_ONCE)
         numbers = range(len(rates))
         self.gateways = await asyncio.gather(
-            *(self._start(number, free) for number in numbers)
+            *(self._start_one_of(number, free) for number in numbers)
         )
         await asyncio.gather(*(one.wait_ready() for one in self.gateways))
 
+    async def restart(self, number: int) -> GatewayProcess:
+        """Start a gateway again that has ended; it has new ports."""
+        self.ended.append(self.gateways[number])
+        self.gateways[number] = await self._start(number)
+        return self.gateways[number]
+
+    def link_of(self, number: int) -> MachineLink:
+        """Return the link of a gateway's machine."""
+        return self.links[f'127.0.1.{number + 1}']
+
     async def ask_for_all_models(self, rng: random.Random) -> None:
         """Ask each gateway once for each model; the callers leave soon."""
         for model in self.models:
@@ -107,15 +119,20 @@
             await replica.close()
         await self.store.close()
 
-    async def _add(self, replica: ReplicaStandIn) -> None:
+    async def add(self, replica: ReplicaStandIn) -> None:
+        """Start a replica and list it."""
         await replica.start()
         replica.on_models = self.list_replica
         self.replicas[replica.name] = replica
         self.list_replica(replica)
 
-    async def _start(
+    async def _start_one_of(
         self, number: int, free: asyncio.Semaphore
     ) -> GatewayProcess:
+        async with free:
+            return await self._start(number)
+
+    async def _start(self, number: int) -> GatewayProcess:
         host = f'127.0.1.{number + 1}'
         zone = ZONES[number % len(ZONES)]
         text = SETTINGS.format(store=self.links[host].store_address)
@@ -128,8 +145,7 @@
         text = text.replace('[limits]', f'[limits]\nlink-mbps = {mbps:f}')
         settings = self.folder / f'settings-{number}.toml'
         settings.write_text(text)
-        async with free:
-            return await start_gateway(settings)
+        return await start_gateway(settings)
 
 
 def ask_for(model: str) -> dict[str, str]:
@@ -148,6 +164,7 @@
     *,
     models: int,
     engines: int,
+    plain: int = 4,
 ) -> AsyncIterator[Fleet]:
     """Run a store, replicas, and a gateway on a link of each rate."""
     names = tuple(f'model{number:03d}' for number in range(models))
@@ -155,7 +172,7 @@
     await fleet.store.start()
     try:
         fleet.configure(1)
-        await fleet.start_replicas(engines, plain=4)
+        await fleet.start_replicas(engines, plain)
         await fleet.start_gateways(rates)
         yield fleet
     finally:
--- a/tests/platform_links.py
+++ b/tests/platform_links.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import random
 import socket
 from collections.abc import Callable
 
@@ -62,6 +63,8 @@
         self.inward = Lane(bytes_per_s)
         self._store_address = store_address
         self.is_cut = False
+        self._silenced: set[asyncio.Task] = set()
+        self._pumps: set[asyncio.Task] = set()
         self._server: asyncio.Server | None = None
 
     @property
@@ -80,6 +83,10 @@
         """Close the relay."""
         self._server.close()
 
+    def silence_open(self) -> None:
+        """Let nothing more pass on the connections that are open now."""
+        self._silenced |= self._pumps
+
     async def _relay(self, near_reader, near_writer) -> None:
         host, _, port = self._store_address.rpartition(':')
         far_reader, far_writer = await asyncio.open_connection(host, int(port))
@@ -89,9 +96,12 @@
                 self._pump(far_reader, near_writer, self.inward)
             ),
         ]
+        self._pumps.update(pumps)
         try:
             await asyncio.wait(pumps, return_when=asyncio.FIRST_COMPLETED)
         finally:
+            self._pumps.difference_update(pumps)
+            self._silenced.difference_update(pumps)
             for pump in pumps:
                 pump.cancel()
             near_writer.transport.abort()
@@ -101,7 +111,7 @@
         try:
             while piece := await reader.read(_PIECE_BYTES):
                 await lane.pass_piece(len(piece))
-                while self.is_cut:
+                while self.is_cut or asyncio.current_task() in self._silenced:
                     await asyncio.sleep(_CUT_POLL_S)
                 writer.write(piece)
                 await writer.drain()
@@ -114,11 +124,13 @@
 
     Each gateway has a public address here, which stands for its own in what
     its peers read in the store and see as the sender. ``links`` are by the
-    IP address of the machine.
+    IP address of the machine, ``loss`` the share of datagrams that are lost.
     """
 
     def __init__(self, links: dict[str, MachineLink]) -> None:
         """Start without gateways."""
+        self.loss = 0.0
+        self._rng = random.Random(1)
         self._links = links
         self._ports: dict[str, _PublicPort] = {}
 
@@ -126,9 +138,14 @@
         """Return the public address of a gateway at ``address``."""
         if address not in self._ports:
             link = self._links[address.partition(':')[0]]
-            self._ports[address] = _PublicPort(self._ports, address, link)
+            self._ports[address] = _PublicPort(self, address, link)
         return self._ports[address].public
 
+    def sender_of(self, address: str) -> '_PublicPort | None':
+        """Return the port of a gateway, unless its datagram is lost."""
+        is_lost = self._rng.random() < self.loss
+        return None if is_lost else self._ports.get(address)
+
     def close(self) -> None:
         """Close all public addresses."""
         for port in self._ports.values():
@@ -136,8 +153,10 @@
 
 
 class _PublicPort(asyncio.DatagramProtocol):
-    def __init__(self, ports: dict, address: str, link: MachineLink) -> None:
-        self._ports = ports
+    def __init__(
+        self, relay: PeerRelay, address: str, link: MachineLink
+    ) -> None:
+        self._relay = relay
         self._address = address
         self._link = link
         self._socket = socket.socket(type=socket.SOCK_DGRAM)
@@ -157,7 +176,7 @@
 
     def _read(self) -> None:
         received, (host, port) = self._socket.recvfrom(65536)
-        sender = self._ports.get(f'{host}:{port}')
+        sender = self._relay.sender_of(f'{host}:{port}')
         if sender is None or sender is self:
             return
         size = len(received)
--- a/tests/platform_store.py
+++ b/tests/platform_store.py
@@ -3,12 +3,15 @@
 import asyncio
 import base64
 import json
+from contextlib import suppress
 from urllib.parse import parse_qs, urlsplit
 
 import attrs
 
 from tests.platform_port import PortStandIn
 
+_EXPIRY_CHECK_S = 0.05
+
 
 @attrs.define
 class StoredItem:
@@ -20,12 +23,21 @@
     lease: int = 0
 
 
+@attrs.define
+class StoredLease:
+    """How long a lease runs from each renewal, and until when; seconds."""
+
+    ttl_s: float
+    expires: float
+
+
 @attrs.define
 class StoreStandIn(PortStandIn):
     """Keys under one revision counter, with watches, leases and faults.
 
     ``mode`` is ``up``, ``silent``, ``busy`` (503) or ``lost`` (writes are
-    done, their answers are not given).
+    done, their answers are not given). Leases stand still while the store is
+    not up, unless they ``lapse``.
     """
 
     mode: str = 'up'
@@ -35,8 +47,31 @@
     revision: int = 0
     oldest: int = 0
     calls: list = attrs.field(factory=list)
+    lapse: bool = False
+    _lease_count: int = 7000
+    _expiry: asyncio.Task | None = None
     _changed: asyncio.Event = attrs.field(factory=asyncio.Event)
 
+    async def start(self) -> None:
+        """Open a port, and let leases run."""
+        await super().start()
+        self._expiry = asyncio.create_task(self._end_leases())
+
+    async def close(self) -> None:
+        """Close the port."""
+        self._expiry.cancel()
+        await super().close()
+
+    async def _end_leases(self) -> None:
+        while True:
+            await asyncio.sleep(_EXPIRY_CHECK_S)
+            now = asyncio.get_running_loop().time()
+            for number, lease in tuple(self.leases.items()):
+                if self.mode != 'up' and not self.lapse:
+                    lease.expires += _EXPIRY_CHECK_S
+                elif now >= lease.expires:
+                    self.end_lease(number)
+
     def put(self, key: str, value, lease: int = 0) -> int:
         """Write a key; values that are not bytes are written as JSON."""
         content = (
@@ -102,17 +137,28 @@
         if path == '/api/kv-txn':
             return self._commit(body)
         if path == '/api/kv-lease':
-            lease = 7000 + len(self.leases)
-            self.leases[lease] = body['ttl-ms']
-            return 200, {'lease': lease, 'ttl-ms': body['ttl-ms']}
+            return self._grant(body['ttl-ms'])
         lease = int(path.rpartition('/')[2])
         if path.startswith('/api/kv-keep/'):
-            if lease not in self.leases:
-                return 404, {}
-            return 200, {'ttl-ms': self.leases[lease]}
+            return self._renew(lease)
         self.end_lease(lease)
         return 200, {}
 
+    def _grant(self, ttl_ms: int):
+        now = asyncio.get_running_loop().time()
+        self._lease_count += 1
+        ttl_s = ttl_ms / 1000
+        self.leases[self._lease_count] = StoredLease(ttl_s, now + ttl_s)
+        return 200, {'lease': self._lease_count, 'ttl-ms': ttl_ms}
+
+    def _renew(self, number: int):
+        lease = self.leases.get(number)
+        if lease is None:
+            return 404, {}
+        now = asyncio.get_running_loop().time()
+        lease.expires = now + lease.ttl_s
+        return 200, {'ttl-ms': round(lease.ttl_s * 1000)}
+
     def end_lease(self, lease: int) -> None:
         """End a lease and remove its keys."""
         self.leases.pop(lease, None)
@@ -149,9 +195,8 @@
             left = deadline - loop.time()
             if rows or left <= 0:
                 return 200, {'events': rows, 'as-of': self.revision}
-            changed = asyncio.ensure_future(self._changed.wait())
-            await asyncio.wait((changed,), timeout=left)
-            changed.cancel()
+            with suppress(TimeoutError):
+                await asyncio.wait_for(self._changed.wait(), left)
 
     def _revision_of(self, key: str) -> int:
         known = self.items.get(key)
