--- a/tests/platform_links.py
+++ b/tests/platform_links.py
@@ -54,7 +54,8 @@
 class MachineLink:
     """The link of one gateway's machine, with a relay to the store.
 
-    While ``is_cut`` nothing passes between the gateway and the store.
+    While ``is_cut`` nothing passes between the gateway and the store, and
+    while ``is_refused`` each of its connections there is reset.
     """
 
     def __init__(self, bytes_per_s: float, store_address: str) -> None:
@@ -63,6 +64,7 @@
         self.inward = Lane(bytes_per_s)
         self._store_address = store_address
         self.is_cut = False
+        self.is_refused = False
         self._silenced: set[asyncio.Task] = set()
         self._pumps: set[asyncio.Task] = set()
         self._server: asyncio.Server | None = None
@@ -88,6 +90,9 @@
         self._silenced |= self._pumps
 
     async def _relay(self, near_reader, near_writer) -> None:
+        if self.is_refused:
+            near_writer.transport.abort()
+            return
         host, _, port = self._store_address.rpartition(':')
         far_reader, far_writer = await asyncio.open_connection(host, int(port))
         pumps = [
--- a/tests/platform_replica.py
+++ b/tests/platform_replica.py
@@ -9,6 +9,7 @@
 from tests.platform_port import PortStandIn
 
 SEAL = b'Bramleybeam-Response-Seal'
+_NEVER_S = 60
 REQUEST_ID = b'Bramleybeam-Request-Id'
 
 
@@ -46,7 +47,9 @@
     ``endless_head``, ``endless_body`` and ``endless_event`` (bytes until the
     connection is closed), ``die`` (runs, then the replica is gone). ``draw_fault`` may name one for any other request.
     With ``echoes`` answers hold the request's id. ``places`` is how many
-    models it holds; what was ordered beyond is kept in ``overfull``.
+    models it holds; what was ordered beyond is kept in ``overfull``. Orders
+    get no answer while ``late_s`` is set, and are carried out that much later;
+    nothing is answered while it ``is_dark``.
     """
 
     name: str
@@ -70,6 +73,8 @@
     accepted: list = attrs.field(factory=list)
     loading: int = 0
     born: int = 1
+    late_s: float = 0
+    is_dark: bool = False
 
     def entry(self, **changed) -> dict:
         """Return what it writes of itself in the store."""
@@ -93,12 +98,23 @@
             for name, adapters in self.models.items()
         ]
 
+    async def start_again(self) -> None:
+        """Start anew under the same name: nothing is held or known."""
+        self.born += 1
+        self.models.clear()
+        self.sequence = 0
+        self.highest_fence = 0
+        self.loading = 0
+        await self.start()
+
     async def _answer(self, request, connection) -> None:
+        if self.is_dark:
+            await asyncio.sleep(_NEVER_S)
         expected = find_header(request.headers, b'bramleybeam-expect-instance')
         if expected and expected.decode() != self.name:
             connection.respond(421, (), b'')
         elif request.path == '/api/order':
-            self._take_order(json.loads(request.body), connection)
+            await self._hear_order(json.loads(request.body), connection)
         elif request.path == '/api/report':
             report = {
                 'models': self._show_models(),
@@ -109,20 +125,31 @@
         else:
             await self._run(request, connection)
 
-    def _take_order(self, order: dict, connection) -> None:
+    async def _hear_order(self, order: dict, connection) -> None:
+        if self.late_s:
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.late_s, self._take_late, order, self.born)
+            await asyncio.sleep(_NEVER_S)
+        connection.respond(self._take_order(order), (), b'{}')
+
+    def _take_late(self, order: dict, born: int) -> None:
+        if born == self.born:
+            self._take_order(order)
+
+    def _take_order(self, order: dict) -> int:
+        """Take an order unless it is out of date; return the status."""
         self.orders.append(order)
         fence = order['fencing-token']
         if fence < self.highest_fence:
-            connection.respond(412, (), b'{}')
-            return
+            return 412
         self.highest_fence = fence
         if order.get('expected', self.sequence) != self.sequence:
-            connection.respond(409, (), b'{}')
-            return
+            return 409
         self.sequence += 1
         self._note_accepted(order)
-        asyncio.get_running_loop().call_later(self.load_s, self._apply, order)
-        connection.respond(202, (), b'{}')
+        loop = asyncio.get_running_loop()
+        loop.call_later(self.load_s, self._apply, order, self.born)
+        return 202
 
     def _note_accepted(self, order: dict) -> None:
         now = asyncio.get_running_loop().time()
@@ -133,12 +160,14 @@
             if len(self.models) + self.loading > self.places:
                 self.overfull.append(order)
 
-    def _apply(self, order: dict) -> None:
+    def _apply(self, order: dict, born: int) -> None:
+        if born != self.born:
+            return
         model, adapter = order['model'], order.get('adapter')
         if order['op'] == 'load' and not adapter:
             self.loading -= 1
         if adapter:
-            self.models[model] = self.models[model] | {adapter}
+            self.models[model] = self.models.get(model, frozenset()) | {adapter}
         elif order['op'] == 'load':
             self.models[model] = frozenset()
         else:
--- a/tests/platform_store.py
+++ b/tests/platform_store.py
@@ -37,7 +37,7 @@
 
     ``mode`` is ``up``, ``silent``, ``busy`` (503) or ``lost`` (writes are
     done, their answers are not given). Leases stand still while the store is
-    not up, unless they ``lapse``.
+    not up, unless they ``lapse``. Answers wait ``delay_s``.
     """
 
     mode: str = 'up'
@@ -48,6 +48,7 @@
     oldest: int = 0
     calls: list = attrs.field(factory=list)
     lapse: bool = False
+    delay_s: float = 0
     _lease_count: int = 7000
     _expiry: asyncio.Task | None = None
     _changed: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -118,6 +119,7 @@
         split = urlsplit(request.target.decode())
         query = {name: rows[0] for name, rows in parse_qs(split.query).items()}
         self.calls.append((request.method.decode(), split.path, query))
+        await asyncio.sleep(self.delay_s)
         if self.mode == 'silent':
             await asyncio.sleep(60)
         if self.mode == 'busy':
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -21,6 +21,8 @@
 # Entries of a replica that has crashed lapse after three heartbeats.
 _LAPSE_S = 3.6
 _SQUEEZED_BYTES_PER_S = 60_000
+_LAPSE_SHARE = 0.5
+_HERD_SHARE = 0.6
 _GRACE_S = 8.0
 _EXIT_SLACK_S = 4.0
 _ANSWER_FAULTS = (
@@ -33,6 +35,10 @@
     'extra',
     'bare',
     'refuse',
+    'hang',
+    'endless_head',
+    'endless_body',
+    'endless_event',
 )
 
 
@@ -62,6 +68,12 @@
             'spoil': self._spoil,
             'configure': self._configure,
             'storm': self._storm,
+            'herd': self._herd,
+            'refuse_nodes': self._refuse_nodes,
+            'slow_store': self._slow_store,
+            'dark': self._dark,
+            'start_again': self._start_again,
+            'late_orders': self._late_orders,
         }
 
     @property
@@ -114,6 +126,11 @@
 
         await self._with_gateway('kill', work)
 
+    async def _herd(self) -> None:
+        """Kill many gateways at once."""
+        count = round(len(self._fleet.gateways) * _HERD_SHARE)
+        await asyncio.gather(*(self._kill() for _ in range(count)))
+
     async def _roll(self) -> None:
         async def work(number: int) -> None:
             gateway = self._fleet.gateways[number]
@@ -175,10 +192,32 @@
     async def _store_mode(self) -> None:
         began_at = _now()
         self._fleet.store.mode = self._rng.choice(('silent', 'busy', 'lost'))
+        self._fleet.store.lapse = self._rng.random() < _LAPSE_SHARE
         await asyncio.sleep(self._rng.uniform(0.5, 4))
         self._fleet.store.mode = 'up'
         self._record.note_trouble('store', STORE, began_at, _now())
 
+    async def _slow_store(self) -> None:
+        began_at = _now()
+        self._fleet.store.delay_s = self._rng.uniform(0.05, 0.4)
+        await asyncio.sleep(self._rng.uniform(1, 4))
+        self._fleet.store.delay_s = 0
+        self._record.note_trouble('store', STORE, began_at, _now())
+
+    async def _refuse_nodes(self) -> None:
+        """Let the store turn some gateways away and serve the others."""
+
+        async def work(number: int) -> None:
+            link = self._fleet.link_of(number)
+            link.is_refused = True
+            await asyncio.sleep(self._rng.uniform(1, 6))
+            link.is_refused = False
+
+        count = self._rng.randint(1, len(self._fleet.gateways) // 2)
+        await asyncio.gather(
+            *(self._with_gateway('refused', work) for _ in range(count))
+        )
+
     async def _forget_history(self) -> None:
         self._fleet.store.forget_history()
 
@@ -217,6 +256,33 @@
         self._fleet.store.remove(f'servers/{replica.name}')
         await self._add_successor(replica)
 
+    async def _dark(self) -> None:
+        """Let a replica take connections and answer nothing."""
+        replica = self._pick_replica()
+        if replica is not None:
+            replica.is_dark = True
+            await asyncio.sleep(self._rng.uniform(0.5, 4))
+            replica.is_dark = False
+
+    async def _start_again(self) -> None:
+        """Let a replica crash and start under its name, holding nothing."""
+        replica = self._pick_replica()
+        if replica is None:
+            return
+        self._fleet.replicas.pop(replica.name)
+        await replica.close()
+        await asyncio.sleep(self._rng.uniform(0, 2))
+        await replica.start_again()
+        self._fleet.replicas[replica.name] = replica
+        self._fleet.list_replica(replica)
+
+    async def _late_orders(self) -> None:
+        replica = self._pick_replica()
+        if replica is not None:
+            replica.late_s = self._rng.uniform(0.5, 3)
+            await asyncio.sleep(self._rng.uniform(1, 5))
+            replica.late_s = 0
+
     async def _add_successor(self, replica: ReplicaStandIn) -> None:
         self._replica_count += 1
         successor = ReplicaStandIn(
