Plan when something happens, and five times a second at rest

A round is made 0.03 s after the last one at the earliest when something is wanted or has changed, and each 0.2 s otherwise.

--- a/bramleybeam/gateway/_planner.py
+++ b/bramleybeam/gateway/_planner.py
@@ -32,6 +32,9 @@
 _STORE_BURST: Final = 2.0
 _CHECK_AGAIN_S: Final = 0.4
 _MAX_TRIES: Final = 3
+# Time between two rounds of planning: at least, and when nothing happens.
+_LEAST_PAUSE_S: Final = 0.03
+_REST_S: Final = 0.2
 _log = structlog.get_logger('planner')
 
 
@@ -97,6 +100,10 @@
         self._ledgers: dict[str, ReplicaLedger] = {}
         self._buckets: dict[str, TokenBucket] = {}
         self._last_run: dict[str, dict[Target, float]] = {}
+        self._is_stirred = True
+        self._planned_at = float('-inf')
+        self._directory.on_change.append(self._stir)
+        self._demand.on_want.append(self._stir)
 
     @property
     def epoch(self) -> int:
@@ -118,7 +125,12 @@
         if configuration is None:
             return
         self._sync_ledgers()
-        demand = self._demand.total(self._directory.now())
+        now = self._directory.now()
+        if not self._is_due(now):
+            return
+        self._planned_at = now
+        self._is_stirred = False
+        demand = self._demand.total(now)
         for service in configuration.services.values():
             if service.engine is not None:
                 self._plan_service(service.name, service.engine, demand)
@@ -142,6 +154,16 @@
         await self._tasks.close()
         await self._lease.close()
 
+    def _stir(self) -> None:
+        """Note that something is wanted, or has changed."""
+        self._is_stirred = True
+
+    def _is_due(self, now: float) -> bool:
+        """Whether a round may find something new to do."""
+        is_stirred = self._is_stirred or self.has_news
+        pause_s = _LEAST_PAUSE_S if is_stirred else _REST_S
+        return now - self._planned_at >= pause_s
+
     def _sync_ledgers(self) -> None:
         """Follow the directory, and ask replicas whose state is not known."""
         now = self._directory.now()
