--- a/bramleybeam/gateway/_choose.py
+++ b/bramleybeam/gateway/_choose.py
@@ -16,7 +16,7 @@
 )
 from bramleybeam.errors import ErrorKind, Refusal, refuse
 from bramleybeam.gateway._demand import DemandTable
-from bramleybeam.gateway._job import Job, RefusingError
+from bramleybeam.gateway._job import Job, RefusingError, WaitEnd
 from bramleybeam.gateway._knowledge import Knowledge
 from bramleybeam.gateway._loads import Work
 from bramleybeam.gateway._signal import Signal
@@ -127,17 +127,23 @@
 
     def _judge_wait(self, job: Job, *, is_absent: bool) -> Refusal | None:
         if self._is_stopping:
+            job.wait_end = WaitEnd.STOPPING
             return refuse(
                 ErrorKind.SHUTTING_DOWN,
                 retry_after=_PLAIN_RETRY_AFTER_S,
             )
         left = job.received_at + job.patience_s - self._directory.now()
         if is_absent and not self._directory.placement.hears_planner:
+            job.wait_end = WaitEnd.NO_PLANNER
             return _refuse(job, _NO_PLANNER_S)
         arrival = self._directory.placement.arrival_in(job.facts.model)
         if is_absent and arrival is not None and arrival > left:
+            job.wait_end = WaitEnd.ARRIVES_LATER
             return _refuse(job, arrival + _ARRIVAL_MARGIN_S)
-        return _refuse(job) if left <= 0 else None
+        if left > 0:
+            return None
+        job.wait_end = WaitEnd.WAITED_LONG
+        return _refuse(job)
 
     def _is_absent(self, job: Job) -> bool:
         """Whether no replica holds what a request needs."""
--- a/bramleybeam/gateway/_directory.py
+++ b/bramleybeam/gateway/_directory.py
@@ -5,6 +5,7 @@
 its entry again. A configuration is only ever replaced by a newer one.
 """
 
+import math
 from collections.abc import Callable
 from typing import Final
 
@@ -102,7 +103,14 @@
         """Return what a log line tells of the knowledge in use."""
         configuration = self.configuration
         version = configuration.version if configuration else None
-        return {'version': version, 'store_age_s': self.freshness.age_s}
+        planner_age_s = round(self.placement.age_s, 3)
+        return {
+            'version': version,
+            'store_age_s': self.freshness.age_s,
+            'planner_age_s': planner_age_s
+            if planner_age_s < math.inf
+            else None,
+        }
 
     def note_store(self, *, answers: bool) -> None:
         """Note whether the store answers; a return starts a grace period."""
--- a/bramleybeam/gateway/_forward.py
+++ b/bramleybeam/gateway/_forward.py
@@ -298,6 +298,7 @@
             sends=job.sends,
             model=job.facts.model,
             adapter=job.facts.adapter,
+            wait_end=job.wait_end,
             age_s=round(self._directory.now() - job.received_at, 3),
             **self._directory.describe_belief(),
         )
--- a/bramleybeam/gateway/_job.py
+++ b/bramleybeam/gateway/_job.py
@@ -1,5 +1,7 @@
 """One caller's request on its way through a gateway."""
 
+import enum
+
 import attrs
 import xxhash
 
@@ -21,6 +23,15 @@
         self.refusal = refusal
 
 
+class WaitEnd(enum.StrEnum):
+    """Why a request stopped waiting for a replica."""
+
+    STOPPING = 'stopping'
+    NO_PLANNER = 'no_planner'
+    ARRIVES_LATER = 'arrives_later'
+    WAITED_LONG = 'waited_long'
+
+
 @attrs.define(eq=False)
 class Job:
     """State of one request; moments are in loop seconds.
@@ -30,6 +41,7 @@
     and ``first_event_at`` when its stream began. ``last_event`` is the id of
     the last event that the caller was given, ``last_event_at`` when that was,
     ``events`` their number and ``longest_gap_s`` the longest time between two.
+    ``wait_end`` tells why it stopped waiting when it was refused for that.
     ``blocks`` are hashes of the prompt's parts, for what replicas keep.
     """
 
@@ -48,6 +60,7 @@
     events: int = 0
     longest_gap_s: float = 0
     passed_over: set[str] = attrs.field(factory=set)
+    wait_end: WaitEnd | None = None
     blocks: tuple[int, ...] = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
--- a/bramleybeam/gateway/_placement.py
+++ b/bramleybeam/gateway/_placement.py
@@ -92,7 +92,12 @@
     @property
     def hears_planner(self) -> bool:
         """Whether the planner has spoken a moment ago."""
-        return self._clock() - self._heard_at <= _VALID_S
+        return self.age_s <= _VALID_S
+
+    @property
+    def age_s(self) -> float:
+        """How old the planner's last word is; endless before the first."""
+        return self._clock() - self._heard_at
 
     def find(self, replica: str, started_ms: int) -> PlacedHoldings | None:
         """Return what is told of this start of a replica, if it counts."""
--- a/bramleybeam/operators/_commands.py
+++ b/bramleybeam/operators/_commands.py
@@ -30,6 +30,7 @@
     report,
     status,
     trace,
+    unserved,
 )
 from bramleybeam.operators._tables import format_table
 
@@ -171,3 +172,4 @@
 ctl.add_command(report)
 ctl.add_command(reference)
 ctl.add_command(trace)
+ctl.add_command(unserved)
--- a/bramleybeam/operators/_queries.py
+++ b/bramleybeam/operators/_queries.py
@@ -1,10 +1,12 @@
 """Commands that ask: status, explain, report and reference."""
 
 import json
+from collections.abc import Iterable
 from datetime import datetime
 from pathlib import Path
-from typing import Any
+from typing import Any, Final
 
+import attrs
 import click
 
 from bramleybeam.keyvalue.http import HttpKeyValue
@@ -30,6 +32,17 @@
     parse_lines,
     trace_request,
 )
+from bramleybeam.operators._unserved import read_histories
+
+_UNSERVED_HEADING: Final = (
+    'MODEL',
+    'ADAPTER',
+    'ASKED',
+    'ANSWERED',
+    'LOADS',
+    'UNLOADS',
+    'SECONDS',
+)
 
 
 @click.command()
@@ -74,11 +87,7 @@
     as_json: bool,  # noqa: FBT001
 ) -> None:
     """Show from log files what became of a request, and what explains it."""
-    lines: list[TraceLine] = []
-    for path in logs:
-        with path.open(errors='replace') as texts:
-            lines.extend(parse_lines(texts))
-    found = trace_request(lines, request_id)
+    found = trace_request(_read_logs(logs), request_id)
     if not found:
         fail(f'No line of these logs names {request_id}.', EXIT_NOT_FOUND)
     rows = [
@@ -96,6 +105,47 @@
     click.echo(format_table(('TIME', 'PROCESS', 'LINE', 'TELLS'), rows))
 
 
+@click.command()
+@click.argument(
+    'logs',
+    nargs=-1,
+    required=True,
+    type=click.Path(exists=True, dir_okay=False, path_type=Path),
+)
+@click.option('--most', default=40, help='Rows to show.')
+@JSON_OPTION
+def unserved(
+    logs: tuple[Path, ...],
+    most: int,
+    as_json: bool,  # noqa: FBT001
+) -> None:
+    """Count models and adapters that were asked for and never served.
+
+    The rows are those that were served least, with the margin that is left.
+    """
+    histories = read_histories(_read_logs(logs))
+    if as_json:
+        click.echo(
+            json.dumps([attrs.asdict(one) for one in histories], default=str)
+        )
+        return
+    never = sum(not one.answered for one in histories)
+    click.echo(f'never served: {never} of {len(histories)}')
+    rows = [
+        (
+            one.model,
+            one.adapter,
+            one.asks,
+            one.answered,
+            one.loads,
+            one.unloads,
+            f'{one.span_s:.1f}',
+        )
+        for one in histories[:most]
+    ]
+    click.echo(format_table(_UNSERVED_HEADING, rows))
+
+
 @click.command()
 @click.option('--from', 'begin', type=click.DateTime(), required=True)
 @click.option('--to', 'end', type=click.DateTime(), required=True)
@@ -135,6 +185,14 @@
     click.echo(make_reference(page), nl=False)
 
 
+def _read_logs(paths: Iterable[Path]) -> list[TraceLine]:
+    lines: list[TraceLine] = []
+    for path in paths:
+        with path.open(errors='replace') as texts:
+            lines.extend(parse_lines(texts))
+    return lines
+
+
 def _status_text(body: dict[str, Any]) -> str:
     classes = format_table(
         ('CLASS', 'REQUESTS', 'MET', 'LATE', 'REFUSED', 'UNKNOWN'),
