Let no message between gateways crowd out the signs of life

Cause: regular summaries waited until the bytes of an edge allowed them, and what is told at once (rows of the planner, announcements of orders) went first, each time, so that a busy planner never sent one. Its children took it for silent, left it, and passed it over for 20 s; whoever then had no planner above it heard nothing and passed no want on. The rows were besides sent again with each change until the next report told that they had come.

Now whole tables and what is told at once have bytes of their own; each child is told at least each 0.3 s how old the planner's word is, and whatever a parent sends counts as a sign of life; a parent that was left is asked each second and comes back when it answers; rows are sent once, a receiver that lacks some says so; orders to a replica are announced for a second ahead, since an announcement an order took more bytes than the rows.

Ruled out: the processor (timers 0.003 s late at most at the planner), the store (calls of 0.3 s at most), lost datagrams (the planner sent them to its own children all the while).

Evidence: test_busy_planner_does_not_fall_silent fails on the code before at 40 orders a second (word 11.6 s old, 2.5 allowed) and passes now, rows 2.5 s old at most.

The byte budget no longer sends what is longer than its burst; the table says so. The codec of the messages has a module of its own, as have the edges.

--- a/bramleybeam/gateway/_daemon.py
+++ b/bramleybeam/gateway/_daemon.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 import time
-from collections.abc import Collection
+from collections.abc import Mapping
 from http import HTTPStatus
 from typing import Final
 
@@ -221,8 +221,8 @@
             self._directory.signal()
             self._exchange.tell_news()
 
-    def _announce_orders(self, replicas: Collection[str]) -> None:
-        self._exchange.announce_orders(dict.fromkeys(replicas, 0.0))
+    def _announce_orders(self, ages: Mapping[str, float]) -> None:
+        self._exchange.announce_orders(ages)
 
     def _is_planner(self) -> bool:
         return bool(self._planner.epoch)
--- a/bramleybeam/gateway/_exchange.py
+++ b/bramleybeam/gateway/_exchange.py
@@ -3,7 +3,8 @@
 Reports go up: the work, the demand and the wants of a gateway and all below
 it. Summaries go down: the work of all others and the planner's rows. Each
 neighbour is told as often as a fixed number of bytes a second allows, so that
-long messages come less often and never crowd a link.
+long messages come less often and never crowd a link. Messages that show that a
+gateway and the planner live are short and come in any case.
 """
 
 from collections.abc import Callable, Collection, Mapping
@@ -11,27 +12,28 @@
 
 import attrs
 
+from bramleybeam.gateway._beat_codec import encode_beat
 from bramleybeam.gateway._beats import (
     Beat,
     OrdersGiven,
+    Probe,
+    ProbeAnswer,
     Report,
+    RowsLacking,
     StoreSeen,
     Summary,
     Wants,
-    encode_beat,
+)
+from bramleybeam.gateway._edge import (
+    DOWN_TABLES_SHARE,
+    UP_TABLES_SHARE,
+    Edge,
 )
 from bramleybeam.gateway._knowledge import Knowledge
 from bramleybeam.gateway._order_times import OrderTimes
 from bramleybeam.gateway._parent import ParentChoice
 from bramleybeam.gateway._placement import Mark
-from bramleybeam.limits import ByteBudget
-
-# Shortest time between two regular messages to a neighbour.
-PERIOD_S: Final = 0.25
-# A node may spend 27 KB/s on control, both ways together (letter 1); it has at
-# most a parent, three children in its zone and three heads of other zones.
-EDGE_BYTES_PER_S: Final = 1_900.0
-_EDGE_CREDIT_BYTES: Final = 1_000.0
+
 # Time after which what a neighbour told no longer counts: a least one, and a
 # number of its own periods.
 _STALE_S: Final = 1.5
@@ -42,34 +44,14 @@
 _MAX_DEPTH: Final = 16
 
 
-def _make_budget() -> ByteBudget:
-    return ByteBudget(EDGE_BYTES_PER_S, EDGE_BYTES_PER_S, _EDGE_CREDIT_BYTES)
-
-
-@attrs.define
-class _Edge:
-    """What a neighbour was sent, and what it may be sent now."""
-
-    address: str
-    budget: ByteBudget = attrs.field(factory=_make_budget)
-    sent_at: float = float('-inf')
-    period_s: float = PERIOD_S
-
-    def is_due(self, now: float) -> bool:
-        """Whether it is time for a regular message."""
-        return now - self.sent_at >= self.period_s
-
-    def note_sent(self, size: int, now: float) -> None:
-        """Note a regular message; the next waits longer after a long one."""
-        self.sent_at = now
-        self.period_s = max(PERIOD_S, size / EDGE_BYTES_PER_S)
-
-
 @attrs.define
 class _Child:
-    """A gateway that reports here; its word counts until a moment."""
+    """A gateway that reports here; its word counts until a moment.
+
+    ``mark`` tells which of the planner's rows it was sent.
+    """
 
-    edge: _Edge
+    edge: Edge
     until: float = 0
     mark: Mark = Mark()
     depth: int = 0
@@ -101,7 +83,7 @@
         self._parent = parent
         self._send = send
         self._on_wants = on_wants
-        self._up = _Edge('')
+        self._up = Edge('', UP_TABLES_SHARE)
         self._children: dict[str, _Child] = {}
         self._refreshed_at = float('-inf')
 
@@ -128,10 +110,13 @@
             if child.edge.is_due(now):
                 summary = self._make_summary(child, now)
                 self._send_regular(child.edge, summary, now)
+            self._send_news(child, now)
 
     def receive(self, beat: Beat, sender: str) -> None:
         """Take in a message of another gateway."""
         now = self._directory.now()
+        if sender == self._parent.address:
+            self._parent.note_heard(now)
         match beat:
             case Report():
                 if beat.depth < _MAX_DEPTH:
@@ -144,28 +129,33 @@
                 self._on_wants()
             case OrdersGiven(ages=ages):
                 self._order_times.hear(ages)
+            case RowsLacking(mark=mark) if sender in self._children:
+                self._children[sender].mark = mark
+            case Probe():
+                self._send(sender, encode_beat(ProbeAnswer()))
+            case ProbeAnswer():
+                self._parent.note_alive(sender)
 
     def tell_wants(self) -> None:
         """Tell the parent at once what requests wait for."""
         now = self._directory.now()
         waiting = self._demand.waiting(now, besides=self._parent.address)
         if self._parent.address and waiting:
-            self._send_ahead(self._up, Wants(waiting), now)
+            datagram = encode_beat(Wants(waiting))
+            if self._up.budget.take(len(datagram), now):
+                self._send(self._up.address, datagram)
 
     def tell_news(self) -> None:
         """Tell the children at once which rows have changed."""
         now = self._directory.now()
         for child in self._children.values():
-            news = self._directory.placement.news_after(child.mark)
-            if news.rows:
-                summary = Summary(child.edge.period_s, news, self._store_seen())
-                self._send_ahead(child.edge, summary, now)
+            self._send_news(child, now)
 
     def announce_orders(self, ages: Mapping[str, float]) -> None:
         """Tell the children of orders that are about to be given."""
-        now = self._directory.now()
+        datagram = encode_beat(OrdersGiven(ages))
         for child in self._children.values():
-            self._send_ahead(child.edge, OrdersGiven(ages), now)
+            self._send(child.edge.address, datagram)
 
     def _drop_silent_children(self, now: float) -> None:
         for address, child in tuple(self._children.items()):
@@ -174,11 +164,13 @@
                 self._forget(address)
 
     def _refresh_parent(self, now: float) -> None:
+        for address in self._parent.take_probes(now):
+            self._send(address, encode_beat(Probe()))
         left = self._parent.refresh(now)
         if left:
             self._forget(left)
         if self._up.address != self._parent.address:
-            self._up = _Edge(self._parent.address)
+            self._up = Edge(self._parent.address, UP_TABLES_SHARE)
 
     def _forget(self, address: str) -> None:
         self._loads.forget(address)
@@ -186,10 +178,12 @@
 
     def _hear_child(self, report: Report, sender: str, now: float) -> None:
         is_new = sender not in self._children
-        child = self._children.setdefault(sender, _Child(_Edge(sender)))
+        edge = Edge(sender, DOWN_TABLES_SHARE)
+        child = self._children.setdefault(sender, _Child(edge))
         stale_s = max(_STALE_S, _STALE_PERIODS * report.period_s)
         child.until = now + stale_s
-        child.mark = report.mark
+        if is_new:
+            child.mark = report.mark
         child.depth = report.depth
         child.unreachable = report.unreachable
         self._loads.hear(sender, report.loads, child.until)
@@ -203,16 +197,18 @@
             self._send_regular(child.edge, summary, now)
 
     def _hear_parent(self, summary: Summary, now: float) -> None:
-        self._parent.note_heard(summary.period_s, now)
         self._hear_store(summary.store)
         if summary.order_ages is not None:
             self._order_times.hear(summary.order_ages)
         if summary.loads is not None:
             stale_s = max(_STALE_S, _STALE_PERIODS * summary.period_s)
             self._loads.hear(self._up.address, summary.loads, now + stale_s)
-        if self._directory.placement.take(summary.news):
+        placement = self._directory.placement
+        if placement.take(summary.news):
             self._directory.signal()
             self.tell_news()
+        if placement.lacks(summary.news):
+            self._send_at_once(self._up, RowsLacking(placement.mark), now)
 
     def _hear_store(self, seen: StoreSeen) -> None:
         self._directory.freshness.note_others(seen.revision)
@@ -245,19 +241,29 @@
     def _make_summary(self, child: _Child, now: float) -> Summary:
         return Summary(
             child.edge.period_s,
-            self._directory.placement.news_after(child.mark),
+            self._directory.placement.news_after(child.mark, 0),
             self._store_seen(),
             self._loads.tell(child.edge.address, now),
             self._order_times.ages() if self._is_planner() else None,
         )
 
-    def _send_regular(self, edge: _Edge, beat: Beat, now: float) -> None:
+    def _send_regular(self, edge: Edge, beat: Beat, now: float) -> None:
         datagram = encode_beat(beat)
-        if edge.budget.take(len(datagram), now):
-            edge.note_sent(len(datagram), now)
-            self._send(edge.address, datagram)
-
-    def _send_ahead(self, edge: _Edge, beat: Beat, now: float) -> None:
+        edge.note_sent(len(datagram), now)
+        self._send(edge.address, datagram)
+
+    def _send_news(self, child: _Child, now: float) -> None:
+        """Send the rows that there is room for; none now and then."""
+        most_rows = child.edge.count_rows(now)
+        news = self._directory.placement.news_after(child.mark, most_rows)
+        if not news.rows and not child.edge.is_silent(now):
+            return
+        child.mark = news.mark
+        child.edge.spoke_at = now
+        summary = Summary(child.edge.period_s, news, self._store_seen())
+        self._send_at_once(child.edge, summary, now)
+
+    def _send_at_once(self, edge: Edge, beat: Beat, now: float) -> None:
         datagram = encode_beat(beat)
-        if edge.budget.take_ahead(len(datagram), now):
-            self._send(edge.address, datagram)
+        edge.budget.spend(len(datagram), now)
+        self._send(edge.address, datagram)
--- a/bramleybeam/gateway/_order_times.py
+++ b/bramleybeam/gateway/_order_times.py
@@ -15,6 +15,9 @@
 _GAP_S: Final = 1.5
 # Age of the last word at which a planner may have given unknown orders.
 _LAST_WORD_S: Final = 3.0
+# Time for which orders to a replica are announced ahead, so that many orders
+# in a row need one message.
+AHEAD_S: Final = 1.0
 
 
 @attrs.define
@@ -28,6 +31,7 @@
     clock: Callable[[], float]
     _own: dict[str, float] = attrs.field(factory=dict)
     _others: dict[str, float] = attrs.field(factory=dict)
+    _announced: dict[str, float] = attrs.field(factory=dict)
     _listening_since: float = attrs.field(init=False, default=float('inf'))
     _heard_at: float = attrs.field(init=False, default=float('-inf'))
 
@@ -38,9 +42,26 @@
         is_close = now - self._heard_at <= _LAST_WORD_S
         return is_close and now - self._listening_since >= self.pause_s
 
-    def note_own(self, replicas: Collection[str]) -> None:
-        """Note orders that are about to be given here."""
-        self._own.update(dict.fromkeys(replicas, self.clock()))
+    def note_own(self, replicas: Collection[str]) -> dict[str, float]:
+        """Note orders that are about to be given here.
+
+        Returns what has to be announced before: ages of orders by replica,
+        which are in the future by ``AHEAD_S``.
+        """
+        now = self.clock()
+        self._own.update(dict.fromkeys(replicas, now))
+        due = [
+            replica
+            for replica in replicas
+            if self._announced.get(replica, 0) <= now
+        ]
+        self._announced.update(dict.fromkeys(due, now + AHEAD_S))
+        return dict.fromkeys(due, -AHEAD_S)
+
+    def announce_again(self, replicas: Collection[str]) -> None:
+        """Have the next orders to some replicas announced in any case."""
+        for replica in replicas:
+            self._announced.pop(replica, None)
 
     def hear(self, ages: Mapping[str, float]) -> None:
         """Take in the ages, in seconds, of a planner's own orders."""
--- a/bramleybeam/gateway/_parent.py
+++ b/bramleybeam/gateway/_parent.py
@@ -1,28 +1,23 @@
-"""Which gateway this one reports to, and which ones it passes over."""
+"""Which gateway this one reports to, and which ones it passes over.
+
+A parent that falls silent is passed over until it answers a probe, so that
+nothing is lost by reporting to it on trial.
+"""
 
 from typing import Final
 
-import attrs
 import structlog
 
 from bramleybeam.gateway._directory import Directory
 from bramleybeam.gateway._tree import Peer, choose_parent
 
-# A parent is silent after this long, or this many of its own periods.
-_SILENCE_S: Final = 1.0
-_SILENT_PERIODS: Final = 3
-# How long a silent gateway is passed over, longer each time.
-_FIRST_AVOIDANCE_S: Final = 20.0
-_LONGEST_AVOIDANCE_S: Final = 60.0
+# A parent is silent after this long; it speaks several times in that time.
+_SILENCE_S: Final = 1.4
+# How often a gateway that is passed over is asked whether it lives.
+_PROBE_S: Final = 1.0
 _log = structlog.get_logger('parent')
 
 
-@attrs.define
-class _Avoidance:
-    until: float
-    period: float
-
-
 class ParentChoice:
     """The parent of one gateway, by what it hears of it."""
 
@@ -33,17 +28,34 @@
         self._address = ''
         self._limit = 0.0
         self._refreshed_at = 0.0
-        self._avoided: dict[str, _Avoidance] = {}
+        self._probe_at: dict[str, float] = {}
 
     @property
     def address(self) -> str:
         """Where the parent takes datagrams; empty for the root."""
         return self._address
 
-    def note_heard(self, period_s: float, now: float) -> None:
-        """Note a message of the parent, and how often it sends them."""
-        self._avoided.pop(self._address, None)
-        self._limit = now + max(_SILENCE_S, _SILENT_PERIODS * period_s)
+    def note_heard(self, now: float) -> None:
+        """Note a message of the parent, whatever it tells."""
+        self._limit = now + _SILENCE_S
+
+    def note_alive(self, address: str) -> None:
+        """Note that a gateway has answered a probe: it may be a parent."""
+        if self._probe_at.pop(address, None) is not None:
+            _log.info('parent_answers', address=address)
+
+    def take_probes(self, now: float) -> list[str]:
+        """Return the addresses that are to be asked now, if they still count."""
+        listed = {peer.address for peer in self._directory.peers.values()}
+        for address in self._probe_at.keys() - listed:
+            self._probe_at.pop(address)
+        due = [
+            address
+            for address, probe_at in self._probe_at.items()
+            if now >= probe_at
+        ]
+        self._probe_at.update(dict.fromkeys(due, now + _PROBE_S))
+        return due
 
     def refresh(self, now: float) -> str:
         """Choose anew; return the parent that was left, if it changed."""
@@ -51,7 +63,7 @@
             self._note_silence(now)
         self._refreshed_at = now
         left = self._address
-        parent = self._choose(now)
+        parent = self._choose()
         self._address = parent.address if parent else ''
         if self._address == left:
             return ''
@@ -59,27 +71,15 @@
         _log.info('parent_chosen', parent=parent.host if parent else '')
         return left
 
-    def _choose(self, now: float) -> Peer | None:
+    def _choose(self) -> Peer | None:
         peers = tuple(self._directory.peers.values())
-        silent = [
-            address
-            for address, avoidance in self._avoided.items()
-            if now < avoidance.until
-        ]
         root = self._directory.newest_planner.host
-        return choose_parent(self.own, peers, root, silent)
+        return choose_parent(self.own, peers, root, self._probe_at)
 
     def _note_silence(self, now: float) -> None:
         """Pass the parent over, unless this process itself stood still."""
         if now - self._refreshed_at > _SILENCE_S:
             self._limit = now + _SILENCE_S
         else:
-            self._avoid(self._address, now)
-
-    def _avoid(self, address: str, now: float) -> None:
-        known = self._avoided.get(address)
-        period = _FIRST_AVOIDANCE_S
-        if known is not None:
-            period = min(_LONGEST_AVOIDANCE_S, known.period * 2)
-        self._avoided[address] = _Avoidance(now + period, period)
-        _log.info('parent_silent', address=address, seconds=period)
+            self._probe_at[self._address] = now + _PROBE_S
+            _log.info('parent_silent', address=self._address)
--- a/bramleybeam/gateway/_peers.py
+++ b/bramleybeam/gateway/_peers.py
@@ -10,7 +10,8 @@
 
 import structlog
 
-from bramleybeam.gateway._beats import Beat, UnreadableBeatError, decode_beat
+from bramleybeam.gateway._beat_codec import UnreadableBeatError, decode_beat
+from bramleybeam.gateway._beats import Beat
 from bramleybeam.gateway._directory import Directory
 from bramleybeam.gateway._status import Traffic
 
--- a/bramleybeam/gateway/_placement.py
+++ b/bramleybeam/gateway/_placement.py
@@ -46,13 +46,14 @@
 
 @attrs.frozen
 class PlacementNews:
-    """Rows that bring their receiver up to ``mark``.
+    """Rows that bring a receiver that has those up to ``since`` to ``mark``.
 
-    ``age_s`` is how long ago the planner was heard; it is endless while
-    there is none.
+    ``since`` is a number of ``mark``'s epoch. ``age_s`` is how long ago the
+    planner was heard; it is endless while there is none.
     """
 
     mark: Mark = Mark()
+    since: int = 0
     age_s: float = float('inf')
     rows: Mapping[str, PlacedHoldings] = attrs.field(factory=dict)
 
@@ -146,14 +147,21 @@
         if not epoch or not self._follow(epoch):
             return False
         self._heard_at = max(self._heard_at, self._clock() - news.age_s)
-        if news.mark.number <= self._mark.number:
+        if news.mark.number <= self._mark.number or self.lacks(news):
             return is_newer
         for name, placed in news.rows.items():
             self._keep(name, placed, news.mark.number)
         self._mark = news.mark
         return True
 
-    def news_after(self, mark: Mark) -> PlacementNews:
+    def lacks(self, news: PlacementNews) -> bool:
+        """Whether rows are missing between those here and some news."""
+        known = self._mark.number if news.mark.epoch == self._mark.epoch else 0
+        return news.mark.epoch >= self._mark.epoch and news.since > known
+
+    def news_after(
+        self, mark: Mark, most_rows: int = _MAX_ROWS
+    ) -> PlacementNews:
         """Return the next rows that a gateway at ``mark`` lacks."""
         now = self._clock()
         known = mark.number if mark.epoch == self._mark.epoch else 0
@@ -163,8 +171,8 @@
             if row.number > known
         )
         number = self._mark.number
-        if len(lacking) > _MAX_ROWS:
-            number = lacking[_MAX_ROWS - 1][0]
+        if len(lacking) > most_rows:
+            number = lacking[most_rows - 1][0] if most_rows else known
         rows = {
             name: attrs.evolve(
                 self._rows[name].placed,
@@ -174,7 +182,10 @@
             if row_number <= number
         }
         return PlacementNews(
-            Mark(self._mark.epoch, number), now - self._heard_at, rows
+            Mark(self._mark.epoch, number),
+            min(known, number),
+            now - self._heard_at,
+            rows,
         )
 
     def drop(self, replica: str) -> None:
--- a/bramleybeam/gateway/_planner.py
+++ b/bramleybeam/gateway/_planner.py
@@ -5,7 +5,7 @@
 out, by a clock that goes on while the host is suspended.
 """
 
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Mapping
 from typing import Final, Protocol
 
 import structlog
@@ -80,12 +80,12 @@
         lease: Lease,
         giver: OrderGiver,
         order_times: OrderTimes,
-        announce: Callable[[Collection[str]], None],
+        announce: Callable[[Mapping[str, float]], None],
     ) -> None:
         """Store what plans are made from, and how orders are given.
 
-        ``name`` is this gateway's; ``announce`` tells others of the replicas
-        that are about to be given orders.
+        ``name`` is this gateway's; ``announce`` tells others the ages of orders
+        that are about to be given, by replica.
         """
         self.has_news = False
         self.order_times = order_times
@@ -247,8 +247,9 @@
         )
 
     def _announce_orders(self, replicas: Collection[str]) -> None:
-        self.order_times.note_own(replicas)
-        self._announce(replicas)
+        ages = self.order_times.note_own(replicas)
+        if ages:
+            self._announce(ages)
 
     async def _give(self, ledger: ReplicaLedger, order: ModelOrder) -> None:
         """Give an order until it is answered; a repeat is taken only once."""
@@ -258,6 +259,7 @@
                 if not epoch:
                     return
                 if number:
+                    self.order_times.announce_again([ledger.replica.name])
                     self._announce_orders([ledger.replica.name])
                 terms = platform.OrderTerms(
                     self._name, epoch, ledger.holdings.sequence
--- a/bramleybeam/gateway/tests/test_exchange.py
+++ b/bramleybeam/gateway/tests/test_exchange.py
@@ -130,6 +130,34 @@
     run(play, 28, loss=loss)
 
 
+@pytest.mark.parametrize('loss', [0.0, 0.05])
+@pytest.mark.parametrize('orders_per_s', [10, 40])
+def test_busy_planner_does_not_fall_silent(orders_per_s, loss):
+    # What was sent at once took all bytes, so that the regular messages ceased.
+    async def play(network):
+        await network.run(2)
+        network.load(29, 108, 30)
+        network.place(1, 29, 108)
+        await network.run(3)
+        working = network.work_as_planner(12, 29, 108, orders_per_s)
+        oldest = []
+        lags = []
+        async for _ in working:
+            oldest.append(network.oldest_word())
+            lags.append(network.longest_lag())
+        assert max(oldest)[0] < 2.5, max(oldest)
+        assert max(lags) < 2.5, lags
+        root = network.planner.peer.address
+        heads = [
+            node
+            for node in network.nodes.values()
+            if node.exchange.parent == root
+        ]
+        assert len(heads) == 6
+
+    run(play, 28, loss=loss)
+
+
 @pytest.mark.parametrize('lost', [1, 3, 6])
 def test_gateways_below_a_lost_one_are_told_again(lost):
     async def play(network):
--- a/bramleybeam/gateway/tests/test_order_times.py
+++ b/bramleybeam/gateway/tests/test_order_times.py
@@ -66,3 +66,29 @@
         times.hear({})
     clock.now = start + asked_at
     assert times.is_complete == is_complete
+
+
+def test_orders_in_a_row_are_announced_ahead_by_one_message(clock):
+    times = OrderTimes(3, clock)
+    other = OrderTimes(3, clock)
+    announced = 0
+    for _ in range(40):
+        ages = times.note_own(['e1'])
+        announced += bool(ages)
+        if ages:
+            other.hear(ages)
+        clock.now += 0.1
+    assert announced == 4
+    # Closed for a pause after the last order, and at most a second longer.
+    clock.now += 2.85
+    assert other.is_closed('e1')
+    clock.now += 1.1
+    assert not other.is_closed('e1')
+
+
+def test_repeated_order_is_announced_again(clock):
+    times = OrderTimes(3, clock)
+    assert times.note_own(['e1'])
+    assert not times.note_own(['e1'])
+    times.announce_again(['e1'])
+    assert times.note_own(['e1'])
--- a/bramleybeam/limits/_byte_budget.py
+++ b/bramleybeam/limits/_byte_budget.py
@@ -1,8 +1,4 @@
-"""Bounds the bytes that are sent to one peer, whatever there is to tell.
-
-Regular messages wait until they fit, so that they come less often when they
-are long. What can't wait may be sent ahead of its share, up to a limit.
-"""
+"""Bounds the bytes that are sent to one peer, whatever there is to tell."""
 
 import attrs
 
@@ -13,6 +9,10 @@
 
     ``burst`` bytes may be saved up, and ``credit`` bytes be sent ahead of
     their share. Time is given by the caller, in seconds.
+
+    >>> budget = ByteBudget(rate=1000, burst=500, credit=100)
+    >>> budget.take(550, now=0), budget.take(550, now=0)
+    (True, False)
     """
 
     rate: float
@@ -21,22 +21,21 @@
     _level: float = attrs.field(init=False, default=0)
     _updated: float | None = attrs.field(init=False, default=None)
 
-    def take(self, size: int, now: float) -> bool:
-        """Take a regular message when it fits; tell whether it did.
+    def room(self, now: float) -> float:
+        """Return the bytes that may be sent at this moment."""
+        return self._refill(now) + self.credit
 
-        One that is longer than the burst fits when all of that is there.
-        """
-        if self._refill(now) < min(size, self.burst):
+    def take(self, size: int, now: float) -> bool:
+        """Take a message if there is room; tell whether it may be sent."""
+        if self.room(now) < size:
             return False
         self._level -= size
         return True
 
-    def take_ahead(self, size: int, now: float) -> bool:
-        """Take a message that can't wait; tell whether it may be sent."""
-        if self._refill(now) + self.credit < size:
-            return False
+    def spend(self, size: int, now: float) -> None:
+        """Count a message that is sent in any case; others wait for it."""
+        self._refill(now)
         self._level -= size
-        return True
 
     def _refill(self, now: float) -> float:
         if self._updated is None:
