Keep what requests wait for until it is served, though its callers were refused

Cause: a want was told only while a request waited. Who was refused and told to come back counted as gone; a request that was refused at once counted for no time at all. So the planner saw one request at a time, each of age zero, and there was always a model that more waited for.

Now a refused request counts until it may be back (its Retry-After and half a second), and how long a target has been asked for without being served is kept from one caller to the next and told up the tree with the counts.

Ruled out: the rate of the weight store (82 loads in 50 s at 8.5 a second), the patience of the gateways (6 s, the longest that a caller waits is 8).

--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -28,6 +28,9 @@
     'REFUSED',
     'FAILED',
     'STORE LOADS',
+    'ORDERS',
+    'NEVER SERVED',
+    'JUDGED',
     'SECONDS',
 )
 
@@ -57,6 +60,9 @@
         result.count('refused'),
         result.count('failed'),
         result.store_loads,
+        result.orders,
+        len(result.never_served()),
+        len(result.judged_targets()),
         day.seconds,
     ]
 
--- a/bramleybeam/gateway/_beat_codec.py
+++ b/bramleybeam/gateway/_beat_codec.py
@@ -21,7 +21,6 @@
     RowsLacking,
     StoreSeen,
     Summary,
-    Wants,
 )
 from bramleybeam.gateway._loads import LoadReport
 from bramleybeam.gateway._placement import (
@@ -30,6 +29,7 @@
     PlacementNews,
 )
 from bramleybeam.gateway._tree import PlannerSeen
+from bramleybeam.gateway._wants import Wants
 from bramleybeam.links import (
     Frame,
     FrameDecoder,
@@ -81,8 +81,8 @@
             return 'report', _encode_report(beat)
         case Summary():
             return 'summary', _encode_summary(beat)
-        case Wants(waiting=waiting):
-            return 'wants', _encode_counts(waiting)
+        case Wants():
+            return 'wants', _encode_wants(beat)
         case OrdersGiven(ages=ages):
             return 'orders', ages
         case RowsLacking(mark=mark):
@@ -114,7 +114,7 @@
         case 'summary':
             return _decode_summary(plain)
         case 'wants':
-            return Wants(_decode_counts(plain))
+            return _decode_wants(plain)
         case 'orders':
             return OrdersGiven(_decode_ages(plain))
         case 'lacking':
@@ -150,12 +150,15 @@
             ]
             for name, one in report.demand.models.items()
         },
-        'waiting': _encode_counts(report.demand.waiting),
+        'wants': _encode_wants(
+            Wants(report.demand.waiting, report.demand.unserved_s)
+        ),
         'unreachable': list(report.unreachable),
     }
 
 
 def _decode_report(plain: dict[str, Any]) -> Report:
+    wants = _decode_wants(plain['wants'])
     return Report(
         float(plain['period']),
         int(plain['depth']),
@@ -167,7 +170,8 @@
         },
         Demand(
             {name: ModelDemand(*row) for name, row in plain['demand'].items()},
-            _decode_counts(plain['waiting']),
+            wants.waiting,
+            wants.unserved_s,
         ),
         tuple(map(str, plain['unreachable'])),
     )
@@ -236,6 +240,27 @@
     return {str(name): float(age) for name, age in plain.items()}
 
 
+def _encode_wants(wants: Wants) -> dict[str, list[float]]:
+    """Encode the count of each target, and for how long it is unserved."""
+    return {
+        f'{model}/{adapter}': [
+            count,
+            round(wants.unserved_s.get((model, adapter), 0), 1),
+        ]
+        for (model, adapter), count in wants.waiting.items()
+    }
+
+
+def _decode_wants(plain: dict[str, Any]) -> Wants:
+    waiting = {}
+    unserved_s = {}
+    for key, (count, age_s) in plain.items():
+        model, _, adapter = key.partition('/')
+        waiting[model, adapter] = int(count)
+        unserved_s[model, adapter] = float(age_s)
+    return Wants(waiting, unserved_s)
+
+
 def _encode_counts(counts: Mapping[Target, int]) -> dict[str, int]:
     return {f'{model}/{name}': count for (model, name), count in counts.items()}
 
--- a/bramleybeam/gateway/_beats.py
+++ b/bramleybeam/gateway/_beats.py
@@ -7,7 +7,8 @@
 from bramleybeam.gateway._loads import LoadReport
 from bramleybeam.gateway._placement import Mark, PlacementNews
 from bramleybeam.gateway._tree import PlannerSeen
-from bramleybeam.orders import Demand, Target
+from bramleybeam.gateway._wants import Wants
+from bramleybeam.orders import Demand
 
 
 @attrs.frozen
@@ -51,13 +52,6 @@
     order_ages: Mapping[str, float] | None = None
 
 
-@attrs.frozen
-class Wants:
-    """Requests that wait at the sender and below, by what they wait for."""
-
-    waiting: Mapping[Target, int]
-
-
 @attrs.frozen
 class OrdersGiven:
     """Ages, in seconds, of orders that the sender is about to give."""
--- a/bramleybeam/gateway/_choose.py
+++ b/bramleybeam/gateway/_choose.py
@@ -2,7 +2,7 @@
 
 import random
 from collections import defaultdict
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from typing import Final, Self
 
@@ -15,11 +15,11 @@
     is_next,
 )
 from bramleybeam.errors import ErrorKind, Refusal, refuse
-from bramleybeam.gateway._demand import DemandTable
 from bramleybeam.gateway._job import Job, RefusingError, WaitEnd
 from bramleybeam.gateway._knowledge import Knowledge
 from bramleybeam.gateway._loads import Work
 from bramleybeam.gateway._signal import Signal
+from bramleybeam.gateway._wants import WantTable
 from bramleybeam.orders import PREFILL_TOKENS_PER_S, Target
 
 _WAIT_STEP_S: Final = 0.25
@@ -89,7 +89,7 @@
         return sum(part.tokens for part in job.facts.parts[:known])
 
     async def _wait(self, job: Job) -> Candidate:
-        with self._in_room(job) as (room, mine), _Absence(self._demand) as gone:
+        with self._in_room(job) as (room, mine), self._absence() as gone:
             while True:
                 if self._is_absent(job):
                     gone.note(job.target)
@@ -101,6 +101,9 @@
                     if chosen is not None:
                         return chosen
 
+    def _absence(self) -> '_Absence':
+        return _Absence(self._demand.wants, self._directory.now)
+
     @contextmanager
     def _in_room(self, job: Job) -> Iterator[tuple[list[Waiting], Waiting]]:
         """Keep a request among those that wait for the same target."""
@@ -216,16 +219,26 @@
 class _Absence:
     """Counts a request as waiting for a load, once, while it waits."""
 
-    def __init__(self, demand: DemandTable) -> None:
-        self._demand = demand
+    def __init__(self, wants: WantTable, clock: Callable[[], float]) -> None:
+        self._wants = wants
+        self._clock = clock
         self._target: Target | None = None
 
     def __enter__(self) -> Self:
         return self
 
-    def __exit__(self, *_failure: object) -> None:
-        if self._target is not None:
-            self._demand.end_waiting(self._target)
+    def __exit__(
+        self,
+        _kind: type[BaseException] | None,
+        failure: BaseException | None,
+        _trace: object,
+    ) -> None:
+        if self._target is None:
+            return
+        self._wants.end(self._target)
+        if isinstance(failure, RefusingError):
+            again_s = failure.refusal.retry_after or 0
+            self._wants.note_refused(self._target, self._clock(), again_s)
 
     @property
     def is_noted(self) -> bool:
@@ -234,7 +247,7 @@
     def note(self, target: Target) -> None:
         if self._target is None:
             self._target = target
-            self._demand.begin_waiting(target)
+            self._wants.begin(target, self._clock())
 
 
 def _refuse(job: Job, retry_after: float = _RETRY_AFTER_S) -> Refusal:
--- a/bramleybeam/gateway/_daemon.py
+++ b/bramleybeam/gateway/_daemon.py
@@ -111,7 +111,7 @@
         )
         self._published_at = float('-inf')
         self._directory.on_change.append(self._take_limits)
-        knowledge.demand.on_want.append(self._nudge.fire)
+        knowledge.demand.wants.on_want.append(self._nudge.fire)
         self._directory.on_change.append(self._plan_on_change)
 
     @property
--- a/bramleybeam/gateway/_demand.py
+++ b/bramleybeam/gateway/_demand.py
@@ -1,13 +1,13 @@
 """Counts what callers ask for, by model, as rates that fade."""
 
 import math
-from collections import Counter
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Iterator
 from functools import partial
 from typing import Final
 
 import attrs
 
+from bramleybeam.gateway._wants import Wants, WantTable
 from bramleybeam.orders import NO_DEMAND, Demand, ModelDemand, Target
 
 # Time constants of the rates, in seconds: one that is steady, and one that
@@ -74,16 +74,12 @@
 
 
 class DemandTable:
-    """Own demand, and that of the gateways below in the tree.
-
-    ``on_want`` is called when a request begins to wait for a load.
-    """
+    """Own demand, and that of the gateways below in the tree."""
 
     def __init__(self) -> None:
         """Start without demand."""
-        self.on_want: list[Callable[[], None]] = []
+        self.wants = WantTable()
         self._models: dict[str, _OwnDemand] = {}
-        self._waiting: Counter[Target] = Counter()
         self._was_urgent: set[str] = set()
         self._told: dict[str, _Told] = {}
 
@@ -107,48 +103,28 @@
         own.tokens.add(tokens, now)
         own.was_urgent |= not is_patient
 
-    def begin_waiting(self, target: Target) -> None:
-        """Count a request that waits for its target to be loaded."""
-        self._waiting[target] += 1
-        for callback in self.on_want:
-            callback()
-
-    def end_waiting(self, target: Target) -> None:
-        """Stop counting a request that waited."""
-        self._waiting[target] -= 1
-        if self._waiting[target] <= 0:
-            self._waiting.pop(target)
-
     def hear(self, child: str, demand: Demand, until: float) -> bool:
         """Take in the demand below a child; it counts until a moment.
 
         Tells whether other requests wait there than before.
         """
-        known = self._told.get(child)
-        before = known.demand.waiting if known else {}
         self._told[child] = _Told(until, demand)
         self._was_urgent.update(
             name for name, one in demand.models.items() if one.was_urgent
         )
-        return before != demand.waiting
+        wants = Wants(demand.waiting, demand.unserved_s)
+        return self.wants.hear(child, wants, until)
 
-    def hear_waiting(self, child: str, waiting: Mapping[Target, int]) -> None:
-        """Take in what requests wait for below a child."""
+    def hear_wants(self, child: str, wants: Wants) -> None:
+        """Take in what requests wait for below a child that has reported."""
         told = self._told.get(child)
         if told is not None:
-            demand = attrs.evolve(told.demand, waiting=waiting)
-            self._told[child] = attrs.evolve(told, demand=demand)
+            self.wants.hear(child, wants, told.until)
 
     def forget(self, child: str) -> None:
         """Drop what a gateway told that is no longer a child."""
         self._told.pop(child, None)
-
-    def waiting(self, now: float, besides: str = '') -> dict[Target, int]:
-        """Count what requests wait for here and below, but one child."""
-        waiting = Counter(self._waiting)
-        for told in self._fresh(now, besides):
-            waiting.update(told.waiting)
-        return dict(waiting)
+        self.wants.forget(child)
 
     def total(self, now: float, besides: str = '') -> Demand:
         """Return the demand here and below, but that of one child.
@@ -164,7 +140,8 @@
         for name in self._was_urgent:
             known = models.get(name, NO_DEMAND)
             models[name] = attrs.evolve(known, was_urgent=True)
-        return Demand(models, self.waiting(now, besides))
+        wants = self.wants.total(now, besides)
+        return Demand(models, wants.waiting, wants.unserved_s)
 
     def tell(self, now: float, parent: str) -> Demand:
         """Return what a parent is told: the models that are asked for."""
@@ -174,7 +151,7 @@
             for name, one in total.models.items()
             if one.rate >= _LEAST_RATE
         }
-        return Demand(models, total.waiting)
+        return attrs.evolve(total, models=models)
 
     def _fresh(self, now: float, besides: str) -> Iterator[Demand]:
         for child, told in self._told.items():
--- a/bramleybeam/gateway/_exchange.py
+++ b/bramleybeam/gateway/_exchange.py
@@ -22,7 +22,6 @@
     RowsLacking,
     StoreSeen,
     Summary,
-    Wants,
 )
 from bramleybeam.gateway._edge import (
     DOWN_TABLES_SHARE,
@@ -33,6 +32,7 @@
 from bramleybeam.gateway._order_times import OrderTimes
 from bramleybeam.gateway._parent import ParentChoice
 from bramleybeam.gateway._placement import Mark
+from bramleybeam.gateway._wants import Wants
 
 # Time after which what a neighbour told no longer counts: a least one, and a
 # number of its own periods.
@@ -124,8 +124,8 @@
             case Summary():
                 if sender == self._parent.address:
                     self._hear_parent(beat, now)
-            case Wants(waiting=waiting):
-                self._demand.hear_waiting(sender, waiting)
+            case Wants():
+                self._demand.hear_wants(sender, beat)
                 self._on_wants()
             case OrdersGiven(ages=ages):
                 self._order_times.hear(ages)
@@ -139,9 +139,9 @@
     def tell_wants(self) -> None:
         """Tell the parent at once what requests wait for."""
         now = self._directory.now()
-        waiting = self._demand.waiting(now, besides=self._parent.address)
-        if self._parent.address and waiting:
-            datagram = encode_beat(Wants(waiting))
+        wants = self._demand.wants.total(now, besides=self._parent.address)
+        if self._parent.address and wants.waiting:
+            datagram = encode_beat(wants)
             if self._up.budget.take(len(datagram), now):
                 self._send(self._up.address, datagram)
 
--- a/bramleybeam/gateway/_forward.py
+++ b/bramleybeam/gateway/_forward.py
@@ -187,6 +187,9 @@
             outcome = await self._send(job, replica, work)
             if isinstance(outcome, outcomes.Delivered):
                 self._directory.reach.note_reachable(replica.name)
+                self._demand.wants.note_served(
+                    job.target, self._directory.now()
+                )
                 self._log_attempt('answered', job, replica, outcome)
                 return
             self._log_attempt('attempt_failed', job, replica, outcome)
--- a/bramleybeam/gateway/_planner.py
+++ b/bramleybeam/gateway/_planner.py
@@ -103,7 +103,7 @@
         self._is_stirred = True
         self._planned_at = float('-inf')
         self._directory.on_change.append(self._stir)
-        self._demand.on_want.append(self._stir)
+        self._demand.wants.on_want.append(self._stir)
 
     @property
     def epoch(self) -> int:
--- a/bramleybeam/gateway/tests/test_exchange.py
+++ b/bramleybeam/gateway/tests/test_exchange.py
@@ -102,15 +102,16 @@
         await network.run(2)
         lowest = max(network.nodes.values(), key=lambda node: node.peer.host)
         target = ('model0007', 'a1')
-        lowest.knowledge.demand.begin_waiting(target)
+        lowest.knowledge.demand.wants.begin(target, 2)
         lowest.exchange.tell_wants()
         await network.run(0.1)
         planner = network.planner.knowledge
-        waiting = planner.demand.waiting(planner.directory.now())
+        waiting = planner.demand.wants.total(planner.directory.now()).waiting
         assert waiting == {target: 1}
-        lowest.knowledge.demand.end_waiting(target)
+        lowest.knowledge.demand.wants.end(target)
         await network.run(3)
-        assert not planner.demand.waiting(planner.directory.now())
+        now = planner.directory.now()
+        assert not planner.demand.wants.total(now).waiting
 
     run(play, 28)
 
--- a/bramleybeam/gateway/tests/test_planner.py
+++ b/bramleybeam/gateway/tests/test_planner.py
@@ -62,7 +62,7 @@
 
         async def want():
             while True:
-                knowledge.demand.begin_waiting(('m1', ''))
+                knowledge.demand.wants.begin(('m1', ''), loop.time())
                 await asyncio.sleep(wants_each_s)
 
         wanting = asyncio.create_task(want())
--- a/bramleybeam/orders/_messages.py
+++ b/bramleybeam/orders/_messages.py
@@ -167,16 +167,26 @@
     """What callers ask for, by model.
 
     A model that nobody has asked for is not named. ``waiting`` counts
-    requests, by target, that wait since their target is nowhere.
+    requests, by target, that wait since their target is nowhere, or were
+    refused for that and will be back. ``unserved_s`` tells for how many seconds
+    none of them has been served.
     """
 
     models: Mapping[str, ModelDemand] = attrs.field(factory=dict)
     waiting: Mapping[Target, int] = attrs.field(factory=dict)
+    unserved_s: Mapping[Target, float] = attrs.field(factory=dict)
 
     def of(self, model: str) -> ModelDemand:
         """Return the demand for a model, which may be none."""
         return self.models.get(model, NO_DEMAND)
 
+    def unserved_by_model(self) -> dict[str, float]:
+        """Return for how long each model has not been served, in seconds."""
+        ages: dict[str, float] = {}
+        for (model, _), age_s in self.unserved_s.items():
+            ages[model] = max(age_s, ages.get(model, 0))
+        return ages
+
     def waiting_by_model(self) -> dict[str, int]:
         """Count the waiting requests of each model, whatever the adapter."""
         counts: dict[str, int] = {}
--- a/bramleybeam/simulation/_arrivals.py
+++ b/bramleybeam/simulation/_arrivals.py
@@ -44,7 +44,9 @@
 
     ``moving`` are the models of which ``len(shares)`` are busy at a time, with
     those shares of the requests; ``shifts`` are the moments at which two of
-    them change, ``bursts`` name (from, to, class, factor).
+    them change, ``bursts`` name (from, to, class, factor), ``losses`` name
+    (from, for how long) a replica is gone, ``new_planners`` the moments at
+    which another gateway becomes the planner.
     """
 
     engine: EngineSpec
@@ -58,6 +60,7 @@
     shifts: tuple[float, ...]
     bursts: tuple[tuple[float, float, str, float], ...] = ()
     losses: tuple[tuple[float, float], ...] = ()
+    new_planners: tuple[float, ...] = ()
     length_s: float = 40
 
 
--- a/bramleybeam/simulation/_callers.py
+++ b/bramleybeam/simulation/_callers.py
@@ -123,6 +123,8 @@
                     break
             self._chooser.note_missing(replica, job.target, loop.time())
         self._chooser.changed.fire()
+        if is_whole:
+            self._demand.wants.note_served(job.target, loop.time())
         if not is_whole:
             return _End('failed', chosen_s)
         wait_s = run.first_at - began
--- a/bramleybeam/simulation/_day.py
+++ b/bramleybeam/simulation/_day.py
@@ -41,6 +41,7 @@
     def __init__(self, spec: LoadSpec, seed: int) -> None:
         self._spec = spec
         self._seed = seed
+        self._epoch = 0
         self._engines: dict[str, EngineModel] = {}
         self._store = WeightStore(spec.store_at_once)
         self._service = Service(_SERVICE, '/', 100, spec.engine)
@@ -55,19 +56,14 @@
         self._callers = Callers(
             self._knowledge, chooser, self._engines, self._service, _LEAD_S
         )
-        giver = EngineOrders(self._engines)
-        self._planner = Planner(
-            'simulated',
-            self._knowledge,
-            SingleLease(),
-            giver,
-            OrderTimes(0, loop.time),
-            lambda _replicas: None,
-        )
-        self._knowledge.demand.on_want.append(self._nudge.fire)
+        self._giver = EngineOrders(self._engines)
+        self._planner = self._make_planner()
+        wants = self._knowledge.demand.wants
+        wants.on_want.append(self._nudge.fire)
         self._knowledge.directory.on_change.append(self._nudge.fire)
         planning = asyncio.ensure_future(self._keep_planning())
         self._tasks.spawn(self._lose_replicas())
+        self._tasks.spawn(self._change_planners())
         arrivals = draw_arrivals(self._spec, self._seed, factor)
         await asyncio.sleep(_LEAD_S)
         requests = []
@@ -77,9 +73,27 @@
         await asyncio.gather(*requests)
         await self._finish(planning)
         return DayResult(
-            tuple(self._callers.served), self._store.loads, giver.orders
+            tuple(self._callers.served), self._store.loads, self._giver.orders
+        )
+
+    def _make_planner(self) -> Planner:
+        self._epoch += 1
+        return Planner(
+            'simulated',
+            self._knowledge,
+            SingleLease(),
+            self._giver,
+            OrderTimes(0, asyncio.get_running_loop().time),
+            lambda _ages: None,
         )
 
+    async def _change_planners(self) -> None:
+        loop = asyncio.get_running_loop()
+        for moment in self._spec.new_planners:
+            await asyncio.sleep(max(0, moment + _LEAD_S - loop.time()))
+            await self._planner.close()
+            self._planner = self._make_planner()
+
     async def _finish(self, planning: asyncio.Future[None]) -> None:
         """End the background work; raise what went wrong in it."""
         if planning.done():
@@ -147,7 +161,8 @@
         await self._planner.plan()
         self._planner.has_news = False
         placement = self._planner.placement()
-        if self._knowledge.directory.placement.publish(1, placement):
+        table = self._knowledge.directory.placement
+        if table.publish(self._epoch, placement):
             self._knowledge.directory.signal()
 
     def _plan_now(self) -> None:
--- a/bramleybeam/simulation/_results.py
+++ b/bramleybeam/simulation/_results.py
@@ -1,9 +1,16 @@
 """What became of the requests of a day."""
 
 from collections.abc import Sequence
+from typing import Final
 
 import attrs
 
+from bramleybeam.orders import Target
+
+# A target is judged if it was asked for so often, over such a time.
+_LEAST_ASKS: Final = 4
+_LEAST_SPAN_S: Final = 8.0
+
 
 @attrs.frozen
 class Served:
@@ -48,11 +55,56 @@
             windows.setdefault(int(row.moment // length_s), []).append(row)
         return min(map(_share, windows.values()))
 
+    def judged_targets(self) -> dict[Target, bool]:
+        """Tell of each target that was asked for long whether it was served."""
+        return {
+            target: any(row.worth for row in found)
+            for target, found in self._by_target().items()
+            if len(found) >= _LEAST_ASKS and _span(found) >= _LEAST_SPAN_S
+        }
+
+    def never_served(self) -> list[Target]:
+        """Name the targets that were asked for in vain all through."""
+        judged = self.judged_targets().items()
+        return sorted(target for target, is_served in judged if not is_served)
+
+    def longest_unserved(self) -> dict[Target, float]:
+        """Return for how many seconds each target was asked for in vain.
+
+        Counted from the first request that had to wait for it, or was refused,
+        to the next one that was handed to a replica, or came last.
+        """
+        longest: dict[Target, float] = {}
+        for target, found in self._by_target().items():
+            since: float | None = None
+            for row in sorted(found, key=_end_of):
+                since = row.moment if since is None else since
+                spent = _end_of(row) - since
+                longest[target] = max(spent, longest.get(target, 0))
+                if row.worth:
+                    since = None
+        return longest
+
     def count(self, outcome: str) -> int:
         """Count the requests that ended so."""
         return sum(row.outcome == outcome for row in self.requests)
 
+    def _by_target(self) -> dict[Target, list[Served]]:
+        rows: dict[Target, list[Served]] = {}
+        for row in self.requests:
+            rows.setdefault((row.model, row.adapter), []).append(row)
+        return rows
+
 
 def _share(rows: Sequence[Served]) -> float:
     owed = sum(row.owed for row in rows)
     return sum(row.worth for row in rows) / owed if owed else 1
+
+
+def _span(rows: Sequence[Served]) -> float:
+    moments = [row.moment for row in rows]
+    return max(moments) - min(moments)
+
+
+def _end_of(row: Served) -> float:
+    return row.moment + row.chosen_s
--- a/bramleybeam/simulation/_sites.py
+++ b/bramleybeam/simulation/_sites.py
@@ -1,9 +1,11 @@
-"""The two deployments that the days are played on, as the users tell them."""
+"""The deployments that the days are played on, as the users tell them."""
 
 from collections.abc import Mapping
 from types import MappingProxyType
 from typing import Final
 
+import attrs
+
 from bramleybeam.catalog import EngineSpec, ModelSpec
 from bramleybeam.simulation._arrivals import LoadSpec, RequestClass
 
@@ -11,6 +13,11 @@
 _ADAPTER_PLACES: Final = 8
 _SHARES: Final = (0.42, 0.228, 0.187, 0.165)
 _SHIFTS: Final = (1.0, 6.5, 14.0, 19.5, 24.0, 29.5)
+_GROWN_SHARES: Final = (
+    0.17, 0.092, 0.076, 0.067, 0.061, 0.056, 0.053, 0.05, 0.047,
+    0.045, 0.043, 0.042, 0.041, 0.04, 0.039, 0.038, 0.037,
+)  # fmt: skip
+_GROWN_SHIFTS: Final = (1.0, 3.5, 6.0, 8.5, 16.0, 18.5, 21.0, 24.0, 27.0, 30.0)
 
 
 def _make_models(count: int, adapters: int) -> dict[str, ModelSpec]:
@@ -26,6 +33,20 @@
     return models
 
 
+def _make_grown_models(count: int, moving: int) -> dict[str, ModelSpec]:
+    """Make models of which each second moving one has adapters."""
+    models = _make_models(count, 0)
+    return {
+        name: attrs.evolve(
+            model,
+            adapters=max(2, 80 // (2 + number)) * (number % 2 == 0),
+        )
+        if number < moving
+        else model
+        for number, (name, model) in enumerate(models.items())
+    }
+
+
 def _make_engine(
     slots: int,
     cache_tokens: int,
@@ -44,6 +65,7 @@
     engine: EngineSpec,
     classes: tuple[RequestClass, ...],
     tokens_per_event: int,
+    moving: int = 10,
 ) -> LoadSpec:
     names = tuple(engine.models)
     return LoadSpec(
@@ -52,8 +74,8 @@
         store_at_once=store_at_once,
         tokens_per_event=tokens_per_event,
         classes=classes,
-        moving=names[:10],
-        resting=names[10:],
+        moving=names[:moving],
+        resting=names[moving:],
         shares=_SHARES,
         shifts=_SHIFTS,
         bursts=((2, 7, 'patient', 2.0), (6, 9, 'short', 1.9)),
@@ -100,5 +122,21 @@
             classes=_make_classes((27.9, 3.9, 16.7), (171, 69), 0.5, 0.3),
             tokens_per_event=3,
         ),
+        'grown-permits': attrs.evolve(
+            _make_site(
+                replicas=25,
+                store_at_once=19,
+                engine=_make_engine(
+                    48, 96_266, 8.5, _make_grown_models(108, 41)
+                ),
+                classes=_make_classes((111, 15.4, 66.3), (172, 69), 0.3, 0.3),
+                tokens_per_event=3,
+                moving=41,
+            ),
+            shares=_GROWN_SHARES,
+            shifts=_GROWN_SHIFTS,
+            losses=((4, 4), (15, 3), (24, 4)),
+            length_s=34,
+        ),
     }
 )
