Give up nothing in the moment in which it arrives

What callers saw: a model or adapter that was asked for was loaded and dropped before it served anybody.

Cause: what makes room is what is idle and missed least. What has just arrived is always idle, since gateways learn of it 0.2 to 1 s later, and those that waited for it may have been told to come back; an adapter that never ran even counted as unused for the longest time. So two that are wanted at a replica undid each other as fast as orders go.

Now a model stays 2.5 s and an adapter 1.5 s from when it has arrived, and an arrival counts as a use: time for the word to reach all gateways, and for callers to be back at their Retry-After (0.2 s after the expected arrival). Whatever is older may go, so that no place is lost for good.

Same cause elsewhere: copies of busy models and models that make room for them go through the same choice. An unknown model, and more room for a swap that is under way, are not held up.

Tests: orders/tests/test_plan.py and gateway/tests/test_ledger.py; on the code before, `a1` makes room in the new rows, and the model that has just come.

--- a/bramleybeam/gateway/_ledger.py
+++ b/bramleybeam/gateway/_ledger.py
@@ -5,6 +5,8 @@
 twice, is refused. The ledger follows the replica's own count.
 """
 
+import math
+from collections.abc import Iterable, Iterator
 from typing import Final
 
 import attrs
@@ -14,6 +16,7 @@
     LoadAdapter,
     LoadModel,
     ModelOrder,
+    Target,
     UnloadAdapter,
     UnloadModel,
     coming_model,
@@ -21,6 +24,10 @@
 
 # Time in which an adapter has arrived at most replicas.
 _ADAPTER_ARRIVAL_S: Final = 0.04
+# How long what has arrived stays at least, so that the gateways learn of it
+# and the requests that it was brought for find it.
+_MODEL_STAY_S: Final = 2.5
+_ADAPTER_STAY_S: Final = 1.5
 # Time after its expected end at which an order counts as late.
 _LATE_S: Final = 1.0
 # Time after which a model order that shows no effect is looked into.
@@ -33,6 +40,7 @@
 
     ``giving`` is the order that is on its way to it, ``check_at`` is when
     the replica has to be asked before it may be given further orders.
+    ``last_use`` tells when what it holds arrived or was last seen to run.
     """
 
     replica: Replica
@@ -44,7 +52,9 @@
     coming_at: float = 0
     giving: ModelOrder | None = None
     check_at: float | None = None
+    last_use: dict[Target, float] = attrs.field(factory=dict)
     _arrivals: list[tuple[float, str, str]] = attrs.field(factory=list)
+    _came_at: dict[Target, float] | None = None
 
     @property
     def is_open(self) -> bool:
@@ -120,8 +130,39 @@
                 self.successor = ''
                 self.check_at = now
 
+    def list_just_arrived(self, now: float) -> set[Target]:
+        """Return what came so lately that requests can't have used it."""
+        came_at = self._came_at or {}
+        return {
+            target
+            for target, moment in came_at.items()
+            if now - moment < _stay_of(target)
+        }
+
+    def note_use(self, targets: Iterable[Target], now: float) -> None:
+        """Note what is seen to run here."""
+        self.last_use.update(dict.fromkeys(targets, now))
+
     def advance(self, now: float) -> bool:
         """Let time pass; tell whether adapters have arrived."""
+        has_arrived = self._settle_arrivals(now)
+        self._note_what_came(now)
+        return has_arrived
+
+    def _note_what_came(self, now: float) -> None:
+        """Note since when it holds what it holds; unknown at the start."""
+        is_start = self._came_at is None
+        came_at = self._came_at or {}
+        self._came_at = {
+            target: came_at.get(target, -math.inf if is_start else now)
+            for target in _targets_of(self.holdings)
+        }
+        for target in self._came_at.keys() - came_at.keys():
+            self.last_use.setdefault(target, now)
+        for target in self.last_use.keys() - self._came_at.keys():
+            self.last_use.pop(target)
+
+    def _settle_arrivals(self, now: float) -> bool:
         if (self.loading or self.leaving) and self.check_at is None:
             if now > self.ordered_at + _ORDER_PATIENCE_S:
                 self.check_at = now
@@ -178,3 +219,14 @@
         models = dict(self.holdings.models)
         models[model] = models.get(model, frozenset()) - {adapter}
         self.holdings = attrs.evolve(self.holdings, models=models)
+
+
+def _targets_of(holdings: Holdings) -> Iterator[Target]:
+    for model, adapters in holdings.models.items():
+        yield model, ''
+        for adapter in adapters:
+            yield model, adapter
+
+
+def _stay_of(target: Target) -> float:
+    return _ADAPTER_STAY_S if target[1] else _MODEL_STAY_S
--- a/bramleybeam/gateway/_planner.py
+++ b/bramleybeam/gateway/_planner.py
@@ -6,23 +6,23 @@
 """
 
 from collections.abc import Callable, Collection, Mapping
-from typing import Final, Protocol
+from typing import Final
 
 import structlog
 
 from bramleybeam import platform
-from bramleybeam.catalog import EngineSpec, Holdings, Replica, ReplicaState
+from bramleybeam.catalog import EngineSpec, Holdings, ReplicaState
 from bramleybeam.decisions import TokenBucket
 from bramleybeam.gateway._knowledge import Knowledge
 from bramleybeam.gateway._ledger import ReplicaLedger
 from bramleybeam.gateway._order_times import OrderTimes
 from bramleybeam.gateway._placement import PlacedHoldings
+from bramleybeam.gateway._planner_ports import Lease, OrderGiver
 from bramleybeam.orders import (
     Demand,
     EngineView,
     LoadModel,
     ModelOrder,
-    Target,
     plan_orders,
 )
 from bramleybeam.timers import TaskSet
@@ -38,38 +38,6 @@
 _log = structlog.get_logger('planner')
 
 
-class Lease(Protocol):
-    """The right to give orders; ``epoch`` is 0 while it isn't held."""
-
-    @property
-    def epoch(self) -> int:
-        """Return the epoch of the orders."""
-
-    async def keep(self) -> bool:
-        """Renew or take it; tells if it was taken now."""
-
-    def give_up(self) -> None:
-        """Stop giving orders."""
-
-    async def close(self) -> None:
-        """Hand it over for good."""
-
-
-class OrderGiver(Protocol):
-    """Takes orders to replicas and reads what they hold."""
-
-    async def give(
-        self,
-        replica: Replica,
-        order: ModelOrder,
-        terms: platform.OrderTerms,
-    ) -> platform.OrderOutcome:
-        """Give one order and tell what became of it."""
-
-    async def read_holdings(self, replica: Replica) -> Holdings | None:
-        """Return what a replica holds; ``None`` when it doesn't say."""
-
-
 class Planner:
     """Plans and gives orders while this gateway holds the lease."""
 
@@ -99,7 +67,6 @@
         self._tasks = TaskSet()
         self._ledgers: dict[str, ReplicaLedger] = {}
         self._buckets: dict[str, TokenBucket] = {}
-        self._last_run: dict[str, dict[Target, float]] = {}
         self._is_stirred = True
         self._planned_at = float('-inf')
         self._directory.on_change.append(self._stir)
@@ -171,7 +138,6 @@
         for name in tuple(self._ledgers):
             if name not in seen:
                 self._ledgers.pop(name)
-                self._last_run.pop(name, None)
         for name, replica in seen.items():
             ledger = self._ledgers.get(name)
             if ledger and ledger.replica.incarnation == replica.incarnation:
@@ -231,8 +197,7 @@
         reachable = not self._directory.reach.is_doubted(name)
         is_closed = self.order_times.is_closed(name)
         running = self._loads.total(name, now).by_target
-        last_run = self._last_run.setdefault(name, {})
-        last_run.update(dict.fromkeys(running, now))
+        ledger.note_use(running, now)
         return EngineView(
             name,
             ledger.holdings,
@@ -243,7 +208,8 @@
             ledger.leaving,
             ledger.expected,
             ledger.is_late(now),
-            last_run,
+            ledger.last_use,
+            ledger.list_just_arrived(now),
         )
 
     def _announce_orders(self, replicas: Collection[str]) -> None:
--- a/bramleybeam/gateway/tests/test_ledger.py
+++ b/bramleybeam/gateway/tests/test_ledger.py
@@ -125,3 +125,25 @@
 def test_replica_that_has_to_be_asked_is_late(ledger):
     ledger.check_at = 10
     assert ledger.is_late(10)
+
+
+def test_what_has_arrived_stays_until_requests_can_have_come(ledger):
+    # A model was unloaded in the moment in which it had been loaded.
+    ledger.advance(9)
+    assert not ledger.list_just_arrived(9)
+    ledger.note_accepted(LoadModel('e1', 'm2'), 10, done=False)
+    ledger.see_entry(make_replica('m1', 'm2'), 12)
+    ledger.note_accepted(LoadAdapter('e1', 'm1', 'a2'), 12, done=False)
+    ledger.advance(12.1)
+    assert ledger.list_just_arrived(12.2) == {('m2', ''), ('m1', 'a2')}
+    assert ledger.list_just_arrived(14) == {('m2', '')}
+    assert not ledger.list_just_arrived(15)
+
+
+def test_arrival_counts_as_a_use(ledger):
+    ledger.advance(9)
+    ledger.note_use([('m1', 'a1')], 10)
+    ledger.note_accepted(LoadAdapter('e1', 'm1', 'a2'), 11, done=False)
+    ledger.advance(12)
+    assert ledger.last_use['m1', 'a1'] == 10
+    assert ledger.last_use['m1', 'a2'] == 12
--- a/bramleybeam/orders/_adapters.py
+++ b/bramleybeam/orders/_adapters.py
@@ -140,9 +140,10 @@
 def _find_idle(engine: EngineView) -> Target | None:
     """Return the adapter that was last used longest ago, if one is idle."""
     idle = [
-        (engine.last_run.get((model, adapter), 0.0), model, adapter)
+        (engine.last_use.get((model, adapter), 0.0), model, adapter)
         for model, adapters in engine.holdings.models.items()
         for adapter in adapters
         if not engine.running.get((model, adapter))
+        and (model, adapter) not in engine.just_arrived
     ]
     return min(idle)[1:] if idle else None
--- a/bramleybeam/orders/_messages.py
+++ b/bramleybeam/orders/_messages.py
@@ -1,6 +1,6 @@
 """Orders to replicas, and what they are planned from."""
 
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 
 import attrs
 
@@ -73,7 +73,8 @@
     names the model that is being unloaded, ``loading`` the model that is on
     its way, ``successor`` the one for which room has been or is being made.
     ``is_late`` is set where a closed replica should have been open by now.
-    ``last_run`` tells when targets were last seen to run here, in seconds.
+    ``last_use`` tells when targets arrived or were last seen to run here, in
+    seconds; those in ``just_arrived`` have not had time to serve yet.
     """
 
     name: str
@@ -85,13 +86,23 @@
     leaving: str = ''
     successor: str = ''
     is_late: bool = False
-    last_run: Mapping[Target, float] = attrs.field(factory=dict)
+    last_use: Mapping[Target, float] = attrs.field(factory=dict)
+    just_arrived: Collection[Target] = ()
 
     @property
     def takes_orders_soon(self) -> bool:
         """Whether it can be given an order now, or in a moment."""
         return self.is_reachable and not self.is_late
 
+    @property
+    def droppable(self) -> list[str]:
+        """The models that may make room: they have had time to serve."""
+        return [
+            model
+            for model in self.holdings.models
+            if model != self.leaving and (model, '') not in self.just_arrived
+        ]
+
     @property
     def adapter_places_used(self) -> int:
         """Adapters that are here or on their way."""
--- a/bramleybeam/orders/_models.py
+++ b/bramleybeam/orders/_models.py
@@ -241,11 +241,7 @@
         """Name what may make room for a model; empty where it fits."""
         if self._fits(engine, model):
             return ('',)
-        staying = [
-            victim
-            for victim in engine.holdings.models
-            if victim != engine.leaving
-        ]
+        staying = engine.droppable
         idle = [victim for victim in staying if not engine.runs_of(victim)]
         if self._costs.copies.get(model):
             is_needed = self._costs.is_needed
--- a/bramleybeam/orders/tests/test_plan.py
+++ b/bramleybeam/orders/tests/test_plan.py
@@ -194,12 +194,44 @@
                 'e1',
                 'm1/a1',
                 'm1/a2',
-                last_run={('m1', 'a1'): 9.0, ('m1', 'a2'): 5.0},
+                last_use={('m1', 'a1'): 9.0, ('m1', 'a2'): 5.0},
             ),
         ],
         ask([('m1', 'a3')]),
         [UnloadAdapter('e1', 'm1', 'a2')],
     ),
+    # An adapter that has just arrived does not: it has served nobody yet.
+    (
+        [
+            make_engine(
+                'e1',
+                'm1/a1',
+                'm1/a2',
+                last_use={('m1', 'a1'): 5.0, ('m1', 'a2'): 9.0},
+                just_arrived={('m1', 'a1')},
+            ),
+        ],
+        ask([('m1', 'a3')]),
+        [UnloadAdapter('e1', 'm1', 'a2')],
+    ),
+    (
+        [
+            make_engine(
+                'e1',
+                'm1/a1',
+                'm1/a2',
+                just_arrived={('m1', 'a1'), ('m1', 'a2')},
+            ),
+        ],
+        ask([('m1', 'a3')]),
+        [],
+    ),
+    # Nor does a model, though it is asked for least.
+    (
+        [make_engine('e1', *FULL, just_arrived={('m2', '')})],
+        ask([('m4', '')], m1=3, m2=0.5, m3=2),
+        [UnloadModel('e1', 'm3', 'm4')],
+    ),
     # While room is being made for a model, no more is made for it.
     (
         [
