Let the longest unserved model or adapter come first at some point

Cause: models were brought in by how many requests wait now and how many are expected. Of many rare ones there is always another that more wait for, and the sixteen that a round looks at were the same ones for long. Nothing grew with the time in vain. What was chosen had besides to go where it costs least, and nothing was done while that replica was closed.

Now what has been asked for in vain for 3 s is overdue: overdue models of urgent requests go first, then the oldest of patient ones, then the rest by gain, and an overdue one goes where an order can be given now. Adapters go oldest first. Half of the replicas at most load for patient requests, as before, so that urgent ones have the others. With M models on places that hold D different ones, and R = half of the replicas that swap in S seconds, each model has its turn within 3 s + (M - D) S / R + S: 15 s or so for the grown permit office (108, 60, 13, 3 s). What runs makes room for patient requests only where nothing is idle at any replica that is weighed; with arrivals kept for a moment it would else do so often, and an unload waits for what runs.

--- a/bramleybeam/gateway/_planner.py
+++ b/bramleybeam/gateway/_planner.py
@@ -5,9 +5,11 @@
 out, by a clock that goes on while the host is suspended.
 """
 
+import math
 from collections.abc import Callable, Collection, Mapping
 from typing import Final
 
+import attrs
 import structlog
 
 from bramleybeam import platform
@@ -23,6 +25,7 @@
     EngineView,
     LoadModel,
     ModelOrder,
+    Target,
     plan_orders,
 )
 from bramleybeam.timers import TaskSet
@@ -67,6 +70,7 @@
         self._tasks = TaskSet()
         self._ledgers: dict[str, ReplicaLedger] = {}
         self._buckets: dict[str, TokenBucket] = {}
+        self._ran_at: dict[Target, float] = {}
         self._is_stirred = True
         self._planned_at = float('-inf')
         self._directory.on_change.append(self._stir)
@@ -97,7 +101,7 @@
             return
         self._planned_at = now
         self._is_stirred = False
-        demand = self._demand.total(now)
+        demand = self._correct_ages(self._demand.total(now), now)
         for service in configuration.services.values():
             if service.engine is not None:
                 self._plan_service(service.name, service.engine, demand)
@@ -131,6 +135,14 @@
         pause_s = _LEAST_PAUSE_S if is_stirred else _REST_S
         return now - self._planned_at >= pause_s
 
+    def _correct_ages(self, demand: Demand, now: float) -> Demand:
+        """Let nothing count as unserved since before it last ran anywhere."""
+        unserved_s = {
+            target: min(age_s, now - self._ran_at.get(target, -math.inf))
+            for target, age_s in demand.unserved_s.items()
+        }
+        return attrs.evolve(demand, unserved_s=unserved_s)
+
     def _sync_ledgers(self) -> None:
         """Follow the directory, and ask replicas whose state is not known."""
         now = self._directory.now()
@@ -198,6 +210,7 @@
         is_closed = self.order_times.is_closed(name)
         running = self._loads.total(name, now).by_target
         ledger.note_use(running, now)
+        self._ran_at.update(dict.fromkeys(running, now))
         return EngineView(
             name,
             ledger.holdings,
--- a/bramleybeam/orders/_adapters.py
+++ b/bramleybeam/orders/_adapters.py
@@ -17,7 +17,7 @@
     Target,
     UnloadAdapter,
 )
-from bramleybeam.orders._ranking import most_first
+from bramleybeam.orders._ranking import most_first, oldest_first
 
 # Adapters that may be on their way to one replica at a time.
 _IN_TRANSIT: Final = 4
@@ -48,7 +48,7 @@
 
     def place_waiting(self) -> None:
         """Bring in adapters that requests wait for."""
-        for target in sorted(self._demand.waiting):
+        for target in oldest_first(self._demand):
             model, adapter = target
             if not adapter or model not in self._spec.models:
                 continue
--- a/bramleybeam/orders/_costs.py
+++ b/bramleybeam/orders/_costs.py
@@ -68,6 +68,7 @@
         self.copies = {model: len(names) for model, names in holders.items()}
         self.balance = LoadBalance(demand, holders)
         self.waiting = demand.waiting_by_model()
+        self.unserved_s = demand.unserved_by_model()
         self._spec = spec
         self._crowded = _count_crowded(engines, spec)
         self._demand = demand
--- a/bramleybeam/orders/tests/test_plan.py
+++ b/bramleybeam/orders/tests/test_plan.py
@@ -232,6 +232,55 @@
         ask([('m4', '')], m1=3, m2=0.5, m3=2),
         [UnloadModel('e1', 'm3', 'm4')],
     ),
+    # What runs makes no room for patient requests while something else will.
+    (
+        [
+            make_engine(
+                'e1',
+                *FULL,
+                running={(name, ''): 1 for name in FULL},
+            ),
+            make_engine(
+                'e2',
+                'm5',
+                'm2',
+                'm3',
+                just_arrived={('m5', '')},
+                running={('m2', ''): 1, ('m3', ''): 1},
+            ),
+        ],
+        Demand({'m4': PATIENT}, {('m4', ''): 1}),
+        [],
+    ),
+    # The adapter that was unserved for longest comes first.
+    (
+        [make_engine('e1', 'm1')],
+        Demand(
+            {},
+            {('m1', 'a2'): 5, ('m1', 'a3'): 1},
+            {('m1', 'a2'): 2.0, ('m1', 'a3'): 8.0},
+        ),
+        [LoadAdapter('e1', 'm1', 'a3')],
+    ),
+    # A model that was unserved for long goes before what many wait for.
+    (
+        [make_engine('e1', 'm1')],
+        Demand(
+            {'m4': PATIENT, 'm5': PATIENT},
+            {('m4', ''): 1, ('m5', ''): 9},
+            {('m4', ''): 4.0, ('m5', ''): 1.0},
+        ),
+        [LoadModel('e1', 'm4')],
+    ),
+    # Even before one that urgent requests wait for, if it is so itself.
+    (
+        [make_engine('e1', 'm1')],
+        attrs.evolve(
+            ask([('m4', ''), ('m5', '')], m4=0.01, m5=9),
+            unserved_s={('m4', ''): 4.0, ('m5', ''): 1.0},
+        ),
+        [LoadModel('e1', 'm4')],
+    ),
     # While room is being made for a model, no more is made for it.
     (
         [
