--- a/bramleybeam/simulation/tests/test_reachability.py
+++ b/bramleybeam/simulation/tests/test_reachability.py
@@ -26,6 +26,11 @@
     return attrs.evolve(site, classes=classes, **changes)
 
 
+def make_engine(**changes):
+    """Return replicas of the grown site that have other room."""
+    return attrs.evolve(SITES['grown-permits'].engine, **changes)
+
+
 def bound_of(site):
     """Return the time within which each model has its turn, in seconds.
 
@@ -50,6 +55,12 @@
         'grown-permits', losses=(), new_planners=(5, 12, 13, 22)
     ),
     'few places': make_site('grown-permits', replicas=12, losses=()),
+    'two places at a replica': make_site(
+        'grown-permits', losses=(), engine=make_engine(memory_mb=150_000)
+    ),
+    'one adapter at a replica': make_site(
+        'grown-permits', losses=(), engine=make_engine(adapter_places=1)
+    ),
     'permits': make_site('permits', losses=()),
     'guild': make_site('guild', losses=()),
 }
