--- a/bramleybeam/orders/_wants.py
+++ b/bramleybeam/orders/_wants.py
@@ -12,7 +12,7 @@
 from bramleybeam.orders._ranking import most_first
 
 # Time for which a model is asked for in vain until its turn comes by its age.
-_OVERDUE_S: Final = 3.0
+_OVERDUE_S: Final = 4.0
 
 
 @attrs.frozen
