--- a/bramleybeam/simulation/_arrivals.py
+++ b/bramleybeam/simulation/_arrivals.py
@@ -96,12 +96,17 @@
 
 
 def place_at_start(spec: LoadSpec) -> list[tuple[str, ...]]:
-    """Return what each replica holds before a day: busy models on many."""
+    """Return what each replica holds before a day: busy models on many.
+
+    Models that are not busy follow, one copy each, as far as there is room.
+    """
     names = [*spec.moving, *spec.resting]
     busy = names[: len(spec.shares)]
     places = [[busy[number % len(busy)]] for number in range(spec.replicas)]
     rest = names[len(busy) :]
-    for number, model in enumerate(rest[: 2 * spec.replicas]):
+    largest = max(model.memory_mb for model in spec.engine.models.values())
+    others = int(spec.engine.memory_mb // largest) - 1
+    for number, model in enumerate(rest[: others * spec.replicas]):
         places[number % spec.replicas].append(model)
     return [tuple(models) for models in places]
 
