One clock for the gateways' tests, one rule of what is judged, and less work for each choice

Left: Demand has the two fields of Wants once more, and DemandTable keeps told wants beside WantTable: one type would change what many tests write down. The parameters of SwapChoices and ModelPlacement are alike, since one makes the other.

--- a/bramleybeam/gateway/_beat_parts.py
+++ b/bramleybeam/gateway/_beat_parts.py
@@ -49,11 +49,11 @@
 def encode_wants(wants: Wants) -> dict[str, list[float]]:
     """Encode the count of each target, and for how long it is unserved."""
     return {
-        f'{model}/{adapter}': [
+        _encode_target(target): [
             count,
-            round(wants.unserved_s.get((model, adapter), 0), 1),
+            round(wants.unserved_s.get(target, 0), 1),
         ]
-        for (model, adapter), count in wants.waiting.items()
+        for target, count in wants.waiting.items()
     }
 
 
@@ -61,22 +61,18 @@
     waiting = {}
     unserved_s = {}
     for key, (count, age_s) in plain.items():
-        model, _, adapter = key.partition('/')
-        waiting[model, adapter] = int(count)
-        unserved_s[model, adapter] = float(age_s)
+        target = _decode_target(key)
+        waiting[target] = int(count)
+        unserved_s[target] = float(age_s)
     return Wants(waiting, unserved_s)
 
 
 def encode_counts(counts: Mapping[Target, int]) -> dict[str, int]:
-    return {f'{model}/{name}': count for (model, name), count in counts.items()}
+    return {_encode_target(target): count for target, count in counts.items()}
 
 
 def decode_counts(counts: Mapping[str, int]) -> dict[Target, int]:
-    decoded: dict[Target, int] = {}
-    for key, count in counts.items():
-        model, _, adapter = key.partition('/')
-        decoded[model, adapter] = int(count)
-    return decoded
+    return {_decode_target(key): int(count) for key, count in counts.items()}
 
 
 def encode_placed(placed: PlacedHoldings) -> list[Any]:
@@ -102,3 +98,12 @@
         coming=str(row[3]),
         coming_in_s=float(row[4]),
     )
+
+
+def _encode_target(target: Target) -> str:
+    return '/'.join(target)
+
+
+def _decode_target(key: str) -> Target:
+    model, _, adapter = key.partition('/')
+    return model, adapter
--- a/bramleybeam/gateway/_directory.py
+++ b/bramleybeam/gateway/_directory.py
@@ -89,13 +89,12 @@
     def replicas_of(self, service: str) -> list[Replica]:
         """Return the replicas that take new work, as the store or others tell."""
         self._drop_lapsed()
+        is_fresh = self.freshness.is_fresh
         return [
             replica
             for replica in self.replicas.values()
             if replica.service == service
-            and self.departures.takes_work(
-                replica, is_fresh=self.freshness.is_fresh
-            )
+            and self.departures.takes_work(replica, is_fresh=is_fresh)
         ]
 
     def placed(self, replica: Replica) -> PlacedHoldings:
--- a/bramleybeam/gateway/tests/test_departures.py
+++ b/bramleybeam/gateway/tests/test_departures.py
@@ -1,6 +1,5 @@
 """Which replicas take new work, as the store and neighbours tell."""
 
-import attrs
 import pytest
 
 from bramleybeam.catalog import Holdings, Replica, ReplicaState
@@ -15,17 +14,9 @@
 GONE = Departure(5, is_gone=True)
 
 
-@attrs.define
-class Clock:
-    now: float = 50
-
-    def __call__(self):
-        return self.now
-
-
 @pytest.fixture
-def table():
-    return DepartureTable(Clock())
+def table(clock):
+    return DepartureTable(clock)
 
 
 @pytest.mark.parametrize(
@@ -69,12 +60,12 @@
     assert table.tell() == {'e1': LEAVES}
 
 
-def test_departure_is_kept_longer_than_it_is_told(table):
+def test_departure_is_kept_longer_than_it_is_told(table, clock):
     table.learn({'e1': LEAVES})
-    table._clock.now += 10
+    clock.now += 10
     assert not table.tell()
     assert table.find(READY) == LEAVES
-    table._clock.now += 60
+    clock.now += 60
     table.tell()
     assert table.find(READY) is None
 
--- a/bramleybeam/gateway/tests/test_directory.py
+++ b/bramleybeam/gateway/tests/test_directory.py
@@ -2,7 +2,6 @@
 
 import json
 
-import attrs
 import pytest
 
 from bramleybeam.catalog import Holdings
@@ -12,19 +11,6 @@
 from bramleybeam.keyvalue import Changes, Item, Listing, Removal
 
 
-@attrs.define
-class Clock:
-    now: float = 100
-
-    def __call__(self):
-        return self.now
-
-
-@pytest.fixture
-def clock():
-    return Clock()
-
-
 @pytest.fixture
 def directory(clock):
     return Directory(clock)
--- a/bramleybeam/gateway/tests/test_order_times.py
+++ b/bramleybeam/gateway/tests/test_order_times.py
@@ -1,24 +1,10 @@
 """Which replicas a new planner may order, and from when."""
 
-import attrs
 import pytest
 
 from bramleybeam.gateway._order_times import OrderTimes
 
 
-@attrs.define
-class Clock:
-    now: float = 50
-
-    def __call__(self):
-        return self.now
-
-
-@pytest.fixture
-def clock():
-    return Clock()
-
-
 def test_own_orders_are_told_while_they_count(clock):
     times = OrderTimes(3, clock)
     times.note_own(['e1'])
--- a/bramleybeam/gateway/tests/test_placement.py
+++ b/bramleybeam/gateway/tests/test_placement.py
@@ -1,6 +1,5 @@
 """The planner's rows, as they are passed on from gateway to gateway."""
 
-import attrs
 import pytest
 
 from bramleybeam.catalog import Holdings
@@ -11,19 +10,6 @@
 )
 
 
-@attrs.define
-class Clock:
-    now: float = 100
-
-    def __call__(self):
-        return self.now
-
-
-@pytest.fixture
-def clock():
-    return Clock()
-
-
 @pytest.fixture
 def table(clock):
     return PlacementTable(clock)
--- a/bramleybeam/operators/_queries.py
+++ b/bramleybeam/operators/_queries.py
@@ -34,6 +34,12 @@
 )
 from bramleybeam.operators._unserved import read_histories
 
+_LOGS_ARGUMENT: Final = click.argument(
+    'logs',
+    nargs=-1,
+    required=True,
+    type=click.Path(exists=True, dir_okay=False, path_type=Path),
+)
 _UNSERVED_HEADING: Final = (
     'MODEL',
     'ADAPTER',
@@ -74,12 +80,7 @@
 
 @click.command()
 @click.argument('request_id')
-@click.argument(
-    'logs',
-    nargs=-1,
-    required=True,
-    type=click.Path(exists=True, dir_okay=False, path_type=Path),
-)
+@_LOGS_ARGUMENT
 @JSON_OPTION
 def trace(
     request_id: str,
@@ -106,12 +107,7 @@
 
 
 @click.command()
-@click.argument(
-    'logs',
-    nargs=-1,
-    required=True,
-    type=click.Path(exists=True, dir_okay=False, path_type=Path),
-)
+@_LOGS_ARGUMENT
 @click.option('--most', default=40, help='Rows to show.')
 @JSON_OPTION
 def unserved(
--- a/bramleybeam/operators/_unserved.py
+++ b/bramleybeam/operators/_unserved.py
@@ -8,10 +8,8 @@
 import attrs
 
 from bramleybeam.operators._trace import TraceLine
+from bramleybeam.orders import is_asked_through
 
-# A target counts from this many requests over this many seconds on.
-_LEAST_ASKS: Final = 4
-_LEAST_SPAN_S: Final = 8.0
 _ORDER: Final = re.compile(
     r"(?P<kind>\w+)\(replica='[^']*', model='(?P<model>[^']*)'"
     r"(?:, adapter='(?P<adapter>[^']*)')?"
@@ -42,11 +40,6 @@
             return 0
         return (self.last - self.first).total_seconds()
 
-    @property
-    def counts(self) -> bool:
-        """Whether it was asked for often and long enough to be judged."""
-        return self.asks >= _LEAST_ASKS and self.span_s >= _LEAST_SPAN_S
-
     def note_ask(self, line: TraceLine) -> None:
         """Count a request that was answered or refused."""
         self.asks += 1
@@ -74,7 +67,11 @@
                 _history(histories, target).note_ask(line)
         elif line.event == 'order_given':
             _note_order(histories, line)
-    judged = [one for one in histories.values() if one.counts]
+    judged = [
+        one
+        for one in histories.values()
+        if is_asked_through(one.asks, one.span_s)
+    ]
     return sorted(judged, key=_rank_of)
 
 
--- a/bramleybeam/orders/__init__.py
+++ b/bramleybeam/orders/__init__.py
@@ -1,6 +1,7 @@
 """Orders for models and adapters: what replicas are told to hold."""
 
 from bramleybeam.orders._balance import PREFILL_TOKENS_PER_S
+from bramleybeam.orders._judged import is_asked_through
 from bramleybeam.orders._messages import (
     NO_DEMAND,
     Demand,
@@ -29,5 +30,6 @@
     'UnloadAdapter',
     'UnloadModel',
     'coming_model',
+    'is_asked_through',
     'plan_orders',
 ]
--- a/bramleybeam/orders/_swaps.py
+++ b/bramleybeam/orders/_swaps.py
@@ -28,6 +28,7 @@
 
     @property
     def rank(self) -> tuple[float, str, str]:
+        """Order choices by cost, equal ones by name."""
         return self.cost, self.engine.name, self.victim
 
 
@@ -81,6 +82,7 @@
         return self.store_loads > 0 or is_at_hand(engine.holdings, model)
 
     def fits(self, engine: EngineView, model: str) -> bool:
+        """Whether a replica has memory for another model."""
         used = engine.memory_in_use(self._spec)
         return used + self._spec.models[model].memory_mb <= self._spec.memory_mb
 
--- a/bramleybeam/simulation/_results.py
+++ b/bramleybeam/simulation/_results.py
@@ -1,15 +1,10 @@
 """What became of the requests of a day."""
 
 from collections.abc import Sequence
-from typing import Final
 
 import attrs
 
-from bramleybeam.orders import Target
-
-# A target is judged if it was asked for so often, over such a time.
-_LEAST_ASKS: Final = 4
-_LEAST_SPAN_S: Final = 8.0
+from bramleybeam.orders import Target, is_asked_through
 
 
 @attrs.frozen
@@ -60,7 +55,7 @@
         return {
             target: any(row.worth for row in found)
             for target, found in self._by_target().items()
-            if len(found) >= _LEAST_ASKS and _span(found) >= _LEAST_SPAN_S
+            if is_asked_through(len(found), _span(found))
         }
 
     def never_served(self) -> list[Target]:
