Begin the answer of a plain service anew after a lost attempt

An entry joined the parts of a second attempt at a plain service to those of the first where their lengths agreed, so that an error's text became part of an answer. A retry that was refused claimed that the request had not run, though the lost first attempt may have. An agent kept connections to its upstream; a refusal that the upstream wrote twice was taken for the reply to the next request. Change: the parts of a lost attempt are dropped (AnswerRestart), a refusal after a lost attempt says that the outcome is unknown, and each request of an agent has a connection of its own.

--- a/bramleybeam/agent/_upstream.py
+++ b/bramleybeam/agent/_upstream.py
@@ -60,7 +60,9 @@
     def start(self) -> None:
         """Open the session in the running event loop."""
         self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0),
+            # Each request has a connection of its own, so that a reply that
+            # the upstream writes twice can't be taken for that of the next.
+            connector=aiohttp.TCPConnector(limit=0, force_close=True),
             auto_decompress=False,
         )
 
--- a/bramleybeam/entry/_caller_http.py
+++ b/bramleybeam/entry/_caller_http.py
@@ -14,6 +14,7 @@
 from bramleybeam.entry._exchange import (
     AnswerChunk,
     AnswerEnd,
+    AnswerRestart,
     Exchange,
     RequestRefusedError,
 )
@@ -157,8 +158,11 @@
         chunks: list[bytes] = []
         try:
             async for part in parts:
-                if isinstance(part, AnswerChunk):
-                    chunks.append(part.body)
+                match part:
+                    case AnswerChunk(body=body):
+                        chunks.append(body)
+                    case AnswerRestart():
+                        chunks.clear()
         except RequestRefusedError as refused_error:
             return _make_error_response(
                 refused_error.refusal, exchange.request_id
--- a/bramleybeam/entry/_dispatcher.py
+++ b/bramleybeam/entry/_dispatcher.py
@@ -33,6 +33,8 @@
 from bramleybeam.entry._exchange import (
     AnswerChunk,
     AnswerEnd,
+    AnswerPart,
+    AnswerRestart,
     Exchange,
     RequestRefusedError,
 )
@@ -79,9 +81,7 @@
         """Number of attempts that continued on another connection."""
         return self._follower.reattached
 
-    async def stream(
-        self, exchange: Exchange
-    ) -> AsyncIterator[AnswerChunk | AnswerEnd]:
+    async def stream(self, exchange: Exchange) -> AsyncIterator[AnswerPart]:
         """Yield the parts of the answer.
 
         Raises ``RequestRefusedError`` if it cannot be completed.
@@ -92,13 +92,16 @@
                 async for part in self._run_attempt(exchange):
                     yield part
             self._quarantine.clear(exchange)
+        except RequestRefusedError as error:
+            refusal = exchange.correct_refusal(error.refusal)
+            raise RequestRefusedError(refusal) from error
         finally:
             self.in_flight -= 1
 
     async def _run_attempt(
         self,
         exchange: Exchange,
-    ) -> AsyncIterator[AnswerChunk | AnswerEnd]:
+    ) -> AsyncIterator[AnswerPart]:
         """Run an attempt; suspects of a crash run one at a time, alone."""
         exchange.alone = self._quarantine.is_suspect(exchange)
         if not exchange.alone:
@@ -112,13 +115,15 @@
     async def _attempt_and_recover(
         self,
         exchange: Exchange,
-    ) -> AsyncIterator[AnswerChunk | AnswerEnd]:
+    ) -> AsyncIterator[AnswerPart]:
         """Run an attempt; after a failure, wait to retry or raise a refusal."""
         try:
             async for part in self._attempt(exchange):
                 yield part
         except AttemptFailedError as error:
             await self._handle_failure(exchange, error.failure)
+            if exchange.restart_answer():
+                yield AnswerRestart()
 
     async def _attempt(
         self,
@@ -168,6 +173,7 @@
     ) -> None:
         may_retry = True
         if isinstance(failure, AttemptLost):
+            exchange.may_have_run = True
             now = time.monotonic()
             may_retry = self._retry_budget.take(now)
             exchange.recovery_deadline_at = now + RECOVERY_TIMEOUT_S
--- a/bramleybeam/entry/_exchange.py
+++ b/bramleybeam/entry/_exchange.py
@@ -7,7 +7,7 @@
 from opentelemetry.sdk.trace import Span
 
 from bramleybeam.documents import WorkClass
-from bramleybeam.errors import Refusal
+from bramleybeam.errors import Execution, Refusal
 
 # Longest answer, in bytes, that is stored with a claim for replay.
 MAX_STORED_ANSWER_BYTES: Final = 2048
@@ -30,6 +30,11 @@
     count: int
 
 
+@attrs.frozen
+class AnswerRestart:
+    """All earlier parts are void, because the answer begins again."""
+
+
 @attrs.frozen
 class AnswerEnd:
     """The end of a complete answer, with its token usage."""
@@ -42,6 +47,9 @@
     content_type: str = ''
 
 
+AnswerPart = AnswerChunk | AnswerRestart | AnswerEnd
+
+
 @attrs.define(eq=False)
 class Exchange:
     """A request, the results of the filters and the progress of its answer.
@@ -52,7 +60,8 @@
     the bytes of a plain service, that were sent to the caller. ``alone``
     means that the request runs only while its upstream has no other request
     in flight. ``answer_head`` holds the beginning of the answer of a request
-    with a claim; ``stored_answer`` the status and text of the answer that an
+    with a claim; ``may_have_run`` is set after an attempt that was lost.
+    ``stored_answer`` is the status and text of the answer that an
     earlier request with the same idempotency key received.
     """
 
@@ -85,6 +94,7 @@
     stored_answer: tuple[int, str] | None = None
     is_streamed: bool = False
     answer_head: bytearray = attrs.field(factory=bytearray)
+    may_have_run: bool = False
 
     @property
     def assigned_class(self) -> WorkClass:
@@ -108,6 +118,27 @@
         )
         return max(class_deadline_at, self.recovery_deadline_at) - now
 
+    def restart_answer(self) -> bool:
+        """Drop the answer of a lost attempt if it can't be continued.
+
+        Returns whether parts were dropped. A plain service always starts its
+        answer at the beginning, so that parts of two attempts do not fit.
+        """
+        if self.kind != 'service' or not self.offset:
+            return False
+        self.offset = 0
+        self.answer_head.clear()
+        return True
+
+    def correct_refusal(self, refusal: Refusal) -> Refusal:
+        """Return a refusal that is true for all attempts, not only the last.
+
+        A refused attempt has not run, but an earlier one may have.
+        """
+        if self.may_have_run and refusal.execution == Execution.NOT_RUN:
+            return attrs.evolve(refusal, execution=Execution.OUTCOME_UNKNOWN)
+        return refusal
+
     def extend_answer_head(self, body: bytes) -> None:
         """Append to the part of the answer that is stored with the claim.
 
--- a/bramleybeam/entry/_pipeline.py
+++ b/bramleybeam/entry/_pipeline.py
@@ -7,8 +7,7 @@
 from bramleybeam.entry._dispatcher import Dispatcher
 from bramleybeam.entry._duplicates import DuplicateFilter
 from bramleybeam.entry._exchange import (
-    AnswerChunk,
-    AnswerEnd,
+    AnswerPart,
     Exchange,
     RequestRefusedError,
 )
@@ -17,7 +16,7 @@
 from bramleybeam.errors import Refusal
 from bramleybeam.telemetry import Tracing
 
-AnswerParts = AsyncIterator[AnswerChunk | AnswerEnd]
+AnswerParts = AsyncIterator[AnswerPart]
 
 
 class Pipeline:
@@ -78,7 +77,7 @@
     async def _relay(
         self,
         exchange: Exchange,
-        first_part: AnswerChunk | AnswerEnd,
+        first_part: AnswerPart,
         parts: AnswerParts,
     ) -> AnswerParts:
         refusal = None
