--- a/bramleybeam/demo/_command.py
+++ b/bramleybeam/demo/_command.py
@@ -109,11 +109,12 @@
 
 
 async def _serve_until_stopped(cluster: DemoCluster) -> None:
-    click.echo(f'callers: {cluster.urls[0]}/v1  (Ctrl-C stops it)')
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGINT, signal.SIGTERM):
         loop.add_signal_handler(signal_number, stop.set)
+    # Whoever reads this line may stop the process at once.
+    click.echo(f'callers: {cluster.urls[0]}/v1  (Ctrl-C stops it)')
     await stop.wait()
 
 
