Check every field of another writer's entry that is used later

A number too large for a float ended the task that follows the store; a port out of range and a name that is no text were accepted and raised later, in each attempt and in the planner's round. A reply of the store of an unexpected form ended the task, too. Change: addresses, names, slots and counts are checked when an entry is decoded, and an unreadable reply counts as none.

--- a/bramleybeam/catalog/__init__.py
+++ b/bramleybeam/catalog/__init__.py
@@ -1,5 +1,6 @@
 """Data classes for the routes, services and replicas of a deployment."""
 
+from bramleybeam.catalog._addresses import check_address
 from bramleybeam.catalog._configuration import (
     EngineSpec,
     ModelSpec,
@@ -27,4 +28,5 @@
     'RoutingConfiguration',
     'Service',
     'TimeBounds',
+    'check_address',
 ]
--- a/bramleybeam/gateway/_tree.py
+++ b/bramleybeam/gateway/_tree.py
@@ -15,8 +15,17 @@
 
 import attrs
 
+from bramleybeam.catalog import check_address
+
 # Most children of a gateway within its zone, and of a head among the heads.
 FANOUT: Final = 3
+_DECODING_ERRORS: Final = (
+    ValueError,
+    KeyError,
+    TypeError,
+    OverflowError,
+    RecursionError,
+)
 
 
 @attrs.frozen
@@ -59,13 +68,13 @@
     try:
         fields = json.loads(content)
         return Peer(
-            str(fields['address']),
+            check_address(fields['address']),
             str(fields['host']),
             str(fields['zone']),
             float(fields['link_bytes_per_s']),
             revision,
         )
-    except (ValueError, KeyError, TypeError):
+    except _DECODING_ERRORS:
         return None
 
 
--- a/bramleybeam/platform/_entries.py
+++ b/bramleybeam/platform/_entries.py
@@ -23,12 +23,17 @@
     RouteTarget,
     RoutingConfiguration,
     Service,
+    check_address,
 )
 
 CONFIGURATION_KEY: Final = 'op/config'
 REPLICA_PREFIX: Final = 'servers/'
 _MS_PER_S: Final = 1000
 _DEFAULT_PRIORITY: Final = 5
+# Largest plausible values in an entry: the slots of a replica, and counts and
+# times, which JSON represents exactly up to this number.
+_MAX_SLOTS: Final = 1_000_000
+_MAX_COUNT: Final = 1 << 53
 _log = structlog.get_logger('platform')
 # Raised by JSON and by decoding a field that is missing or has a wrong type.
 _DECODING_ERRORS: Final = (
@@ -36,6 +41,7 @@
     KeyError,
     TypeError,
     AttributeError,
+    ArithmeticError,
     RecursionError,
 )
 Decoded = TypeVar('Decoded')
@@ -161,11 +167,11 @@
     return Replica(
         name=name,
         service=_require_text(raw['service']),
-        address=_require_address(raw['address']),
+        address=check_address(raw['address']),
         zone=_require_text(raw['zone']),
         state=ReplicaState(raw['state']),
-        slots=_require_integer(raw['slots']),
-        started_ms=_require_integer(raw.get('born', 0)),
+        slots=_require_in_range(raw['slots'], 1, _MAX_SLOTS),
+        started_ms=_require_in_range(raw.get('born', 0), 0, _MAX_COUNT),
         # The sequence in an entry counts the replica's writes of the entry,
         # not the orders that it carried out.
         holdings=attrs.evolve(_decode_holdings(raw), sequence=0),
@@ -176,9 +182,9 @@
 def _decode_holdings(raw: dict[str, Any]) -> Holdings:
     cached = raw.get('at-hand') or {}
     return Holdings(
-        sequence=_require_integer(raw.get('sequence', 0)),
+        sequence=_require_in_range(raw.get('sequence', 0), 0, _MAX_COUNT),
         models={
-            model['name']: frozenset(
+            _require_text(model['name']): frozenset(
                 _drop_version(adapter) for adapter in model['adapters']
             )
             for model in raw.get('models') or ()
@@ -216,9 +222,9 @@
     return raw
 
 
-def _require_address(raw: Any) -> str:
-    """Return ``raw`` if it is ``HOST:PORT``, else raise ValueError."""
-    host, _, port = _require_text(raw).rpartition(':')
-    if not host or not port.isdigit():
-        raise ValueError(f'not an address HOST:PORT: {raw!r}')
-    return str(raw)
+def _require_in_range(raw: Any, lowest: int, highest: int) -> int:
+    """Return ``raw`` if it is an integer in a range, else raise ValueError."""
+    number = _require_integer(raw)
+    if not lowest <= number <= highest:
+        raise ValueError(f'not in the range {lowest} to {highest}')
+    return number
--- a/bramleybeam/platform/_store.py
+++ b/bramleybeam/platform/_store.py
@@ -40,7 +40,21 @@
 _EXPECTED_STATUSES: Final = frozenset((_OK, 404, 410, 412))
 _log = structlog.get_logger('store')
 # Raised by a call that gets no valid reply.
-_CALL_ERRORS: Final = (OSError, TimeoutError, BrokenReplyError, ValueError)
+_CALL_ERRORS: Final = (
+    OSError,
+    TimeoutError,
+    BrokenReplyError,
+    ValueError,
+    RecursionError,
+)
+# Raised by decoding a reply with missing or mistyped fields.
+_REPLY_ERRORS: Final = (
+    ValueError,
+    KeyError,
+    TypeError,
+    AttributeError,
+    OverflowError,
+)
 
 
 class CallObserver(Protocol):
@@ -120,12 +134,15 @@
             )
             if not isinstance(reply, _Answer) or reply.status != _OK:
                 return Error(Unavailable(str(reply)))
-            page = [_decode_item(row) for row in reply.content['items']]
-            items.extend(page)
-            revision = revision or int(reply.content['as-of'])
-            if not page or not reply.content.get('truncated'):
+            try:
+                page = _decode_page(reply.content)
+            except _REPLY_ERRORS as error:
+                return Error(_note_unreadable('listing', error))
+            items.extend(page.items)
+            revision = revision or page.revision
+            if not page.items or not page.is_truncated:
                 break
-            after = page[-1].key
+            after = page.items[-1].key
         return Ok(Listing(tuple(items), revision))
 
     async def follow(
@@ -146,8 +163,10 @@
         reply = await self._get('/api/kv-watch', query, extra_wait_s=wait)
         match reply:
             case _Answer(status=200, content=content):
-                events = tuple(map(_decode_event, content['events']))
-                return Ok(Changes(events, int(content['as-of'])))
+                try:
+                    return Ok(_decode_changes(content))
+                except _REPLY_ERRORS as error:
+                    return Error(_note_unreadable('changes', error))
             case _Answer(status=410):
                 return Error(HistoryLost())
         return Error(Unavailable(str(reply)))
@@ -312,6 +331,34 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
+def _note_unreadable(name: str, error: Exception) -> Unavailable:
+    """Log a reply that can't be decoded, which counts as no reply."""
+    _log.warning('store_reply_unreadable', reply=name, error=repr(error)[:200])
+    return Unavailable(f'unreadable {name}')
+
+
+@attrs.frozen
+class _Page:
+    """One page of a listing; ``is_truncated`` if another one follows."""
+
+    items: tuple[Item, ...]
+    revision: int
+    is_truncated: bool
+
+
+def _decode_page(content: Any) -> _Page:
+    return _Page(
+        tuple(map(_decode_item, content['items'])),
+        int(content['as-of']),
+        bool(content.get('truncated')),
+    )
+
+
+def _decode_changes(content: Any) -> Changes:
+    events = tuple(map(_decode_event, content['events']))
+    return Changes(events, int(content['as-of']))
+
+
 def _decode_item(row: dict[str, Any]) -> Item:
     content = base64.b64decode(row['value'])
     return Item(str(row['key']), content, int(row['revision']))
--- a/bramleybeam/platform/tests/test_entries.py
+++ b/bramleybeam/platform/tests/test_entries.py
@@ -3,6 +3,8 @@
 import json
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from bramleybeam.catalog import ReplicaState, RequestKind
 from bramleybeam.platform import (
@@ -25,6 +27,19 @@
 )
 
 
+# Too large for a float.
+HUGE = 10**400
+# Deeper than the decoder's recursion limit.
+NESTED_ENTRY = b'{"a":' * 100_000 + b'1' + b'}' * 100_000
+
+
+def nest(depth):
+    nested = []
+    for _ in range(depth):
+        nested = [nested]
+    return nested
+
+
 def encode(**changed):
     return json.dumps({**dict(ENTRY), **changed}).encode()
 
@@ -65,6 +80,22 @@
         encode(born='now'),
         encode(models=[{}]),
         encode(models=7),
+        encode(models=[{'name': 7, 'version': 1, 'adapters': []}]),
+        encode(models=[{'name': 'm1', 'version': 1, 'adapters': [{}]}]),
+        encode(address='10.0.0.1:70000'),
+        encode(address='10.0.0.1:0'),
+        encode(address='10.0.0.1:-1'),
+        encode(address='10.0.0.1:²'),
+        encode(address='nowhere:80'),
+        encode(address='10.0.0.400:80'),
+        encode(slots=0),
+        encode(slots=HUGE),
+        encode(born=HUGE),
+        encode(sequence=HUGE),
+        json.dumps({**dict(ENTRY), 'remaining-ms': HUGE}).encode(),
+        encode(models=nest(500)),
+        NESTED_ENTRY,
+        b'{"born": ' + b'9' * 5000 + b'}',
         json.dumps({'state': 'ready'}).encode(),
     ],
 )
@@ -135,3 +166,42 @@
     raw = make_configuration()
     raw['limits'].pop('header-bytes')
     assert decode_configuration(json.dumps(raw).encode()) is None
+
+
+JSON_VALUES = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.sampled_from([HUGE, -HUGE, 65_536, 0])
+    | st.floats()
+    | st.text(max_size=9),
+    lambda children: (
+        st.lists(children, max_size=3)
+        | st.dictionaries(
+            st.sampled_from(['name', 'version', 'adapters', 'on-disk']),
+            children,
+            max_size=3,
+        )
+    ),
+    max_leaves=9,
+)
+
+
+@given(
+    changed=st.dictionaries(
+        st.sampled_from([*dict(ENTRY), 'busy', 'coming', 'remaining-ms']),
+        JSON_VALUES,
+        min_size=1,
+        max_size=4,
+    )
+)
+@settings(derandomize=True, deadline=None, max_examples=400)
+def test_replica_of_any_entry_can_be_used(changed):
+    """Whatever an entry holds, it is rejected or describes a usable replica."""
+    replica = decode_replica('servers/i-1', encode(**changed))
+    if replica is not None:
+        assert 0 < replica.slots * 1.5 < 1e9
+        assert 0 < int(replica.address.rpartition(':')[2]) < 65_536
+        assert sorted([*replica.holdings.models, 'm0'])
+        assert all(map(sorted, replica.holdings.models.values()))
+        assert isinstance(replica.leaves_in_s, float | None)
