--- a/bramleybeam/gateway/_attempt.py
+++ b/bramleybeam/gateway/_attempt.py
@@ -1,8 +1,7 @@
 """One attempt to send a request to a replica, and its outcome."""
 
 import asyncio
-from collections.abc import Callable
-from typing import Final
+from typing import Final, Protocol
 
 import attrs
 import structlog
@@ -46,9 +45,14 @@
 
 @attrs.frozen
 class NotArrived:
-    """The request never left this process."""
+    """The request never left this process.
+
+    ``is_unreachable`` is whether the replica could not be reached; otherwise
+    it was found to be leaving before the request was sent.
+    """
 
     reason: str
+    is_unreachable: bool = True
 
 
 @attrs.frozen
@@ -56,11 +60,15 @@
     """The replica reported that it did not run the request.
 
     ``is_missing`` is whether it doesn't hold the model, or is not the replica
-    that the request was meant for.
+    that the request was meant for. ``is_overloaded`` is whether it refused for
+    lack of capacity, and ``retry_after_s`` the time in seconds for which it
+    then asks for no requests, ``None`` if it does not ask.
     """
 
     status: int
     is_missing: bool
+    is_overloaded: bool = False
+    retry_after_s: float | None = None
 
 
 @attrs.frozen
@@ -82,6 +90,19 @@
 Outcome = Delivered | NotArrived | NotRun | Lost | FailedReply
 
 
+class AttemptObserver(Protocol):
+    """What an attempt asks and reports while it runs."""
+
+    def may_send(self) -> bool:
+        """Whether the replica still accepts requests."""
+
+    def note_reply(self, facts: platform.ReplyFacts) -> None:
+        """Record the head of the replica's reply to this request."""
+
+    def note_event(self) -> None:
+        """Record that the answer has begun; repeats must have no effect."""
+
+
 class Attempt:
     """Sends a request to a replica and forwards the answer to the caller."""
 
@@ -90,15 +111,15 @@
         job: Job,
         replica: Replica,
         pool: ConnectionPool,
-        on_first_event: Callable[[], None],
+        observer: AttemptObserver,
     ) -> None:
         """Store the request, the replica and the pool of connections.
 
-        ``on_first_event`` is called for each part of a streamed answer with
-        at least one event; repeats must have no effect.
+        ``observer.note_event`` is called for each part of a streamed answer
+        with at least one event.
         """
         self._pool = pool
-        self._on_first_event = on_first_event
+        self._observer = observer
         self._job = job
         self._replica = replica
 
@@ -110,9 +131,12 @@
         """
         pool_key = self._replica.incarnation
         address = self._replica.address
+        # A connection that carried an earlier attempt could deliver the reply
+        # to that attempt again, which has the same request id.
+        is_repeat = self._replica.name in self._job.excluded_replicas
         try:
             peer_connection = await self._pool.acquire(
-                pool_key, address, _CONNECT_TIMEOUT_S
+                pool_key, address, _CONNECT_TIMEOUT_S, must_be_new=is_repeat
             )
         except (OSError, TimeoutError) as error:
             return NotArrived(repr(error))
@@ -130,6 +154,8 @@
     async def _exchange(
         self, peer_connection: PeerConnection, time_left_s: float
     ) -> Outcome:
+        if not self._observer.may_send():
+            return NotArrived('the replica is leaving', is_unreachable=False)
         job = self._job
         request = job.request
         terms = platform.SendTerms(
@@ -151,13 +177,21 @@
         job.runs += 1
         job.sent_at = _now()
         head, facts = await self._read_matching_head(peer_connection)
+        self._observer.note_reply(facts)
         if facts.never_ran:
             job.runs -= 1
-            return NotRun(facts.status, facts.is_misdirected)
+            return NotRun(
+                facts.status,
+                facts.is_misdirected,
+                facts.is_overloaded,
+                facts.retry_after_s,
+            )
         if head.status in _NOT_RUN_STATUSES and not facts.is_sealed:
             return Lost(
                 f'{head.status} without a header that tells whether it ran'
             )
+        if job.connection.response_started and not facts.is_sealed:
+            return Lost('the resumed stream was answered without a seal')
         return await self._forward_answer(peer_connection, head)
 
     async def _forward_answer(
@@ -240,7 +274,7 @@
             events = splitter.feed(piece)
             if not events:
                 continue
-            self._on_first_event()
+            self._observer.note_event()
             if not connection.response_started:
                 connection.start(head.status, head.headers)
             await connection.write_chunk(events)
--- a/bramleybeam/gateway/_choose.py
+++ b/bramleybeam/gateway/_choose.py
@@ -18,32 +18,24 @@
     choose_upstream,
     is_next,
 )
-from bramleybeam.errors import ErrorKind, Refusal, refuse
 from bramleybeam.gateway._change_notifier import ChangeNotifier
 from bramleybeam.gateway._cluster_state import ClusterState
-from bramleybeam.gateway._job import Job, QueueExitReason, RequestRefusedError
+from bramleybeam.gateway._holders import HolderFinder
+from bramleybeam.gateway._job import Job, RequestRefusedError
 from bramleybeam.gateway._loads import InFlightRequest
 from bramleybeam.gateway._pending_demand import PendingDemandTable
+from bramleybeam.gateway._wait_limits import (
+    WaitState,
+    find_wait_refusal,
+    refuse_for_shutdown,
+)
 from bramleybeam.orders import PREFILL_TOKENS_PER_S, Target
 
-# Longest time after which a waiting request looks for a replica again.
-_RECHECK_S: Final = 0.25
 # Time that each request in a batch adds to the next token of all of them.
 _STEP_PER_REQUEST_S: Final = 0.0004
 # Requests sent to a replica of a plain service for each of its slots. Those in
 # excess of its slots wait in the replica's queue.
 _PLAIN_QUEUE_PER_SLOT: Final = 2
-# Retry-After of a refusal when no replica got free in time.
-_RETRY_AFTER_S: Final = 1.0
-# Retry-After without a planner; time in which a new one is expected.
-_NO_PLANNER_RETRY_AFTER_S: Final = 2.5
-# Added to the time until a model is expected, for the Retry-After of a refusal.
-_ARRIVAL_MARGIN_S: Final = 0.2
-# Retry-After of a plain service, and while this process shuts down.
-_PLAIN_RETRY_AFTER_S: Final = 0.1
-# Time for which a replica is not asked again for a target that it refused
-# because it doesn't hold it.
-_MISSING_TARGET_S: Final = 1.0
 
 
 class Chooser:
@@ -63,12 +55,12 @@
         self._is_stopping = False
         self._directory = cluster_state.directory
         self._loads = cluster_state.loads
+        self._finder = HolderFinder(cluster_state)
         self._demand = cluster_state.demand
         self._zone = zone
         self._rng = rng
         self._prefixes = PrefixHistory()
         self._queues: dict[Target, list[QueuedRequest]] = defaultdict(list)
-        self._missing_until: dict[tuple[str, Target], float] = {}
         self._directory.on_change.append(self.changed.notify)
 
     async def choose(
@@ -90,11 +82,9 @@
         self._is_stopping = True
         self.changed.notify()
 
-    def note_missing(
-        self, replica: Replica, target: Target, now: float
-    ) -> None:
+    def note_missing(self, replica: Replica, job: Job) -> None:
         """Record that a replica refused a target that it doesn't hold."""
-        self._missing_until[replica.name, target] = now + _MISSING_TARGET_S
+        self._finder.note_missing(replica, job.target, self._directory.now())
 
     def _make_in_flight(self, job: Job, replica: Replica) -> InFlightRequest:
         facts = job.facts
@@ -115,10 +105,15 @@
             self._count_pending() as pending_request,
         ):
             while True:
-                if self._has_no_holder(job):
+                holders = self._finder.list_holders(job)
+                if job.service.engine is not None and not holders:
                     pending_request.count(job.target)
-                self._check_wait(job, had_no_holder=pending_request.is_counted)
-                await self.changed.wait(_RECHECK_S)
+                state = WaitState(
+                    self._finder.shortest_pause_s(holders),
+                    pending_request.is_counted,
+                )
+                self._check_wait(job, state)
+                await self.changed.wait(state.recheck_s)
                 now = self._directory.now()
                 if is_next(queued, queue, now):
                     chosen = self._choose_now(job, now)
@@ -148,86 +143,24 @@
             self._queues.pop(target)
         self.changed.notify()
 
-    def _check_wait(self, job: Job, *, had_no_holder: bool) -> None:
+    def _check_wait(self, job: Job, state: WaitState) -> None:
         """Raise a refusal if the wait took too long or can't succeed."""
-        refusal = self._refusal_for_wait(job, had_no_holder=had_no_holder)
+        refusal = (
+            refuse_for_shutdown(job)
+            if self._is_stopping
+            else find_wait_refusal(job, state, self._directory)
+        )
         if refusal is not None:
             raise RequestRefusedError(refusal)
 
-    def _refusal_for_wait(
-        self, job: Job, *, had_no_holder: bool
-    ) -> Refusal | None:
-        """Return the refusal that ends the wait, ``None`` to wait on.
-
-        ``had_no_holder`` is whether, at some time of the wait, no replica held
-        the target.
-        """
-        if self._is_stopping:
-            job.queue_exit = QueueExitReason.STOPPING
-            return refuse(
-                ErrorKind.SHUTTING_DOWN,
-                retry_after=_PLAIN_RETRY_AFTER_S,
-            )
-        wait_left_s = (
-            job.received_at + job.max_queue_wait_s - self._directory.now()
-        )
-        if had_no_holder and not self._directory.placement.has_live_planner:
-            job.queue_exit = QueueExitReason.NO_PLANNER
-            return _make_refusal(job, _NO_PLANNER_RETRY_AFTER_S)
-        eta_s = self._directory.placement.arrival_eta_s(job.facts.model)
-        if had_no_holder and eta_s is not None and eta_s > wait_left_s:
-            job.queue_exit = QueueExitReason.ARRIVES_LATER
-            return _make_refusal(job, eta_s + _ARRIVAL_MARGIN_S)
-        if wait_left_s > 0:
-            return None
-        job.queue_exit = QueueExitReason.WAITED_LONG
-        return _make_refusal(job)
-
-    def _has_no_holder(self, job: Job) -> bool:
-        """Whether no replica of a model service holds the request's target."""
-        return job.service.engine is not None and not self._holders(job)
-
     def _choose_now(self, job: Job, now: float) -> Candidate | None:
-        holders = self._holders(job)
-        untried = [
-            holder
-            for holder in holders
-            if holder.name not in job.excluded_replicas
-        ]
+        holders = self._finder.list_holders(job)
         candidates = [
             self._make_candidate(job, replica, now)
-            for replica in untried or holders
+            for replica in self._finder.list_open(job, holders)
         ]
         return choose_upstream(candidates, self._rng, sampled=len(candidates))
 
-    def _holders(self, job: Job) -> list[Replica]:
-        now = self._directory.now()
-        holders = [
-            replica
-            for replica in self._directory.replicas_of(job.service.name)
-            if self._holds(replica, job.target, now)
-        ]
-        return [
-            replica
-            for replica in holders
-            if not self._directory.reachability.is_backing_off(replica.name)
-        ]
-
-    def _holds(self, replica: Replica, target: Target, now: float) -> bool:
-        missing_until = self._missing_until.get((replica.name, target))
-        if missing_until is not None:
-            if now < missing_until:
-                return False
-            self._missing_until.pop((replica.name, target))
-        model, adapter = target
-        if not model:
-            return True
-        replica_placement = self._directory.placement_of(replica)
-        adapters = replica_placement.holdings.models.get(model)
-        if adapters is None or model == replica_placement.evicting_model:
-            return False
-        return not adapter or adapter in adapters
-
     def _make_candidate(
         self,
         job: Job,
@@ -295,16 +228,3 @@
         if self._target is None:
             self._target = target
             self._pending.begin(target, self._clock())
-
-
-def _make_refusal(job: Job, retry_after: float = _RETRY_AFTER_S) -> Refusal:
-    if job.service.engine is None:
-        return refuse(
-            ErrorKind.TARGET_UNREACHABLE,
-            retry_after=_PLAIN_RETRY_AFTER_S,
-        )
-    return refuse(
-        ErrorKind.NO_READY_UPSTREAM,
-        f'Asked: {job.facts.model} {job.facts.adapter}.',
-        retry_after=retry_after,
-    )
--- a/bramleybeam/gateway/_cluster_state.py
+++ b/bramleybeam/gateway/_cluster_state.py
@@ -1,5 +1,6 @@
 """Tables that the parts of a gateway share."""
 
+import random
 from collections.abc import Callable
 
 import attrs
@@ -7,6 +8,7 @@
 from bramleybeam.gateway._demand import DemandTable
 from bramleybeam.gateway._directory import Directory
 from bramleybeam.gateway._loads import LoadTable
+from bramleybeam.limits import PauseTable
 
 
 @attrs.frozen
@@ -14,14 +16,19 @@
     """The tables that routing and placement decisions are based on.
 
     ``directory`` holds what the store and the planner publish, ``loads`` the
-    requests in flight and ``demand`` the request rates by model.
+    requests in flight, ``demand`` the request rates by model and ``pauses``
+    the replicas that have asked for a pause.
     """
 
     directory: Directory
     loads: LoadTable
     demand: DemandTable
+    pauses: PauseTable
 
 
-def make_cluster_state(clock: Callable[[], float]) -> ClusterState:
-    """Return empty tables; ``clock`` returns seconds."""
-    return ClusterState(Directory(clock), LoadTable(), DemandTable())
+def make_cluster_state(
+    clock: Callable[[], float], rng: random.Random | None = None
+) -> ClusterState:
+    """Return empty tables; ``clock`` returns seconds, ``rng`` draws pauses."""
+    pauses = PauseTable(rng or random.Random())
+    return ClusterState(Directory(clock), LoadTable(), DemandTable(), pauses)
--- a/bramleybeam/gateway/_daemon.py
+++ b/bramleybeam/gateway/_daemon.py
@@ -4,6 +4,7 @@
 import random
 import time
 from collections.abc import Mapping
+from functools import partial
 from http import HTTPStatus
 from typing import Final
 
@@ -24,6 +25,7 @@
 from bramleybeam.gateway._peers import PeerPort
 from bramleybeam.gateway._planner import Planner
 from bramleybeam.gateway._planner_lease import PlannerLease
+from bramleybeam.gateway._reply_observer import note_leaving
 from bramleybeam.gateway._status import StatusReporter, Traffic
 from bramleybeam.gateway._tree import Peer, encode_peer
 from bramleybeam.keyvalue import LeaseKeeper
@@ -66,7 +68,7 @@
         self._store = platform.PlatformStore(
             settings.store_address, on_call=self._traffic.note_store_call
         )
-        cluster_state = make_cluster_state(time.monotonic)
+        cluster_state = make_cluster_state(time.monotonic, rng)
         self._directory = cluster_state.directory
         self._timers = TimerService(rng)
         self._tasks = TaskSet()
@@ -81,7 +83,7 @@
             PlannerLease(
                 settings, self._store, self._directory, order_history, rng
             ),
-            platform.ReplicaOrders(),
+            platform.ReplicaOrders(partial(note_leaving, cluster_state)),
             order_history,
             self._announce_orders,
         )
--- a/bramleybeam/gateway/_departures.py
+++ b/bramleybeam/gateway/_departures.py
@@ -5,7 +5,7 @@
 gateways over the tree.
 """
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Container, Mapping
 from typing import Final
 
 import attrs
@@ -15,8 +15,8 @@
 
 # Time for which a departure is reported to neighbours after it was recorded.
 _REPORT_S: Final = 6.0
-# Time for which a departure is kept. By then each gateway has read it from the
-# store or has ended.
+# Time for which a departure is kept after its replica is no longer listed. By
+# then each gateway has read it from the store or has ended.
 _RETENTION_S: Final = 60.0
 _log = structlog.get_logger('departures')
 
@@ -95,12 +95,20 @@
         if current is not None and current.is_gone:
             self._entries.pop(replica.name)
 
-    def list_recent(self) -> dict[str, Departure]:
-        """Return the departures to report, and drop expired ones."""
+    def drop_expired(self, listed: Container[str]) -> None:
+        """Drop old departures of replicas that are not in ``listed``.
+
+        A gateway that is cut off from the store may list a replica long after
+        it has begun to leave.
+        """
         now = self._clock()
         for name, entry in tuple(self._entries.items()):
-            if now - entry.recorded_at > _RETENTION_S:
+            if now - entry.recorded_at > _RETENTION_S and name not in listed:
                 self._entries.pop(name)
+
+    def list_recent(self) -> dict[str, Departure]:
+        """Return the departures to report to neighbours."""
+        now = self._clock()
         return {
             name: entry.departure
             for name, entry in self._entries.items()
--- a/bramleybeam/gateway/_directory.py
+++ b/bramleybeam/gateway/_directory.py
@@ -99,7 +99,7 @@
 
     def replicas_of(self, service: str) -> list[Replica]:
         """Return the replicas of a service that accept new requests."""
-        self._drop_expired()
+        self.drop_expired()
         is_fresh = self.freshness.is_fresh
         return [
             replica
@@ -174,6 +174,23 @@
         for callback in self.on_change:
             callback()
 
+    def drop_expired(self) -> None:
+        """Drop what is kept only for a time after it was removed.
+
+        These are replicas and gateways in their grace period, and departures of
+        replicas that are no longer listed.
+        """
+        self.departures.drop_expired(self.replicas)
+        now = self._clock()
+        for name, until in tuple(self._lapsed.items()):
+            if now >= until:
+                self._lapsed.pop(name)
+                self._drop_replica(name, after='lapse')
+        for name, lost_at in tuple(self._lost_peers.items()):
+            if now - lost_at > _PEER_GRACE_S:
+                self._lost_peers.pop(name)
+                self.peers.pop(name, None)
+
     def _apply_item(self, item: Item) -> None:
         key = item.key
         if key == platform.CONFIGURATION_KEY:
@@ -264,15 +281,3 @@
             departure = Departure(replica.started_ms, is_gone=True)
             self.departures.learn({name: departure})
         _log.info('replica_gone', replica=name, **reason)
-
-    def _drop_expired(self) -> None:
-        """Drop the replicas and gateways whose grace period has ended."""
-        now = self._clock()
-        for name, until in tuple(self._lapsed.items()):
-            if now >= until:
-                self._lapsed.pop(name)
-                self._drop_replica(name, after='lapse')
-        for name, lost_at in tuple(self._lost_peers.items()):
-            if now - lost_at > _PEER_GRACE_S:
-                self._lost_peers.pop(name)
-                self.peers.pop(name, None)
--- a/bramleybeam/gateway/_exchange.py
+++ b/bramleybeam/gateway/_exchange.py
@@ -86,6 +86,7 @@
         self._directory = cluster_state.directory
         self._loads = cluster_state.loads
         self._demand = cluster_state.demand
+        self._pauses = cluster_state.pauses
         self._order_history = order_history
         self._parent = parent
         self._send = send
@@ -110,6 +111,7 @@
         now = self._directory.now()
         if now - self._refreshed_at >= _REFRESH_S:
             self._refreshed_at = now
+            self._directory.drop_expired()
             self._drop_expired_children(now)
             self._refresh_parent(now)
         if self._parent.address and self._parent_pacer.is_due(now):
@@ -226,6 +228,7 @@
         )
         self._directory.reachability.update_remote(report.unreachable)
         self._directory.departures.learn(report.departures)
+        self._pauses.learn(report.pauses, now)
         self._note_store_state(report.store)
         if has_pending_changed:
             self._on_pending_changed()
@@ -243,6 +246,7 @@
         """
         self._note_store_state(parent_update.store)
         self._directory.departures.learn(parent_update.departures)
+        self._pauses.learn(parent_update.pauses, now)
         if parent_update.order_ages is not None:
             self._order_history.merge_remote(parent_update.order_ages)
         if parent_update.loads is not None:
@@ -288,6 +292,7 @@
             self._demand.report_for(now, parent),
             sorted(unreachable),
             self._directory.departures.list_recent(),
+            self._pauses.list_requested(now),
         )
 
     def _make_parent_update(self, child: _Child, now: float) -> ParentUpdate:
@@ -298,6 +303,7 @@
             self._loads.report_for(child.pacer.address, now),
             self._order_history.list_ages() if self._is_planner() else None,
             self._directory.departures.list_recent(),
+            self._pauses.list_requested(now),
         )
 
     def _send_periodic(
--- a/bramleybeam/gateway/_forward.py
+++ b/bramleybeam/gateway/_forward.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-from functools import partial
 from typing import Final
 
 import structlog
@@ -35,6 +34,7 @@
 from bramleybeam.gateway._cluster_state import ClusterState
 from bramleybeam.gateway._job import Job, RequestRefusedError
 from bramleybeam.gateway._loads import InFlightRequest
+from bramleybeam.gateway._reply_observer import ReplyObserver
 from bramleybeam.limits import RetryBudget, is_latency_tolerant
 from bramleybeam.relay import CallerConnection, ConnectionPool, InboundRequest
 
@@ -65,6 +65,7 @@
         """Store the parts of the pipeline."""
         self._is_stopping = False
         self._settings = settings
+        self._cluster_state = cluster_state
         self._directory = cluster_state.directory
         self._chooser = chooser
         self._loads = cluster_state.loads
@@ -232,12 +233,10 @@
     ) -> outcomes.Outcome:
         time_left = job.deadline_at - self._directory.now()
         with self._loads.track(replica.name, in_flight):
-            attempt = outcomes.Attempt(
-                job,
-                replica,
-                self._pool,
-                partial(self._loads.note_prefill_done, replica.name, in_flight),
+            observer = ReplyObserver(
+                self._cluster_state, replica, in_flight, job.facts.request_id
             )
+            attempt = outcomes.Attempt(job, replica, self._pool, observer)
             outcome = await attempt.run(time_left)
         self._chooser.changed.notify()
         return outcome
@@ -286,12 +285,11 @@
         outcome: outcomes.Outcome,
     ) -> None:
         job.excluded_replicas.add(replica.name)
-        now = self._directory.now()
         match outcome:
-            case outcomes.NotArrived():
+            case outcomes.NotArrived(is_unreachable=True):
                 self._directory.reachability.note_unreachable(replica.name)
             case outcomes.NotRun(is_missing=True):
-                self._chooser.note_missing(replica, job.target, now)
+                self._chooser.note_missing(replica, job)
 
     def _take_retry(self, job: Job, now: float) -> bool:
         gateways = max(1, len(self._directory.peers))
--- a/bramleybeam/gateway/_job.py
+++ b/bramleybeam/gateway/_job.py
@@ -29,6 +29,7 @@
     STOPPING = 'stopping'
     NO_PLANNER = 'no_planner'
     ARRIVES_LATER = 'arrives_later'
+    REPLICAS_PAUSED = 'replicas_paused'
     WAITED_LONG = 'waited_long'
 
 
--- a/bramleybeam/gateway/_peer_codec.py
+++ b/bramleybeam/gateway/_peer_codec.py
@@ -158,6 +158,7 @@
         ),
         'unreachable': list(report.unreachable),
         'departures': parts.encode_departures(report.departures),
+        'pauses': parts.encode_pauses(report.pauses),
     }
 
 
@@ -181,6 +182,7 @@
         ),
         tuple(map(str, fields['unreachable'])),
         parts.decode_departures(fields['departures']),
+        parts.decode_pauses(fields.get('pauses', {})),
     )
 
 
@@ -207,6 +209,8 @@
         fields['orders'] = dict(update.order_ages)
     if update.departures:
         fields['departures'] = parts.encode_departures(update.departures)
+    if update.pauses:
+        fields['pauses'] = parts.encode_pauses(update.pauses)
     return fields
 
 
@@ -233,4 +237,5 @@
         loads,
         None if ages is None else parts.decode_ages(ages),
         parts.decode_departures(fields.get('departures', {})),
+        parts.decode_pauses(fields.get('pauses', {})),
     )
--- a/bramleybeam/gateway/_peer_codec_parts.py
+++ b/bramleybeam/gateway/_peer_codec_parts.py
@@ -14,6 +14,7 @@
 from bramleybeam.gateway._pending_demand import PendingDemand
 from bramleybeam.gateway._placement import PlacementVersion, ReplicaPlacement
 from bramleybeam.gateway._tree import ObservedPlanner
+from bramleybeam.limits import Incarnation
 from bramleybeam.orders import Target
 
 
@@ -47,6 +48,23 @@
     }
 
 
+def encode_pauses(
+    pauses: Mapping[Incarnation, float],
+) -> dict[str, list[float]]:
+    """Return the start time and the seconds left by replica name."""
+    return {
+        name: [started_ms, round(remaining_s, 2)]
+        for (name, started_ms), remaining_s in pauses.items()
+    }
+
+
+def decode_pauses(fields: dict[str, Any]) -> dict[Incarnation, float]:
+    return {
+        (str(name), int(started_ms)): float(remaining_s)
+        for name, (started_ms, remaining_s) in fields.items()
+    }
+
+
 def decode_ages(fields: dict[str, Any]) -> dict[str, float]:
     return {str(name): float(age) for name, age in fields.items()}
 
--- a/bramleybeam/gateway/_peer_messages.py
+++ b/bramleybeam/gateway/_peer_messages.py
@@ -9,6 +9,7 @@
 from bramleybeam.gateway._pending_demand import PendingDemand
 from bramleybeam.gateway._placement import PlacementDelta, PlacementVersion
 from bramleybeam.gateway._tree import ObservedPlanner
+from bramleybeam.limits import Incarnation
 from bramleybeam.orders import Demand
 
 
@@ -32,6 +33,8 @@
     number of levels of gateways below the sender, ``version`` the placement
     version that the sender has. ``unreachable`` are the replicas that the
     subtree backs off from, ``departures`` the replicas that are leaving.
+    ``pauses`` are the seconds that are left of the pauses that replicas have
+    asked of the subtree.
     """
 
     period_s: float
@@ -42,6 +45,7 @@
     demand: Demand = attrs.field(factory=Demand)
     unreachable: Sequence[str] = ()
     departures: Mapping[str, Departure] = attrs.field(factory=dict)
+    pauses: Mapping[Incarnation, float] = attrs.field(factory=dict)
 
 
 @attrs.frozen
@@ -51,7 +55,8 @@
     ``period_s`` is the approximate time until the next update with ``loads``;
     ``loads`` is ``None`` in an update that only has changed rows in ``delta``.
     ``order_ages`` are the ages, in seconds, of the orders that the sender sent,
-    by replica; ``None`` if the sender is not the planner.
+    by replica; ``None`` if the sender is not the planner. ``pauses`` are the
+    seconds that are left of the pauses that replicas have asked for.
     """
 
     period_s: float
@@ -60,6 +65,7 @@
     loads: Mapping[str, LoadReport] | None = None
     order_ages: Mapping[str, float] | None = None
     departures: Mapping[str, Departure] = attrs.field(factory=dict)
+    pauses: Mapping[Incarnation, float] = attrs.field(factory=dict)
 
 
 @attrs.frozen
--- /dev/null
+++ b/bramleybeam/gateway/_reply_observer.py
@@ -0,0 +1,72 @@
+"""What a gateway learns about a replica while a request is sent to it."""
+
+import attrs
+import structlog
+
+from bramleybeam import platform
+from bramleybeam.catalog import Replica
+from bramleybeam.gateway._cluster_state import ClusterState
+from bramleybeam.gateway._departures import Departure
+from bramleybeam.gateway._loads import InFlightRequest
+
+_log = structlog.get_logger('replies')
+
+
+@attrs.frozen
+class ReplyObserver:
+    """Updates the shared tables from one attempt at a replica.
+
+    ``in_flight`` is the entry of the request in the load table.
+    """
+
+    cluster_state: ClusterState
+    replica: Replica
+    in_flight: InFlightRequest
+    request_id: str
+
+    def may_send(self) -> bool:
+        """Whether the replica still accepts requests.
+
+        It may have begun to leave since it was chosen.
+        """
+        directory = self.cluster_state.directory
+        return directory.departures.accepts_requests(
+            self.replica, is_fresh=directory.freshness.is_fresh
+        )
+
+    def note_reply(self, facts: platform.ReplyFacts) -> None:
+        """Record that the replica is leaving, or asks for a pause."""
+        if facts.is_leaving:
+            note_leaving(self.cluster_state, self.replica)
+        if facts.is_overloaded:
+            self._note_overload(facts.retry_after_s)
+
+    def note_event(self) -> None:
+        """Record that the answer has begun; repeats have no effect."""
+        self.cluster_state.loads.note_prefill_done(
+            self.replica.name, self.in_flight
+        )
+
+    def _note_overload(self, retry_after_s: float | None) -> None:
+        pause_s = self.cluster_state.pauses.note_refusal(
+            self.replica.incarnation,
+            retry_after_s,
+            self.cluster_state.directory.now(),
+        )
+        if retry_after_s is not None:
+            _log.info(
+                'replica_paused',
+                replica=self.replica.name,
+                request=self.request_id,
+                retry_after_s=retry_after_s,
+                pause_s=round(pause_s, 3),
+            )
+
+
+def note_leaving(cluster_state: ClusterState, replica: Replica) -> None:
+    """Record that a replica has stated in a reply that it is leaving."""
+    departures = cluster_state.directory.departures
+    if departures.find(replica) == Departure(replica.started_ms):
+        return
+    _log.info('replica_states_departure', replica=replica.name)
+    departures.learn({replica.name: Departure(replica.started_ms)})
--- a/bramleybeam/gateway/_stream.py
+++ b/bramleybeam/gateway/_stream.py
@@ -21,6 +21,9 @@
         self.last_id = last_id
         self._count = 0
         self._partial = b''
+        # In the middle of a stream, an event without an id can be an error
+        # message of a replica that does not resume the stream.
+        self._requires_ids = bool(last_id)
 
     @property
     def has_partial_event(self) -> bool:
@@ -31,7 +34,7 @@
         """Add received bytes and return the events that are now complete.
 
         Raises ``BrokenReplyError`` if an id is not the next one or if an event
-        is too long.
+        is too long, and for an event of a resumed stream that has no id.
         """
         joined = self._partial + piece
         end = joined.rfind(_END_OF_EVENT)
@@ -46,7 +49,9 @@
         complete = joined[:end]
         self._partial = joined[end:]
         for event in complete.split(_END_OF_EVENT):
-            self._note_id(event)
+            has_id = self._note_id(event)
+            if event.strip() and self._requires_ids and not has_id:
+                raise BrokenReplyError('an event of a resumed stream has no id')
         return complete
 
     def take_count(self) -> int:
@@ -55,13 +60,17 @@
         self._count = 0
         return count
 
-    def _note_id(self, event: bytes) -> None:
+    def _note_id(self, event: bytes) -> bool:
+        """Check and count the id of an event; return whether it has one."""
+        has_id = False
         for line in event.split(b'\n'):
             if line.startswith(_ID_FIELD):
                 event_id = line[len(_ID_FIELD) :].strip().decode('latin-1')
                 self._check_sequence(event_id)
                 self.last_id = event_id
                 self._count += 1
+                has_id = True
+        return has_id
 
     def _check_sequence(self, event_id: str) -> None:
         previous_id = self.last_id
--- /dev/null
+++ b/bramleybeam/gateway/_wait_limits.py
@@ -0,0 +1,85 @@
+"""Decides when a request stops waiting for a replica.
+
+Handles this load: every replica that could serve a request is full, asks for a
+pause, or does not hold the model yet. A request that can't be served in time is
+refused as soon as that is known, so that its caller can go elsewhere.
+"""
+
+from typing import Final
+
+import attrs
+
+from bramleybeam.errors import ErrorKind, Refusal, refuse
+from bramleybeam.gateway._directory import Directory
+from bramleybeam.gateway._job import Job, QueueExitReason
+
+# Longest time after which a waiting request looks for a replica again.
+RECHECK_S: Final = 0.25
+# Retry-After of a refusal when no replica got free in time.
+_RETRY_AFTER_S: Final = 1.0
+# Retry-After without a planner; time in which a new one is expected.
+_NO_PLANNER_RETRY_AFTER_S: Final = 2.5
+# Added to the time until a model is expected, for the Retry-After of a refusal.
+_ARRIVAL_MARGIN_S: Final = 0.2
+# Retry-After of a plain service, and while this process shuts down.
+_PLAIN_RETRY_AFTER_S: Final = 0.1
+
+
+@attrs.frozen
+class WaitState:
+    """What a waiting request has found.
+
+    ``pause_s`` is the time in seconds until one of the replicas that hold its
+    target takes requests again, 0 if one does. ``had_no_holder`` is whether, at
+    some time of the wait, no replica held the target.
+    """
+
+    pause_s: float = 0
+    had_no_holder: bool = False
+
+    @property
+    def recheck_s(self) -> float:
+        """Seconds after which to look for a replica again."""
+        return min(self.pause_s or RECHECK_S, RECHECK_S)
+
+
+def refuse_for_shutdown(job: Job) -> Refusal:
+    """Return the refusal of a request that waits while the process stops."""
+    job.queue_exit = QueueExitReason.STOPPING
+    return refuse(ErrorKind.SHUTTING_DOWN, retry_after=_PLAIN_RETRY_AFTER_S)
+
+
+def find_wait_refusal(
+    job: Job, state: WaitState, directory: Directory
+) -> Refusal | None:
+    """Return the refusal that ends a wait, ``None`` to wait on."""
+    now = directory.now()
+    wait_left_s = job.received_at + job.max_queue_wait_s - now
+    time_to_objective_s = job.received_at + job.route.objective_s - now
+    if state.pause_s > max(time_to_objective_s, RECHECK_S):
+        job.queue_exit = QueueExitReason.REPLICAS_PAUSED
+        return _make_refusal(job, state.pause_s)
+    if state.had_no_holder and not directory.placement.has_live_planner:
+        job.queue_exit = QueueExitReason.NO_PLANNER
+        return _make_refusal(job, _NO_PLANNER_RETRY_AFTER_S)
+    eta_s = directory.placement.arrival_eta_s(job.facts.model)
+    if state.had_no_holder and eta_s is not None and eta_s > wait_left_s:
+        job.queue_exit = QueueExitReason.ARRIVES_LATER
+        return _make_refusal(job, eta_s + _ARRIVAL_MARGIN_S)
+    if wait_left_s > 0:
+        return None
+    job.queue_exit = QueueExitReason.WAITED_LONG
+    return _make_refusal(job)
+
+
+def _make_refusal(job: Job, retry_after_s: float | None = None) -> Refusal:
+    if job.service.engine is None:
+        return refuse(
+            ErrorKind.TARGET_UNREACHABLE,
+            retry_after=retry_after_s or _PLAIN_RETRY_AFTER_S,
+        )
+    return refuse(
+        ErrorKind.NO_READY_UPSTREAM,
+        f'Asked: {job.facts.model} {job.facts.adapter}.',
+        retry_after=retry_after_s or _RETRY_AFTER_S,
+    )
--- a/bramleybeam/gateway/tests/test_departures.py
+++ b/bramleybeam/gateway/tests/test_departures.py
@@ -66,7 +66,10 @@
     assert not table.list_recent()
     assert table.find(READY) == DRAINING
     clock.now += 60
-    table.list_recent()
+    # A gateway that is cut off from the store still lists the replica.
+    table.drop_expired({'e1'})
+    assert not table.accepts_requests(READY, is_fresh=False)
+    table.drop_expired(())
     assert table.find(READY) is None
 
 
--- a/bramleybeam/gateway/tests/test_stream.py
+++ b/bramleybeam/gateway/tests/test_stream.py
@@ -34,6 +34,24 @@
             splitter.feed(b'data: ' + b'x' * 10_000)
 
 
+@pytest.mark.parametrize(
+    'piece',
+    [
+        b'internal server error\n\n',
+        b'event: error\ndata: overloaded\n\n',
+        b'id: 4\ndata: a\n\n{"error": 1}\n\n',
+    ],
+)
+def test_error_text_in_a_resumed_stream_is_an_error(piece):
+    with pytest.raises(BrokenReplyError):
+        EventSplitter('3').feed(piece)
+
+
+def test_event_with_a_change_of_weights_resumes_a_stream():
+    event = b'bramleybeam-weight-versions: 3\nid: 4\ndata: a\n\n'
+    assert EventSplitter('3').feed(event) == event
+
+
 @pytest.mark.parametrize('last_id', ['2', '4', '5'])
 def test_gap_or_repeated_id_is_an_error(last_id):
     with pytest.raises(BrokenReplyError):
--- a/bramleybeam/limits/__init__.py
+++ b/bramleybeam/limits/__init__.py
@@ -1,4 +1,4 @@
-"""Limits on queueing time, retries and bytes sent to a peer."""
+"""Limits on queueing, retries, overloaded replicas and bytes to a peer."""
 
 from bramleybeam.limits._byte_budget import ByteBudget
 from bramleybeam.limits._queue_limits import (
@@ -6,10 +6,13 @@
     max_queue_wait,
     stream_idle_timeout,
 )
+from bramleybeam.limits._replica_pauses import Incarnation, PauseTable
 from bramleybeam.limits._retry_budget import RetryBudget
 
 __all__ = [
     'ByteBudget',
+    'Incarnation',
+    'PauseTable',
     'RetryBudget',
     'is_latency_tolerant',
     'max_queue_wait',
--- a/bramleybeam/platform/_orders.py
+++ b/bramleybeam/platform/_orders.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import json
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from contextlib import closing
 from typing import Any, Final
 
@@ -18,7 +18,13 @@
     UnloadModel,
 )
 from bramleybeam.platform._entries import decode_holdings
-from bramleybeam.relay import BrokenReplyError, Headers, connect_peer
+from bramleybeam.platform._requests import describe_reply
+from bramleybeam.relay import (
+    BrokenReplyError,
+    Headers,
+    ReplyHead,
+    connect_peer,
+)
 
 _CONNECT_TIMEOUT_S: Final = 0.3
 _REPLY_TIMEOUT_S: Final = 1.0
@@ -74,7 +80,15 @@
 
 
 class ReplicaOrders:
-    """Sends orders to replicas and reads their reports."""
+    """Sends orders to replicas and reads their reports.
+
+    ``on_leaving`` is called with a replica whose reply states that it is
+    leaving.
+    """
+
+    def __init__(self, on_leaving: Callable[[Replica], None]) -> None:
+        """Store the callback."""
+        self._on_leaving = on_leaving
 
     async def send(
         self,
@@ -91,11 +105,12 @@
         }
         encoded = json.dumps(body).encode()
         try:
-            status, _ = await _call(replica, b'POST /api/order', encoded)
+            head, _ = await self._call(replica, b'POST /api/order', encoded)
         except _NotConnectedError as error:
             return OrderRefused(0, reason=str(error))
         except (OSError, TimeoutError, BrokenReplyError) as error:
             return OrderUnanswered(repr(error))
+        status = head.status
         if status in {_ACCEPTED, _ALREADY_HOLDS}:
             return OrderAccepted(done=status == _ALREADY_HOLDS)
         return OrderRefused(status, fenced=status == _FENCED)
@@ -106,17 +121,31 @@
         Returns ``None`` if it does not reply or the report is malformed.
         """
         try:
-            status, body = await _call(replica, b'GET /api/report', b'')
+            head, body = await self._call(replica, b'GET /api/report', b'')
         except (OSError, TimeoutError, BrokenReplyError) as error:
             _log.warning(
                 'report_failed', replica=replica.name, error=repr(error)
             )
             return None
-        if status != _OK:
-            _log.warning('report_failed', replica=replica.name, status=status)
+        if head.status != _OK:
+            _log.warning(
+                'report_failed', replica=replica.name, status=head.status
+            )
             return None
         return decode_holdings(body)
 
+    async def _call(
+        self,
+        replica: Replica,
+        first_line: bytes,
+        body: bytes,
+    ) -> tuple[ReplyHead, bytes]:
+        """Send a request; return the head and the body of the reply."""
+        head, reply = await _call(replica, first_line, body)
+        if describe_reply(head).is_leaving:
+            self._on_leaving(replica)
+        return head, reply
+
 
 class _NotConnectedError(OSError):
     """No connection to the replica, so that nothing was sent."""
@@ -126,8 +155,8 @@
     replica: Replica,
     first_line: bytes,
     body: bytes,
-) -> tuple[int, bytes]:
-    """Send a request and return the status code and the body of the reply.
+) -> tuple[ReplyHead, bytes]:
+    """Send a request and return the head and the body of the reply.
 
     Raises ``OSError``, ``TimeoutError`` or ``BrokenReplyError``; a
     ``_NotConnectedError`` means that the request was not sent.
@@ -143,10 +172,9 @@
     )
     with closing(connection):
         async with asyncio.timeout(_REPLY_TIMEOUT_S):
-            head, reply = await connection.fetch(
+            return await connection.fetch(
                 first_line + b' HTTP/1.1', headers, body, _MAX_REPORT_BYTES
             )
-    return head.status, reply
 
 
 def _encode_order(order: ModelOrder) -> Mapping[str, Any]:
--- a/bramleybeam/platform/_requests.py
+++ b/bramleybeam/platform/_requests.py
@@ -1,8 +1,10 @@
 """Decodes headers of requests and replies, and encodes outgoing headers."""
 
+import math
 from typing import Final
 
 import attrs
+import structlog
 
 from bramleybeam.catalog import Replica
 from bramleybeam.relay import (
@@ -25,11 +27,18 @@
 _SEAL: Final = b'bramleybeam-response-seal'
 _NOT_EXECUTED: Final = b'bramleybeam-not-executed'
 _LENGTH_HINT: Final = b'bramleybeam-length-hint'
+_LEAVING: Final = b'server-leaving'
+_RETRY_AFTER: Final = b'retry-after'
+# Status with which a replica that has no capacity refuses a request.
+_OVERLOADED: Final = 503
+# Longest pause, in seconds, that a replica can ask for.
+_MAX_RETRY_AFTER_S: Final = 60.0
 # Status with which a replica refuses a request that was meant for another
 # replica or whose model it doesn't hold. It has not run the request.
 _MISDIRECTED: Final = 421
 # Used for a request without a readable deadline header.
 _DEFAULT_DEADLINE_S: Final = 30.0
+_log = structlog.get_logger('replies')
 # Headers that only this system sets; they are removed from callers' requests.
 _RESERVED: Final = frozenset(
     (
@@ -147,7 +156,9 @@
     ``is_misdirected`` that it is not the expected replica or doesn't hold the
     model, and ``is_sealed`` that the reply results from a run. ``echoed_id`` is
     the id of the request that the reply belongs to, or empty if the replica did
-    not send it.
+    not send it. ``is_leaving`` means that the replica is shutting down.
+    ``retry_after_s`` is the time in seconds for which an overloaded replica
+    asks for no further requests, ``None`` if it does not ask.
     """
 
     status: int
@@ -155,6 +166,13 @@
     is_misdirected: bool
     is_sealed: bool
     echoed_id: str
+    is_leaving: bool = False
+    retry_after_s: float | None = None
+
+    @property
+    def is_overloaded(self) -> bool:
+        """Whether the replica refused the request for lack of capacity."""
+        return self.status == _OVERLOADED
 
 
 def describe_reply(head: ReplyHead) -> ReplyFacts:
@@ -169,6 +187,8 @@
         is_misdirected=misdirected,
         is_sealed=find_header(headers, _SEAL) is not None,
         echoed_id=echoed,
+        is_leaving=not misdirected and _text(headers, _LEAVING) == '1',
+        retry_after_s=_retry_after_s(head),
     )
 
 
@@ -199,6 +219,27 @@
         return 0
 
 
+def _retry_after_s(head: ReplyHead) -> float | None:
+    """Return the pause in seconds that an overloaded replica asks for.
+
+    ``None`` if it asks for none or the value is not a number of at least 0. A
+    very long pause is shortened to ``_MAX_RETRY_AFTER_S``.
+    """
+    raw = _text(head.headers, _RETRY_AFTER)
+    if head.status != _OVERLOADED or not raw:
+        return None
+    try:
+        retry_after_s = float(raw)
+    except ValueError:
+        retry_after_s = math.nan
+    if math.isnan(retry_after_s) or retry_after_s < 0:
+        _log.warning('retry_after_unreadable', value=raw[:40])
+        return None
+    if retry_after_s > _MAX_RETRY_AFTER_S:
+        _log.warning('retry_after_shortened', value=raw[:40])
+    return min(retry_after_s, _MAX_RETRY_AFTER_S)
+
+
 def _decode_parts(text: str) -> tuple[PromptPart, ...]:
     """Return the prompt parts of ``NAME:TOKENS,NAME:TOKENS``."""
     parts = []
--- a/bramleybeam/platform/tests/test_requests.py
+++ b/bramleybeam/platform/tests/test_requests.py
@@ -96,3 +96,49 @@
     facts = describe_reply(ReplyHead(status, (header,)))
     assert (facts.never_ran, facts.is_sealed) == (never_ran, sealed)
     assert find_header((header,), header[0].lower()) == header[1]
+
+
+@pytest.mark.parametrize(
+    ('status', 'stated', 'is_leaving'),
+    [
+        (200, b'1', True),
+        (500, b' 1 ', True),
+        (503, b'1', True),
+        (200, b'0', False),
+        (200, b'', False),
+        # The reply may come from another replica at the same address.
+        (421, b'1', False),
+    ],
+)
+def test_reply_states_that_its_replica_is_leaving(status, stated, is_leaving):
+    facts = describe_reply(ReplyHead(status, ((b'Server-Leaving', stated),)))
+    assert facts.is_leaving == is_leaving
+
+
+@pytest.mark.parametrize(
+    ('status', 'stated', 'retry_after_s'),
+    [
+        (503, b'2', 2.0),
+        (503, b'0.25', 0.25),
+        (503, b'0', 0.0),
+        (503, b'1e9', 60.0),
+        (503, b'inf', 60.0),
+        (503, b'-1', None),
+        (503, b'nan', None),
+        (503, b'soon', None),
+        (503, b'Wed, 21 Oct 2015 07:28:00 GMT', None),
+        (503, b'', None),
+        (500, b'2', None),
+        (429, b'2', None),
+    ],
+)
+def test_retry_after_of_an_overloaded_replica(status, stated, retry_after_s):
+    facts = describe_reply(ReplyHead(status, ((b'Retry-After', stated),)))
+    assert facts.retry_after_s == retry_after_s
+
+
+def test_reply_without_the_headers_states_neither():
+    facts = describe_reply(ReplyHead(503, ()))
+    assert facts.is_overloaded
+    assert not facts.is_leaving
+    assert facts.retry_after_s is None
--- a/bramleybeam/relay/_connection_pool.py
+++ b/bramleybeam/relay/_connection_pool.py
@@ -43,13 +43,16 @@
         peer: Hashable,
         address: str,
         timeout: float,
+        *,
+        must_be_new: bool = False,
     ) -> PeerConnection:
         """Return the most recently used connection, or open a new one.
 
-        ``timeout`` bounds the connecting, in seconds. Raises ``OSError``.
+        ``timeout`` bounds the connecting, in seconds. With ``must_be_new`` no
+        connection that carried other requests is used. Raises ``OSError``.
         """
         now = self._clock()
-        entries = self._idle.get(peer, [])
+        entries = [] if must_be_new else self._idle.get(peer, [])
         while entries:
             entry = entries.pop()
             if entry.connection.is_reusable and now < entry.expires_at:
--- a/bramleybeam/simulation/_callers.py
+++ b/bramleybeam/simulation/_callers.py
@@ -141,7 +141,7 @@
                         request, replica.name, job
                     )
                     break
-            self._chooser.note_missing(replica, job.target, loop.time())
+            self._chooser.note_missing(replica, job)
         self._chooser.changed.notify()
         if is_complete:
             self._demand.pending.note_served(job.target, loop.time())
--- a/tests/platform_replica.py
+++ b/tests/platform_replica.py
@@ -11,6 +11,7 @@
 SEAL = b'Bramleybeam-Response-Seal'
 # Longer than any deadline of a test: the request gets no answer.
 _NO_ANSWER_S = 60
+ERROR_TEXT = b'event: error\ndata: overloaded\n\n'
 REQUEST_ID = b'Bramleybeam-Request-Id'
 
 
@@ -47,7 +48,13 @@
 
     - ``lost``: runs, then resets the connection
     - ``refuse``: 503 with the header that states that it has not run
+    - ``refuse_twice``: the same, and the refusal is written again after the
+      next request on the connection has arrived
     - ``error``: 500
+    - ``cut_resume_500``, ``cut_resume_400``, ``cut_resume_text``,
+      ``cut_resume_unsealed``: like ``cut``; a request that resumes the stream is
+      answered with that status, with an error's text under status 200, or with
+      such a text without a seal
     - ``unmarked_503``: 503 without a header that states whether it has run
     - ``other_id``: the answer has the id of another request
     - ``cut``, ``cut_in_event``: a stream ends between two events or within one
@@ -59,11 +66,12 @@
     - ``crash``: runs, then resets the connection and closes the port
 
     ``draw_fault`` returns the fault of any other request, or an empty string.
-    With ``echoes`` answers contain the request's id. ``max_models`` is the
+    ``requests`` are the ids of all requests that arrived, ``runs`` those that
+    ran. With ``echoes`` answers contain the request's id. ``max_models`` is the
     number of models that fit in memory; load orders beyond it are kept in
     ``excess_orders``. While ``order_delay_s`` is set, orders get no answer and
     are accepted after that many seconds. While ``is_unresponsive``, requests
-    get no answer.
+    get no answer. All answers to requests have the headers ``extra_headers``.
     """
 
     name: str
@@ -76,6 +84,7 @@
     load_s: float = 0.05
     faults: dict = attrs.field(factory=dict)
     runs: list = attrs.field(factory=list)
+    requests: list = attrs.field(factory=list)
     orders: list = attrs.field(factory=list)
     cancelled: list = attrs.field(factory=list)
     highest_fencing_token: int = 0
@@ -89,6 +98,8 @@
     incarnation: int = 1
     order_delay_s: float = 0
     is_unresponsive: bool = False
+    extra_headers: tuple = ()
+    late_refusals: dict = attrs.field(factory=dict)
 
     def entry(self, **changed) -> dict:
         """Return the replica's entry in the store."""
@@ -200,16 +211,24 @@
             for name, field in request.headers
         }
         request_id = headers['bramleybeam-request-id']
+        self.requests.append(request_id)
+        late_refusal = self.late_refusals.pop(id(connection), None)
+        if late_refusal:
+            connection.respond(503, late_refusal, b'')
         drawn = self.draw_fault() if self.draw_fault else ''
         fault = self.faults.pop(request_id, drawn)
         model, _, adapter = headers.get('bramleybeam-model', '').partition('/')
         if model and model not in self.models:
             connection.respond(421, ((REQUEST_ID, request_id.encode()),), b'')
             return
-        if fault == 'refuse' or (adapter and adapter not in self.models[model]):
+        is_refused = fault in {'refuse', 'refuse_twice'}
+        if is_refused or (adapter and adapter not in self.models[model]):
             not_executed = (b'Bramleybeam-Not-Executed', b'1')
             id_field = (REQUEST_ID, request_id.encode())
-            connection.respond(503, (not_executed, id_field), b'')
+            head = (not_executed, id_field, *self.extra_headers)
+            connection.respond(503, head, b'')
+            if fault == 'refuse_twice':
+                self.late_refusals[id(connection)] = head
             return
         now = asyncio.get_running_loop().time
         run = Run(
@@ -227,7 +246,7 @@
 
     async def _respond(self, run, fault, is_stream, connection) -> None:
         id_field = b'other' if fault == 'other_id' else run.request_id.encode()
-        head = ((REQUEST_ID, id_field), (SEAL, b'seal-1'))
+        head = ((REQUEST_ID, id_field), (SEAL, b'seal-1'), *self.extra_headers)
         await asyncio.sleep(self.pause_s)
         if is_stream and fault not in {'lost', 'crash', 'hang'}:
             await self._stream(run, fault, head, connection)
@@ -274,12 +293,15 @@
 
     async def _stream(self, run, fault, head, connection) -> None:
         first_event = int(run.headers.get('last-event-id', -1)) + 1
+        if first_event and fault.startswith('cut_resume'):
+            _answer_resumed(fault, head, connection)
+            return
         content_type = (b'Content-Type', b'text/event-stream')
         connection.start(200, (*head, content_type))
         if fault == 'endless_event':
             await _write_without_end(connection)
         for number in range(first_event, self.events):
-            if fault in {'cut', 'cut_in_event'} and number == 2:
+            if fault.startswith('cut') and number == 2:
                 if fault == 'cut_in_event':
                     await connection.write_chunk(b'id: 2\nda')
                 await asyncio.sleep(self.pause_s)
@@ -292,6 +314,14 @@
         connection.finish()
 
 
+def _answer_resumed(fault, head, connection) -> None:
+    """Answer a request that resumes a stream with an error."""
+    status = {'cut_resume_500': 500, 'cut_resume_400': 400}.get(fault, 200)
+    if fault == 'cut_resume_unsealed':
+        head = tuple(field for field in head if field[0] != SEAL)
+    connection.respond(status, head, ERROR_TEXT)
+
+
 async def _write_without_end(connection, *, is_head: bool = False) -> None:
     """Write bytes without an event boundary until the peer disconnects."""
     while True:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -153,6 +153,104 @@
         assert (answer.is_truncated, answer.body) == (False, WHOLE_STREAM)
 
 
+@pytest.mark.parametrize(
+    'fault',
+    [
+        'cut_resume_500',
+        'cut_resume_400',
+        'cut_resume_text',
+        'cut_resume_unsealed',
+    ],
+)
+async def test_error_of_a_resuming_replica_is_not_part_of_the_stream(
+    site, fault
+):
+    set_fault(site, 'r1', fault)
+    answer = await site.ask_with_id('r1', '/digest/2f', **MODEL_HEADERS)
+    assert answer.is_truncated
+    assert answer.body == b''.join(EVENTS[:2])
+
+
+async def test_refusal_that_is_written_twice_is_not_the_answer_to_a_retry(site):
+    """Both replicas refuse, and repeat the refusal when the retry arrives."""
+    set_fault(site, 'r1', 'refuse_twice')
+    answer = await site.ask_with_id('r1', '/post/2f')
+    assert answer.status == 200
+    assert len(site.runs('r1')) == 1
+
+
+@pytest.mark.parametrize(
+    ('path', 'name', 'fault'),
+    [
+        ('/post/2f', 'l1', ''),
+        ('/post/2f', 'l1', 'error'),
+        ('/look/2f', 'l1', 'refuse'),
+        ('/ask/2f', 'e1', ''),
+    ],
+)
+async def test_replica_that_states_its_departure_gets_no_new_requests(
+    site, path, name, fault
+):
+    """This holds while the store is unavailable, and ends with a restart."""
+    site.store.mode = 'unresponsive'
+    leaving = site.replicas[name]
+    leaving.extra_headers = ((b'Server-Leaving', b'1'),)
+    for number in range(20):
+        set_fault(site, f'r{number}', fault)
+        await site.ask_with_id(f'r{number}', path, **HEADERS_BY_PATH[path])
+        if site.gateway.events('replica_states_departure'):
+            break
+    runs_before = len(leaving.runs)
+    for _ in range(8):
+        answer = await site.ask(path, **HEADERS_BY_PATH[path])
+        assert answer.status == 200
+    assert len(leaving.runs) == runs_before
+    site.store.mode = 'up'
+    leaving.extra_headers = ()
+    leaving.incarnation += 1
+    site.write_entry(leaving)
+    async with asyncio.timeout(20):
+        while len(leaving.runs) == runs_before:
+            await asyncio.gather(
+                *(site.ask(path, **HEADERS_BY_PATH[path]) for _ in range(4))
+            )
+
+
+async def test_overloaded_replica_gets_no_requests_while_it_asks_for_none(site):
+    overloaded = site.replicas['l1']
+    overloaded.extra_headers = ((b'Retry-After', b'1.5'),)
+    overloaded.draw_fault = lambda: 'refuse'
+    while not site.gateway.events('replica_paused'):
+        assert (await site.ask('/post/2f')).status == 200
+    received = len(overloaded.requests)
+    for _ in range(8):
+        assert (await site.ask('/post/2f')).status == 200
+    assert len(overloaded.requests) == received
+    overloaded.draw_fault = None
+    async with asyncio.timeout(10):
+        while not overloaded.runs:
+            await site.ask('/post/2f')
+            await asyncio.sleep(0.05)
+
+
+async def test_request_is_refused_at_once_if_all_replicas_ask_for_a_pause(site):
+    for name in ('l1', 'l2'):
+        replica = site.replicas[name]
+        replica.extra_headers = ((b'Retry-After', b'1.2'),)
+        replica.draw_fault = lambda: 'refuse'
+    loop = asyncio.get_running_loop()
+    await site.ask('/post/2f')
+    began_at = loop.time()
+    answer = await site.ask('/post/2f')
+    assert answer.status == 429
+    assert loop.time() - began_at < 0.3
+    for name in ('l1', 'l2'):
+        site.replicas[name].draw_fault = None
+        assert len(site.replicas[name].requests) == 1
+    await asyncio.sleep(float(answer.headers['retry-after']))
+    assert (await site.ask('/post/2f')).status == 200
+
+
 async def test_absent_model_is_loaded_for_queued_request(site):
     await site.wait_for_planner()
     answer = await site.ask(
@@ -176,9 +274,22 @@
 async def test_unreadable_entries_are_ignored(site):
     site.store.put('servers/x1', b'{"service": 7')
     site.store.put('servers/x2', {'service': 'ledger', 'state': 'odd'})
+    odd_entries = (
+        b'[' * 100_000,
+        {**site.replicas['l1'].entry(), 'address': '127.0.0.1:70000'},
+        {**site.replicas['l1'].entry(), 'remaining-ms': 10**400},
+        {**site.replicas['e1'].entry(), 'models': [{'name': 5}]},
+        {**site.replicas['e1'].entry(), 'slots': 10**400},
+    )
+    for number, entry in enumerate(odd_entries):
+        site.store.put(f'servers/y{number}', entry)
     await asyncio.sleep(0.5)
     for _ in range(4):
         assert (await site.ask('/post/2f')).status == 200
+    # The gateway still follows the store.
+    site.write_entry(site.replicas['l1'], state='draining')
+    await asyncio.sleep(0.5)
+    assert site.gateway.events('replica_draining')
 
 
 async def test_older_configuration_is_ignored(site):
