Read the store in batches that follow from the deployment's bounds

Change: only the planner and its children read each change at once. Others wait 0.4 of the shortest bound between two calls, unless a peer knows a newer configuration (docs/design/0011).

--- a/bramleybeam/gateway/_cluster_state.py
+++ b/bramleybeam/gateway/_cluster_state.py
@@ -7,6 +7,7 @@
 
 from bramleybeam.gateway._demand import DemandTable
 from bramleybeam.gateway._directory import Directory
+from bramleybeam.gateway._follower_pace import DEFAULT_PACE, FollowerPace
 from bramleybeam.gateway._loads import LoadTable
 from bramleybeam.limits import PauseTable
 
@@ -27,8 +28,18 @@
 
 
 def make_cluster_state(
-    clock: Callable[[], float], rng: random.Random | None = None
+    clock: Callable[[], float],
+    rng: random.Random | None = None,
+    pace: FollowerPace = DEFAULT_PACE,
 ) -> ClusterState:
-    """Return empty tables; ``clock`` returns seconds, ``rng`` draws pauses."""
-    pauses = PauseTable(rng or random.Random())
-    return ClusterState(Directory(clock), LoadTable(), DemandTable(), pauses)
+    """Return empty tables.
+
+    ``clock`` returns seconds, ``rng`` draws pauses, and ``pace`` is how often
+    the changes in the store are read.
+    """
+    return ClusterState(
+        Directory(clock, pace),
+        LoadTable(),
+        DemandTable(),
+        PauseTable(rng or random.Random()),
+    )
--- a/bramleybeam/gateway/_daemon.py
+++ b/bramleybeam/gateway/_daemon.py
@@ -18,6 +18,11 @@
 from bramleybeam.gateway._directory import GATEWAY_PREFIX, PEER_PREFIX
 from bramleybeam.gateway._exchange import PeerExchange
 from bramleybeam.gateway._follower import StoreFollower
+from bramleybeam.gateway._follower_pace import (
+    NEAR_BATCH_DELAY_S,
+    PLANNER_BATCH_DELAY_S,
+    make_pace,
+)
 from bramleybeam.gateway._forward import Forwarder
 from bramleybeam.gateway._order_history import OrderHistory
 from bramleybeam.gateway._parent import ParentSelector
@@ -68,7 +73,8 @@
         self._store = platform.PlatformStore(
             settings.store_address, on_call=self._traffic.note_store_call
         )
-        cluster_state = make_cluster_state(time.monotonic, rng)
+        pace = make_pace(settings.bounds)
+        cluster_state = make_cluster_state(time.monotonic, rng, pace)
         self._directory = cluster_state.directory
         self._timers = TimerService(rng)
         self._tasks = TaskSet()
@@ -88,7 +94,7 @@
             self._announce_orders,
         )
         self._follower = StoreFollower(
-            self._store, self._directory, rng, self._is_planner
+            self._store, self._directory, rng, self._batch_delay_s
         )
         self._local_peer = Peer(
             f'{settings.ip_address}:{settings.peer_port}',
@@ -252,5 +258,13 @@
     def _is_planner(self) -> bool:
         return bool(self._planner.epoch)
 
+    def _batch_delay_s(self) -> float:
+        """Return the wait in seconds between two calls to the store."""
+        if self._is_planner():
+            return PLANNER_BATCH_DELAY_S
+        if self._exchange.is_near_planner:
+            return NEAR_BATCH_DELAY_S
+        return self._directory.freshness.pace.batch_delay_s
+
     async def _tick(self) -> None:
         self._exchange.tick()
--- a/bramleybeam/gateway/_directory.py
+++ b/bramleybeam/gateway/_directory.py
@@ -20,6 +20,7 @@
     RoutingConfiguration,
 )
 from bramleybeam.gateway._departures import Departure, DepartureTable
+from bramleybeam.gateway._follower_pace import DEFAULT_PACE, FollowerPace
 from bramleybeam.gateway._freshness import StoreFreshness
 from bramleybeam.gateway._placement import PlacementTable, ReplicaPlacement
 from bramleybeam.gateway._reachability import ReachabilityTable
@@ -41,13 +42,18 @@
 class Directory:
     """The view of one gateway; ``clock`` returns monotonic seconds.
 
+    ``pace`` is how often it reads the changes in the store.
     ``planner`` is the planner's key as last read from the store, and
     ``newest_planner`` the newest one that this or another gateway has read.
     ``has_listing`` is set once the store was read completely. The callbacks in
     ``on_change`` are called after each change.
     """
 
-    def __init__(self, clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        clock: Callable[[], float],
+        pace: FollowerPace = DEFAULT_PACE,
+    ) -> None:
         """Create a directory for which the store was never read."""
         self.configuration: RoutingConfiguration | None = None
         self.replicas: dict[str, Replica] = {}
@@ -59,7 +65,7 @@
         self.reachability = ReachabilityTable(clock)
         self.placement = PlacementTable(clock)
         self.departures = DepartureTable(clock)
-        self.freshness = StoreFreshness(clock)
+        self.freshness = StoreFreshness(clock, pace)
         self._clock = clock
         self._lapsed: dict[str, float] = {}
         self._lost_peers: dict[str, float] = {}
@@ -211,6 +217,7 @@
         if current is not None and received.version <= current.version:
             return
         self.configuration = received
+        self.freshness.note_version(received.version)
         _log.info(
             'configuration_in_force',
             version=received.version,
--- a/bramleybeam/gateway/_exchange.py
+++ b/bramleybeam/gateway/_exchange.py
@@ -106,6 +106,12 @@
         """The address of the parent; empty if this gateway is the root."""
         return self._parent.address
 
+    @property
+    def is_near_planner(self) -> bool:
+        """Whether this gateway's parent is the planner, or it has none."""
+        root = self._directory.newest_planner.host
+        return not self._parent.address or self._parent.host == root
+
     def tick(self) -> None:
         """Update the parent and the children, and send the messages due."""
         now = self._directory.now()
@@ -268,10 +274,13 @@
     def _note_store_state(self, observed: ObservedStoreState) -> None:
         self._directory.freshness.note_peer_revision(observed.revision)
         self._directory.note_peer_planner(observed.planner)
+        self._directory.freshness.note_peer_version(observed.version)
 
     def _make_store_state(self) -> ObservedStoreState:
         return ObservedStoreState(
-            self._directory.freshness.revision, self._directory.newest_planner
+            self._directory.freshness.revision,
+            self._directory.newest_planner,
+            self._directory.freshness.newest_version,
         )
 
     def _make_report(self, now: float) -> SubtreeReport:
--- a/bramleybeam/gateway/_follower.py
+++ b/bramleybeam/gateway/_follower.py
@@ -9,6 +9,7 @@
 from expression import Result
 
 from bramleybeam.gateway._directory import Directory
+from bramleybeam.gateway._follower_pace import WATCH_TIMEOUT_S
 from bramleybeam.keyvalue import (
     Changes,
     HistoryLost,
@@ -16,14 +17,6 @@
     Unavailable,
 )
 
-# Longest wait of one watch call in seconds, so that a dead connection is
-# detected soon.
-_WATCH_TIMEOUT_S: Final = 1.0
-# Wait in seconds before the next call, so that changes that arrive together are
-# read by one call. The planner waits less, because it passes on changes that
-# other gateways need immediately.
-_BATCH_DELAY_S: Final = 0.3
-_PLANNER_BATCH_DELAY_S: Final = 0.03
 # Longest wait in seconds after a failure.
 _RETRY_S: Final = 0.2
 _log = structlog.get_logger('follower')
@@ -39,17 +32,16 @@
         store: ListingStore,
         directory: Directory,
         rng: random.Random,
-        is_planner: Callable[[], bool],
+        batch_delay: Callable[[], float],
     ) -> None:
         """Store the store and the directory that it updates.
 
-        ``is_planner`` returns whether this gateway is the planner, which reads
-        changes sooner.
+        ``batch_delay`` returns the wait in seconds between two calls.
         """
         self._store = store
         self._directory = directory
         self._rng = rng
-        self._is_planner = is_planner
+        self._batch_delay = batch_delay
         self._lagging_event = asyncio.Event()
         directory.freshness.on_lagging.append(self._lagging_event.set)
 
@@ -103,15 +95,21 @@
         self._directory.note_store(answers=True)
         self._directory.apply(changes)
         # Without changes the store has answered at the end of the wait.
-        waited_s = 0 if changes.events else _WATCH_TIMEOUT_S
+        waited_s = 0 if changes.events else WATCH_TIMEOUT_S
         self._directory.freshness.note_sync(
             changes.revision, asked_at + waited_s
         )
 
     async def _wait_for_batch(self) -> None:
-        is_fast = self._is_planner()
-        await asyncio.sleep(
-            _PLANNER_BATCH_DELAY_S if is_fast else _BATCH_DELAY_S
+        """Wait until the next changes are due or needed."""
+        self._lagging_event.clear()
+        try:
+            async with asyncio.timeout(self._batch_delay()):
+                await self._lagging_event.wait()
+        except TimeoutError:
+            return
+        _log.info(
+            'batch_cut_short', revision=self._directory.freshness.revision
         )
 
     async def _watch_with_repeat(self, revision: int) -> Reply:
@@ -135,7 +133,7 @@
         return await self._watch(revision)
 
     async def _watch(self, revision: int) -> Reply:
-        return await self._store.follow('', revision, _WATCH_TIMEOUT_S)
+        return await self._store.follow('', revision, WATCH_TIMEOUT_S)
 
 
 async def _first_reply(
--- /dev/null
+++ b/bramleybeam/gateway/_follower_pace.py
@@ -0,0 +1,58 @@
+"""How often a gateway reads the changes in the store.
+
+Each call to the store has a price, and all calls together are limited, while
+every gateway needs the changes. Most of them can wait: what may not is passed on
+by the planner over the tree. Only the planner and the gateways next to it, one of
+which succeeds it, read each change as soon as it happens. The others read
+several changes at a time, often enough to meet the time bounds of the deployment
+on their own when the tree is broken.
+"""
+
+from typing import Final
+
+import attrs
+
+from bramleybeam.catalog import TimeBounds
+
+# Longest wait of one watch call in seconds, so that a dead connection is
+# detected soon.
+WATCH_TIMEOUT_S: Final = 1.0
+# Wait in seconds between two calls of the planner and of its children, so that
+# changes that arrive together are read by one call.
+PLANNER_BATCH_DELAY_S: Final = 0.03
+NEAR_BATCH_DELAY_S: Final = 0.3
+# Share of the shortest time bound that another gateway waits between two calls.
+# The rest is for the call itself, its repetition and slow links.
+_BOUND_SHARE: Final = 0.4
+# Time in seconds that a call takes at the most while the store is sound.
+_CALL_MARGIN_S: Final = 0.7
+
+
+@attrs.frozen
+class FollowerPace:
+    """The batching of changes; times are in seconds.
+
+    ``batch_delay_s`` is the wait between two calls of a gateway that is not near
+    the planner.
+    """
+
+    batch_delay_s: float = NEAR_BATCH_DELAY_S
+
+    @property
+    def max_lag_s(self) -> float:
+        """Time for which a change that peers have read may be missing."""
+        return self.batch_delay_s + _CALL_MARGIN_S
+
+    @property
+    def max_fresh_age_s(self) -> float:
+        """Largest age of the last sync in normal operation."""
+        return self.batch_delay_s + WATCH_TIMEOUT_S + _CALL_MARGIN_S
+
+
+DEFAULT_PACE: Final = FollowerPace()
+
+
+def make_pace(bounds: TimeBounds) -> FollowerPace:
+    """Return the pace that meets the bounds of a deployment."""
+    shortest_s = min(bounds.drain_s, bounds.configuration_s)
+    return FollowerPace(max(NEAR_BATCH_DELAY_S, _BOUND_SHARE * shortest_s))
--- a/bramleybeam/gateway/_forward.py
+++ b/bramleybeam/gateway/_forward.py
@@ -137,7 +137,7 @@
         It is retryable while this gateway lags behind others, because its
         configuration may be missing the route.
         """
-        if self._directory.is_lagging:
+        if self._directory.is_lagging or self._directory.freshness.is_outdated:
             return refuse(ErrorKind.NOT_CONFIGURED, retry_after=_RETRY_AFTER_S)
         return refuse(ErrorKind.UNKNOWN_SERVICE, path)
 
--- a/bramleybeam/gateway/_freshness.py
+++ b/bramleybeam/gateway/_freshness.py
@@ -1,18 +1,12 @@
 """Age of the last sync with the store, and lag behind other gateways."""
 
 from collections.abc import Callable
-from typing import Final
 
 import attrs
 import structlog
 
-# Time for which a revision that another gateway has read may be missing here.
-# It is not 0, because a gateway reads changes in batches and therefore always
-# lags a little.
-_MAX_LAG_S: Final = 1.0
-# Largest age of the last sync while the store answers calls at its normal
-# speed.
-_MAX_FRESH_AGE_S: Final = 2.0
+from bramleybeam.gateway._follower_pace import DEFAULT_PACE, FollowerPace
+
 _log = structlog.get_logger('freshness')
 
 
@@ -28,12 +22,20 @@
     """Compares the revision read here with those that neighbours report.
 
     ``clock`` returns seconds. The callbacks in ``on_lagging`` are called for
-    each report of a neighbour while this gateway is lagging.
+    each report of a neighbour while this gateway is lagging. ``pace`` is how
+    often this gateway reads changes.
     """
 
-    def __init__(self, clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        clock: Callable[[], float],
+        pace: FollowerPace = DEFAULT_PACE,
+    ) -> None:
         """Create a state in which the store was never read."""
         self.revision = 0
+        self.pace = pace
+        self._version = 0
+        self._newest_version = 0
         self.on_lagging: list[Callable[[], None]] = []
         self._clock = clock
         self._synced_at: float | None = None
@@ -51,7 +53,7 @@
     def is_fresh(self) -> bool:
         """Whether the last sync is as recent as in normal operation."""
         age_s = self.age_s
-        return age_s is not None and age_s <= _MAX_FRESH_AGE_S
+        return age_s is not None and age_s <= self.pace.max_fresh_age_s
 
     @property
     def is_lagging(self) -> bool:
@@ -59,9 +61,30 @@
         missing = self._missing
         return (
             missing is not None
-            and self._clock() - missing.noticed_at > _MAX_LAG_S
+            and self._clock() - missing.noticed_at > self.pace.max_lag_s
         )
 
+    @property
+    def newest_version(self) -> int:
+        """The newest version of the configuration that any gateway has."""
+        return self._newest_version
+
+    @property
+    def is_outdated(self) -> bool:
+        """Whether another gateway has a newer configuration than this one."""
+        return self._version < self._newest_version
+
+    def note_version(self, version: int) -> None:
+        """Record the version of the configuration in force here."""
+        self._version = version
+        self._newest_version = max(self._newest_version, version)
+
+    def note_peer_version(self, version: int) -> None:
+        """Record the version of the configuration that a peer knows of."""
+        self._newest_version = max(self._newest_version, version)
+        if self.is_outdated:
+            self.request_read()
+
     def note_sync(self, revision: int, synced_at: float) -> None:
         """Record that the store was read up to ``revision``.
 
@@ -86,5 +109,9 @@
             _log.warning(
                 'store_lag_detected', revision=self.revision, others=revision
             )
+        self.request_read()
+
+    def request_read(self) -> None:
+        """Ask for the changes in the store to be read without delay."""
         for callback in self.on_lagging:
             callback()
--- a/bramleybeam/gateway/_parent.py
+++ b/bramleybeam/gateway/_parent.py
@@ -30,6 +30,7 @@
         self.local_peer = local_peer
         self._directory = directory
         self._address = ''
+        self._host = ''
         self._contact_deadline = 0.0
         self._refreshed_at = 0.0
         # The time of the next probe, by address of a gateway that is skipped.
@@ -40,6 +41,11 @@
         """The parent's ``IP:PORT`` for datagrams; empty for the root."""
         return self._address
 
+    @property
+    def host(self) -> str:
+        """The name of the parent's host; empty for the root."""
+        return self._host
+
     def note_contact(self, now: float) -> None:
         """Record that a message of the parent, of any kind, was received."""
         self._contact_deadline = now + _RESPONSE_TIMEOUT_S
@@ -77,6 +83,7 @@
         previous = self._address
         parent = self._choose()
         self._address = parent.address if parent else ''
+        self._host = parent.host if parent else ''
         if self._address == previous:
             return ''
         self._contact_deadline = now + _RESPONSE_TIMEOUT_S
--- a/bramleybeam/gateway/_peer_codec.py
+++ b/bramleybeam/gateway/_peer_codec.py
@@ -15,6 +15,7 @@
 from bramleybeam.gateway._loads import LoadReport
 from bramleybeam.gateway._peer_messages import (
     DepartureUpdate,
+    ObservedStoreState,
     OrderAnnouncement,
     ParentUpdate,
     PeerMessage,
@@ -135,6 +136,7 @@
         'depth': report.depth,
         'mark': attrs.astuple(report.version),
         'store': parts.encode_store_state(report.store),
+        'version': report.store.version,
         'loads': {
             name: [
                 load.requests,
@@ -168,7 +170,7 @@
         float(fields['period']),
         int(fields['depth']),
         parts.decode_version(fields['mark']),
-        parts.decode_store_state(fields['store']),
+        _decode_store_state(fields),
         {
             name: LoadReport(
                 int(row[0]), int(row[1]), parts.decode_counts(row[2])
@@ -191,6 +193,7 @@
     fields: dict[str, Any] = {
         'period': update.period_s,
         'store': parts.encode_store_state(update.store),
+        'version': update.store.version,
         'mark': attrs.astuple(delta.version),
         'since': delta.since,
         'rows': {
@@ -233,9 +236,15 @@
                 for name, row in fields['rows'].items()
             },
         ),
-        parts.decode_store_state(fields['store']),
+        _decode_store_state(fields),
         loads,
         None if ages is None else parts.decode_ages(ages),
         parts.decode_departures(fields.get('departures', {})),
         parts.decode_pauses(fields.get('pauses', {})),
     )
+
+
+def _decode_store_state(fields: dict[str, Any]) -> ObservedStoreState:
+    return parts.decode_store_state(
+        fields['store'], int(fields.get('version', 0))
+    )
--- a/bramleybeam/gateway/_peer_codec_parts.py
+++ b/bramleybeam/gateway/_peer_codec_parts.py
@@ -22,10 +22,10 @@
     return [observed.revision, observed.planner.revision, observed.planner.host]
 
 
-def decode_store_state(row: list[Any]) -> ObservedStoreState:
+def decode_store_state(row: list[Any], version: int) -> ObservedStoreState:
     revision, planner_revision, host = row
     planner = ObservedPlanner(int(planner_revision), str(host))
-    return ObservedStoreState(int(revision), planner)
+    return ObservedStoreState(int(revision), planner, version)
 
 
 def decode_version(row: list[Any]) -> PlacementVersion:
--- a/bramleybeam/gateway/_peer_messages.py
+++ b/bramleybeam/gateway/_peer_messages.py
@@ -18,11 +18,13 @@
     """The newest state of the store that a gateway knows.
 
     ``revision`` is the store revision up to which it has read; ``planner`` is
-    the newest planner that it has read or that a peer has reported.
+    the newest planner that it has read or that a peer has reported, and
+    ``version`` the newest version of the configuration, likewise.
     """
 
     revision: int = 0
     planner: ObservedPlanner = ObservedPlanner()
+    version: int = 0
 
 
 @attrs.frozen
--- a/bramleybeam/gateway/tests/test_follower.py
+++ b/bramleybeam/gateway/tests/test_follower.py
@@ -7,12 +7,24 @@
 import pytest
 from expression import Error, Ok
 
+from bramleybeam.catalog import TimeBounds
 from bramleybeam.gateway._directory import Directory
 from bramleybeam.gateway._follower import StoreFollower
+from bramleybeam.gateway._follower_pace import (
+    NEAR_BATCH_DELAY_S,
+    WATCH_TIMEOUT_S,
+    FollowerPace,
+    make_pace,
+)
 from bramleybeam.gateway._status import Traffic
 from bramleybeam.keyvalue import Changes, Item, Listing, Unavailable
 from bramleybeam.simulation import run_in_virtual_time
 
+
+def near_delay_s():
+    return NEAR_BATCH_DELAY_S
+
+
 EVENT = Item('servers/odd', b'{', 2)
 
 
@@ -54,7 +66,7 @@
         loop = asyncio.get_running_loop()
         directory = Directory(loop.time)
         follower = StoreFollower(
-            ScriptedStore(script), directory, random.Random(1), bool
+            ScriptedStore(script), directory, random.Random(1), near_delay_s
         )
         assert directory.freshness.age_s is None
         task = asyncio.create_task(follower.run())
@@ -71,7 +83,9 @@
         directory = Directory(loop.time)
         unanswered = (3600, None)
         store = ScriptedStore([unanswered, (0.01, Ok(Changes((EVENT,), 2)))])
-        follower = StoreFollower(store, directory, random.Random(1), bool)
+        follower = StoreFollower(
+            store, directory, random.Random(1), near_delay_s
+        )
         task = asyncio.create_task(follower.run())
         for _ in range(4):
             await asyncio.sleep(0.5)
@@ -85,8 +99,8 @@
     run_in_virtual_time(follow())
 
 
-@pytest.mark.parametrize(('is_planner', 'calls'), [(True, 20), (False, 3)])
-def test_planner_batches_changes_for_less_time(is_planner, calls):
+@pytest.mark.parametrize(('delay_s', 'calls'), [(0.03, 20), (0.3, 3)])
+def test_changes_that_arrive_together_are_read_by_one_call(delay_s, calls):
     async def follow():
         loop = asyncio.get_running_loop()
         changes = [
@@ -94,7 +108,7 @@
         ]
         store = ScriptedStore(changes)
         follower = StoreFollower(
-            store, Directory(loop.time), random.Random(1), lambda: is_planner
+            store, Directory(loop.time), random.Random(1), lambda: delay_s
         )
         task = asyncio.create_task(follower.run())
         await asyncio.sleep(0.8)
@@ -104,6 +118,50 @@
     assert run_in_virtual_time(follow()) == calls
 
 
+def test_newer_configuration_of_a_peer_is_read_without_delay():
+    """The wait between two calls ends, but not for any other newer revision."""
+
+    async def follow():
+        loop = asyncio.get_running_loop()
+        pace = FollowerPace(batch_delay_s=1.6)
+        directory = Directory(loop.time, pace)
+        store = ScriptedStore(
+            [(0.01, Ok(Changes((EVENT,), number))) for number in range(2, 9)]
+        )
+        follower = StoreFollower(
+            store, directory, random.Random(1), lambda: pace.batch_delay_s
+        )
+        task = asyncio.create_task(follower.run())
+        await asyncio.sleep(0.2)
+        calls_before = store.calls
+        directory.freshness.note_peer_revision(9)
+        await asyncio.sleep(0.2)
+        assert store.calls == calls_before
+        directory.freshness.note_peer_version(7)
+        await asyncio.sleep(0.1)
+        assert store.calls == calls_before + 1
+        assert directory.freshness.is_outdated
+        task.cancel()
+
+    run_in_virtual_time(follow())
+
+
+@pytest.mark.parametrize(
+    ('drain_s', 'configuration_s'), [(2, 2), (3, 3), (4, 4), (4, 1), (0.5, 9)]
+)
+def test_pace_meets_the_shortest_bound_without_other_gateways(
+    drain_s, configuration_s
+):
+    pace = make_pace(
+        TimeBounds(drain_s=drain_s, configuration_s=configuration_s)
+    )
+    shortest_s = min(drain_s, configuration_s)
+    # A second call within the bound is possible after one that was lost.
+    assert pace.batch_delay_s <= max(NEAR_BATCH_DELAY_S, shortest_s / 2)
+    assert pace.max_lag_s > pace.batch_delay_s
+    assert pace.max_fresh_age_s > pace.batch_delay_s + WATCH_TIMEOUT_S
+
+
 def test_traffic_counters_reset_when_taken():
     traffic = Traffic()
     traffic.note_sent('peers', 100)
@@ -172,7 +230,9 @@
         loop = asyncio.get_running_loop()
         directory = Directory(loop.time)
         store = ThinLinkStore(available_at=10, versions=18)
-        follower = StoreFollower(store, directory, random.Random(1), bool)
+        follower = StoreFollower(
+            store, directory, random.Random(1), near_delay_s
+        )
         task = asyncio.create_task(follower.run())
         await asyncio.sleep(12)
         task.cancel()
