Read the reports of gateways of an earlier version

Cause: the loads in a report have another form, so that gateways of the two versions could not read each other's reports at all during an upgrade. Change: the old field stays, empty, and a report without the new one is read without loads. Result: gateway/tests/test_packed_loads.py.

--- a/bramleybeam/gateway/_peer_codec.py
+++ b/bramleybeam/gateway/_peer_codec.py
@@ -138,6 +138,8 @@
         'mark': attrs.astuple(report.version),
         'store': parts.encode_store_state(report.store),
         'version': report.store.version,
+        # Gateways of an earlier version expect this field.
+        'loads': {},
         'packed': pack_loads(report.loads.totals),
         'targets': parts.encode_targets(report.loads.targets),
         'demand': {
@@ -162,7 +164,7 @@
         parts.decode_version(fields['mark']),
         _decode_store_state(fields),
         RemoteLoads(
-            unpack_loads(fields['packed']),
+            unpack_loads(fields.get('packed', '')),
             parts.decode_targets(fields.get('targets', {})),
         ),
         Demand(
--- a/bramleybeam/gateway/tests/test_packed_loads.py
+++ b/bramleybeam/gateway/tests/test_packed_loads.py
@@ -1,15 +1,25 @@
-"""Packing the loads of replicas."""
+"""Packing the loads of replicas, and messages that carry them."""
+
+import json
+import zlib
 
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from bramleybeam.gateway._loads import RemoteLoads
 from bramleybeam.gateway._packed_loads import (
     PackedLoad,
     pack_loads,
     replica_code,
     unpack_loads,
 )
+from bramleybeam.gateway._peer_codec import (
+    decode_peer_message,
+    encode_peer_message,
+)
+from bramleybeam.gateway._peer_messages import SubtreeReport
+from bramleybeam.links import FrameDecoder, Notice, encode_frame
 
 LOADS = st.builds(
     PackedLoad,
@@ -51,3 +61,19 @@
     }
     assert len(loads) == 66
     assert len(pack_loads(loads)) <= 66 * 12
+
+
+def test_report_of_an_earlier_version_is_read_without_loads():
+    """Earlier versions name replicas in full, and know no further fields."""
+    report = SubtreeReport(1, loads=RemoteLoads({7: PackedLoad(3)}))
+    (frame,) = FrameDecoder().feed(encode_peer_message(report))
+    fields = json.loads(zlib.decompress(frame.body))
+    # They require this field, whatever it holds.
+    assert fields['loads'] == {}
+    for name in ('packed', 'targets', 'version', 'pauses', 'outcomes'):
+        fields.pop(name)
+    fields['loads'] = {'e1': [3, 100, {'m1/': 3}]}
+    body = zlib.compress(json.dumps(fields).encode())
+    read = decode_peer_message(encode_frame(Notice('report', body)))
+    assert read.period_s == 1
+    assert not read.loads.totals
