--- a/bramleybeam/decisions/_routing.py
+++ b/bramleybeam/decisions/_routing.py
@@ -65,9 +65,10 @@
     """Return the best candidate with capacity, or ``None`` if there is none.
 
     ``sampled`` candidates are drawn at random. The one with the best prefix
-    cache and, if only some are connected, the best of those are added. The one
-    with the lowest estimate is returned. A small sample prevents that many processes with the same stale data all
-    choose the same upstream. Comparing all candidates is best with fresh data.
+    cache is added and, if only some are connected, the best of those. The one
+    with the lowest estimate is returned. A small sample prevents that many
+    processes with the same stale data all choose the same upstream. Comparing
+    all candidates is best with fresh data.
     """
     available = [
         candidate for candidate in candidates if candidate.has_capacity
--- a/bramleybeam/gateway/_cluster_state.py
+++ b/bramleybeam/gateway/_cluster_state.py
@@ -18,7 +18,7 @@
     """The tables that routing and placement decisions are based on.
 
     ``directory`` holds what the store and the planner publish, ``loads`` the
-    requests in flight, ``demand`` the request rates by model and ``pauses``
+    requests in flight, ``demand`` the request rates by model, ``pauses``
     the replicas that have asked for a pause, and ``failures`` the shares of the
     requests that fail at each replica.
     """
--- a/bramleybeam/gateway/_exchange.py
+++ b/bramleybeam/gateway/_exchange.py
@@ -38,9 +38,7 @@
     SubtreeReport,
 )
 from bramleybeam.gateway._pending_demand import PendingDemand
-from bramleybeam.gateway._placement import (
-    PlacementVersion,
-)
+from bramleybeam.gateway._placement import PlacementVersion
 
 # Time for which the data of a neighbour is valid: at least this many seconds,
 # and at least this many of the neighbour's message periods.
--- a/bramleybeam/gateway/_failures.py
+++ b/bramleybeam/gateway/_failures.py
@@ -16,7 +16,7 @@
 # Counts that are assumed in addition to those observed, so that a single failure
 # at an idle replica does not count as a share of 1.
 _PRIOR_COUNT: Final = 2.0
-# Failures below which a replica's counts are neither reported nor kept.
+# Failures below which a replica's counts are not reported.
 _MIN_REPORTED: Final = 0.1
 
 
--- a/bramleybeam/orders/_balance.py
+++ b/bramleybeam/orders/_balance.py
@@ -284,8 +284,8 @@
 def late_weight(busy_share: float) -> float:
     """Return the late requests at a replica, as a fraction of all.
 
-    A request in excess of the replica's capacity counts several times, so that
-    another copy helps even if all requests are still late with it.
+    A request in excess of the replica's capacity counts ``_EXCESS_WEIGHT``
+    times, so that another copy helps even if all requests are late with it.
     """
     excess = max(0, 1 - _FULL_SHARE / busy_share) if busy_share > 0 else 0
     return late_fraction(busy_share) + (_EXCESS_WEIGHT - 1) * excess
