Ask callers to return when a load may have ended

Cause: a request for a model that nothing loads yet was refused at the end of its wait with a Retry-After of 1 s. A load takes 1.4 to 2.4 s, so that the caller was refused again and had no attempt left.

Change: without a replica that holds the model and without an expected arrival, Retry-After is the time of a load. If a replica holds it but is full, it stays at 1 s.

--- a/bramleybeam/gateway/_choose.py
+++ b/bramleybeam/gateway/_choose.py
@@ -131,6 +131,7 @@
                 state = WaitState(
                     self._finder.shortest_pause_s(holders),
                     pending_request.is_counted,
+                    bool(holders),
                 )
                 self._check_wait(job, state)
                 await self.changed.wait(state.recheck_s)
--- a/bramleybeam/gateway/_wait_limits.py
+++ b/bramleybeam/gateway/_wait_limits.py
@@ -31,11 +31,13 @@
 
     ``pause_s`` is the time in seconds until one of the replicas that hold its
     target takes requests again, 0 if one does. ``had_no_holder`` is whether, at
-    some time of the wait, no replica held the target.
+    some time of the wait, no replica held the target, and ``has_holder`` whether
+    one does now.
     """
 
     pause_s: float = 0
     had_no_holder: bool = False
+    has_holder: bool = True
 
     @property
     def recheck_s(self) -> float:
@@ -69,7 +71,18 @@
     if wait_left_s > 0:
         return None
     job.queue_exit = QueueExitReason.WAITED_LONG
-    return _make_refusal(job)
+    return _make_refusal(job, None if state.has_holder else _load_time_s(job))
+
+
+def _load_time_s(job: Job) -> float | None:
+    """Return when a target that isn't being loaded yet may have arrived.
+
+    A caller that returned sooner would be refused again. ``None`` if the time is
+    unknown.
+    """
+    engine = job.service.engine
+    model = engine.models.get(job.facts.model) if engine else None
+    return model.load_s + _ARRIVAL_MARGIN_S if model else None
 
 
 def _make_refusal(job: Job, retry_after_s: float | None = None) -> Refusal:
