Read the store less often while the tree passes on what is urgent

Cause: up to seven gateways next to the planner read each change 0.3 s after it happened, and the others waited 0.4 of the shortest time bound between two calls so that a lost call could be repeated, although configurations and departures reach them over the tree within a second.

Change: two deputies, the heads of the zones with the fastest links, follow the store as closely as the planner's children did. The other gateways wait 0.6 of the bound while their parent responds, and 0.4 as soon as it is silent. A replica that a neighbour found missing in the store, and that is listed here, ends the wait.

--- a/bramleybeam/gateway/_daemon.py
+++ b/bramleybeam/gateway/_daemon.py
@@ -268,9 +268,12 @@
         """Return the wait in seconds between two calls to the store."""
         if self._is_planner():
             return PLANNER_BATCH_DELAY_S
-        if self._exchange.is_near_planner:
+        if self._exchange.is_deputy:
             return NEAR_BATCH_DELAY_S
-        return self._directory.freshness.pace.batch_delay_s
+        pace = self._directory.freshness.pace
+        if self._exchange.has_responding_parent:
+            return pace.relayed_delay_s
+        return pace.batch_delay_s
 
     async def _tick(self) -> None:
         self._exchange.tick()
--- a/bramleybeam/gateway/_exchange.py
+++ b/bramleybeam/gateway/_exchange.py
@@ -112,10 +112,14 @@
         return self._parent.address
 
     @property
-    def is_near_planner(self) -> bool:
-        """Whether this gateway's parent is the planner, or it has none."""
-        root = self._directory.newest_planner.host
-        return not self._parent.address or self._parent.host == root
+    def is_deputy(self) -> bool:
+        """Whether this gateway may succeed the planner, or has no parent."""
+        return not self._parent.address or self._parent.is_deputy
+
+    @property
+    def has_responding_parent(self) -> bool:
+        """Whether the parent passes on what this gateway has to know."""
+        return self._parent.is_responding(self._directory.now())
 
     def tick(self) -> None:
         """Update the parent and the children, and send the messages due."""
@@ -149,7 +153,7 @@
                 self._demand.update_remote_pending(sender, message)
                 self._on_pending_changed()
             case DepartureUpdate(rows=rows):
-                self._directory.departures.learn(rows)
+                self._tables.learn_departures(rows)
             case OrderAnnouncement(ages=ages):
                 self._order_history.merge_remote(ages)
             case ResyncRequest(version=version) if sender in self._children:
--- a/bramleybeam/gateway/_follower.py
+++ b/bramleybeam/gateway/_follower.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections.abc import Callable
+from contextlib import suppress
 from typing import Final
 
 import structlog
@@ -19,6 +20,8 @@
 
 # Longest wait in seconds after a failure.
 _RETRY_S: Final = 0.2
+# Time in seconds after which the wait between two calls is determined again.
+_RECHECK_S: Final = 0.25
 _log = structlog.get_logger('follower')
 
 Reply = Result[Changes, HistoryLost | Unavailable]
@@ -36,7 +39,8 @@
     ) -> None:
         """Store the store and the directory that it updates.
 
-        ``batch_delay`` returns the wait in seconds between two calls.
+        ``batch_delay`` returns the wait in seconds between two calls. It may
+        change during the wait.
         """
         self._store = store
         self._directory = directory
@@ -103,15 +107,24 @@
     async def _wait_for_batch(self) -> None:
         """Wait until the next changes are due or needed."""
         self._lagging_event.clear()
-        try:
-            async with asyncio.timeout(self._batch_delay()):
-                await self._lagging_event.wait()
-        except TimeoutError:
-            return
+        waited_s = 0.0
+        while not self._lagging_event.is_set():
+            left_s = self._batch_delay() - waited_s
+            if left_s <= 0:
+                return
+            step_s = min(left_s, _RECHECK_S)
+            await self._wait_until_lagging(step_s)
+            waited_s += step_s
         _log.info(
             'batch_cut_short', revision=self._directory.freshness.revision
         )
 
+    async def _wait_until_lagging(self, timeout_s: float) -> None:
+        """Wait until this gateway is known to lag behind, or a timeout."""
+        with suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                await self._lagging_event.wait()
+
     async def _watch_with_repeat(self, revision: int) -> Reply:
         """Watch for changes, with a second call if this gateway lags behind.
 
--- a/bramleybeam/gateway/_follower_pace.py
+++ b/bramleybeam/gateway/_follower_pace.py
@@ -2,10 +2,10 @@
 
 Each call to the store has a price, and all calls together are limited, while
 every gateway needs the changes. Most of them can wait: what may not is passed on
-by the planner over the tree. Only the planner and the gateways next to it, one of
-which succeeds it, read each change as soon as it happens. The others read
-several changes at a time, often enough to meet the time bounds of the deployment
-on their own when the tree is broken.
+over the tree. Only the planner and its deputies, one of which succeeds it, read
+each change as soon as it happens. The others read several changes at a time. They
+meet the time bounds of the deployment on their own, and read more often when the
+tree is broken, so that a call that fails can be repeated in time.
 """
 
 from typing import Final
@@ -17,13 +17,16 @@
 # Longest wait of one watch call in seconds, so that a dead connection is
 # detected soon.
 WATCH_TIMEOUT_S: Final = 1.0
-# Wait in seconds between two calls of the planner and of its children, so that
+# Wait in seconds between two calls of the planner and of its deputies, so that
 # changes that arrive together are read by one call.
 PLANNER_BATCH_DELAY_S: Final = 0.03
 NEAR_BATCH_DELAY_S: Final = 0.3
 # Share of the shortest time bound that another gateway waits between two calls.
 # The rest is for the call itself, its repetition and slow links.
 _BOUND_SHARE: Final = 0.4
+# The same while its parent in the tree passes on what can't wait. The rest is
+# for one call.
+_RELAYED_BOUND_SHARE: Final = 0.6
 # Time in seconds that a call takes at the most while the store is sound.
 _CALL_MARGIN_S: Final = 0.7
 
@@ -32,21 +35,23 @@
 class FollowerPace:
     """The batching of changes; times are in seconds.
 
-    ``batch_delay_s`` is the wait between two calls of a gateway that is not near
-    the planner.
+    ``batch_delay_s`` is the wait between two calls of a gateway that is not a
+    deputy of the planner, ``relayed_delay_s`` the same while its parent in the
+    tree responds.
     """
 
     batch_delay_s: float = NEAR_BATCH_DELAY_S
+    relayed_delay_s: float = NEAR_BATCH_DELAY_S
 
     @property
     def max_lag_s(self) -> float:
         """Time for which a change that peers have read may be missing."""
-        return self.batch_delay_s + _CALL_MARGIN_S
+        return self.relayed_delay_s + _CALL_MARGIN_S
 
     @property
     def max_fresh_age_s(self) -> float:
         """Largest age of the last sync in normal operation."""
-        return self.batch_delay_s + WATCH_TIMEOUT_S + _CALL_MARGIN_S
+        return self.relayed_delay_s + WATCH_TIMEOUT_S + _CALL_MARGIN_S
 
 
 DEFAULT_PACE: Final = FollowerPace()
@@ -55,4 +60,7 @@
 def make_pace(bounds: TimeBounds) -> FollowerPace:
     """Return the pace that meets the bounds of a deployment."""
     shortest_s = min(bounds.drain_s, bounds.configuration_s)
-    return FollowerPace(max(NEAR_BATCH_DELAY_S, _BOUND_SHARE * shortest_s))
+    return FollowerPace(
+        max(NEAR_BATCH_DELAY_S, _BOUND_SHARE * shortest_s),
+        max(NEAR_BATCH_DELAY_S, _RELAYED_BOUND_SHARE * shortest_s),
+    )
--- a/bramleybeam/gateway/_neighbour_tables.py
+++ b/bramleybeam/gateway/_neighbour_tables.py
@@ -2,7 +2,9 @@
 
 from collections.abc import Mapping
 
+from bramleybeam.catalog import ReplicaState
 from bramleybeam.gateway._cluster_state import ClusterState
+from bramleybeam.gateway._departures import Departure
 from bramleybeam.gateway._directory import Directory
 from bramleybeam.gateway._peer_messages import (
     ObservedStoreState,
@@ -43,7 +45,7 @@
         self._loads.update_remote(child, report.loads, expires_at)
         self._failures.update_remote(child, report.outcomes, expires_at)
         self._directory.reachability.update_remote(report.unreachable)
-        self._directory.departures.learn(report.departures)
+        self.learn_departures(report.departures)
         self._pauses.learn(report.pauses, now)
         self._note_store_state(report.store)
         return self._demand.update_remote(child, report.demand, expires_at)
@@ -56,7 +58,7 @@
         expires_at: float,
     ) -> None:
         """Merge a parent's update, except for its placement rows."""
-        self._directory.departures.learn(update.departures)
+        self.learn_departures(update.departures)
         self._pauses.learn(update.pauses, now)
         self._note_store_state(update.store)
         if update.loads is not None:
@@ -65,6 +67,31 @@
         if _lists_more(update.delta.rows, self._directory):
             self._directory.freshness.request_read()
 
+    def learn_departures(self, departures: Mapping[str, Departure]) -> None:
+        """Record departures that a neighbour knows of.
+
+        The store is read without delay if a replica that is listed here was
+        found missing there, because only the store tells whether it is gone.
+        """
+        is_contradicted = any(
+            self._contradicts(name, departure)
+            for name, departure in departures.items()
+            if departure.is_gone
+        )
+        self._directory.departures.learn(departures)
+        if is_contradicted:
+            self._directory.freshness.request_read()
+
+    def _contradicts(self, name: str, departure: Departure) -> bool:
+        """Whether a departure is new and its replica is listed as ready."""
+        replica = self._directory.replicas.get(name)
+        return (
+            replica is not None
+            and replica.started_ms == departure.started_ms
+            and replica.state == ReplicaState.READY
+            and self._directory.departures.find(replica) is None
+        )
+
     def _note_store_state(self, observed: ObservedStoreState) -> None:
         self._directory.freshness.note_peer_revision(observed.revision)
         self._directory.note_peer_planner(observed.planner)
--- a/bramleybeam/gateway/_parent.py
+++ b/bramleybeam/gateway/_parent.py
@@ -9,7 +9,7 @@
 import structlog
 
 from bramleybeam.gateway._directory import Directory
-from bramleybeam.gateway._tree import Peer, choose_parent
+from bramleybeam.gateway._tree import Peer, choose_parent, is_deputy
 
 # Time in seconds without a message after which a parent is unresponsive; a
 # parent that responds sends several messages in that time.
@@ -46,6 +46,17 @@
         """The name of the parent's host; empty for the root."""
         return self._host
 
+    @property
+    def is_deputy(self) -> bool:
+        """Whether this gateway is one of the first to succeed the planner."""
+        peers = tuple(self._directory.peers.values())
+        root = self._directory.newest_planner.host
+        return is_deputy(self.local_peer, peers, root)
+
+    def is_responding(self, now: float) -> bool:
+        """Whether there is a parent that has sent a message recently."""
+        return bool(self._address) and now < self._contact_deadline
+
     def note_contact(self, now: float) -> None:
         """Record that a message of the parent, of any kind, was received."""
         self._contact_deadline = now + _RESPONSE_TIMEOUT_S
--- a/bramleybeam/gateway/_tree.py
+++ b/bramleybeam/gateway/_tree.py
@@ -19,6 +19,8 @@
 
 # Most children of a gateway within its zone, and of a head among the heads.
 FANOUT: Final = 3
+# Number of gateways that are ready to succeed the root.
+_DEPUTIES: Final = 2
 _DECODING_ERRORS: Final = (
     ValueError,
     KeyError,
@@ -105,6 +107,20 @@
     return _parent_in_layout(ranked_heads, local_peer)
 
 
+def is_deputy(local_peer: Peer, peers: Collection[Peer], root: str) -> bool:
+    """Whether a gateway is one of the first to succeed the root.
+
+    These are the heads of the zones with the fastest links, other than the root
+    ``root``, and after them the other gateways.
+    """
+    others = {peer.host: peer for peer in (*peers, local_peer)}
+    others.pop(root, None)
+    ranked = sorted(others.values(), key=lambda peer: _rank(peer, root))
+    heads = {peer.zone: peer for peer in reversed(ranked)}
+    ranked.sort(key=lambda peer: heads[peer.zone] is not peer)
+    return local_peer.host in {peer.host for peer in ranked[:_DEPUTIES]}
+
+
 def _rank(peer: Peer, root: str) -> tuple[bool, float, str]:
     """Return the sort key: the root first, then the fastest links."""
     return (peer.host != root, -peer.link_bytes_per_s, peer.host)
