Apply changed settings while a gateway runs, and serve metrics

Cause: SIGHUP was accepted without reading the settings file again; a field of a wrong type was reported without its name; and the gateway had no metrics, so that only its log showed replicas that leave or ask for a pause.

Change: on SIGHUP, and every 5 s, the file is read. What has changed is applied to the retry budgets, whose counts are kept, the lease, the order cooldown and the pace of store calls; settings that need a restart are named. An invalid file leaves the settings as they are, with one log line that names the field. Metrics are served at the address that the deploy file sets.

--- a/bramleybeam/catalog/_host.py
+++ b/bramleybeam/catalog/_host.py
@@ -30,7 +30,8 @@
     summed over all hosts. ``replicas_check_epochs`` is whether replicas
     refuse orders of an older epoch than they have seen. ``max_descriptors``
     limits the open file descriptors. ``link_bytes_per_s`` is the rate of the
-    host's network link, 0 if it isn't configured.
+    host's network link, 0 if it isn't configured. ``metrics_listen`` is the
+    address at which metrics are served, empty for none.
     """
 
     name: str
@@ -47,3 +48,4 @@
     replicas_check_epochs: bool = False
     max_descriptors: int = 4096
     link_bytes_per_s: float = 0
+    metrics_listen: str = ''
--- a/bramleybeam/gateway/__main__.py
+++ b/bramleybeam/gateway/__main__.py
@@ -38,8 +38,8 @@
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, lambda: None)
     daemon = GatewayDaemon(settings)
+    loop.add_signal_handler(signal.SIGHUP, daemon.reload_settings)
     await daemon.start()
     await stop.wait()
     await daemon.shut_down()
--- a/bramleybeam/gateway/_daemon.py
+++ b/bramleybeam/gateway/_daemon.py
@@ -24,6 +24,7 @@
     make_pace,
 )
 from bramleybeam.gateway._forward import Forwarder
+from bramleybeam.gateway._metrics import METRICS_PATH, GatewayMetrics
 from bramleybeam.gateway._order_history import OrderHistory
 from bramleybeam.gateway._parent import ParentSelector
 from bramleybeam.gateway._peer_messages import PeerMessage
@@ -31,6 +32,7 @@
 from bramleybeam.gateway._planner import Planner
 from bramleybeam.gateway._planner_lease import PlannerLease
 from bramleybeam.gateway._reply_observer import note_leaving
+from bramleybeam.gateway._settings_reload import SettingsReloader
 from bramleybeam.gateway._status import StatusReporter, Traffic
 from bramleybeam.gateway._tree import Peer, encode_peer
 from bramleybeam.keyvalue import LeaseKeeper
@@ -54,6 +56,8 @@
 _REGISTRATION_TTL_S: Final = 10.0
 _REGISTRATION_RENEW_S: Final = 3.0
 _STATUS_S: Final = 1.0
+# Period at which the settings file is read, because it may change without a signal.
+_SETTINGS_S: Final = 5.0
 # Time until the load balancer has stopped sending requests to a gateway whose
 # readiness check fails.
 _BALANCER_LAG_S: Final = 2.6
@@ -72,11 +76,12 @@
         self._is_stopping = False
         self._traffic = Traffic()
         self._store = platform.PlatformStore(
-            settings.store_address, on_call=self._traffic.note_store_call
+            settings.store_address, on_call=self._note_store_call
         )
         pace = make_pace(settings.bounds)
         cluster_state = make_cluster_state(time.monotonic, rng, pace)
         self._directory = cluster_state.directory
+        self._metrics = GatewayMetrics(cluster_state, self._is_planner)
         self._timers = TimerService(rng)
         self._tasks = TaskSet()
         pool = ConnectionPool(self._directory.now)
@@ -84,7 +89,7 @@
             cluster_state, settings.zone, rng, pool.has_idle
         )
         self._forwarder = Forwarder(
-            settings, cluster_state, self._chooser, pool, rng
+            settings, cluster_state, self._chooser, pool, rng, self._metrics
         )
         order_history = OrderHistory(
             settings.bounds.order_pause_s, platform.boot_clock
@@ -126,10 +131,16 @@
         self._status = StatusReporter(
             self._directory, self._traffic, self._timers.take_lateness
         )
+        self._reloader = SettingsReloader(
+            settings, platform.load_host_settings, self._apply_settings
+        )
         self._callers = CallerServer(settings.listen, self._forwarder.handle)
         self._readiness = CallerServer(
             settings.readiness_listen, self._answer_readiness
         )
+        self._metrics_server = CallerServer(
+            settings.metrics_listen, self._answer_metrics
+        )
         self._published_at = float('-inf')
         self._directory.on_change.append(self._apply_limits)
         cluster_state.demand.pending.on_pending.append(self._coalescer.trigger)
@@ -150,6 +161,9 @@
         await self._readiness.start()
         await self._callers.start()
         await self._peers.start()
+        if self._settings.metrics_listen:
+            await self._metrics_server.start()
+            _log.info('metrics_served', address=self._metrics_server.address)
         self._tasks.spawn(self._follower.run())
         key = PEER_PREFIX.removeprefix(GATEWAY_PREFIX) + self._peers.address
         registered_peer = attrs.evolve(
@@ -165,19 +179,17 @@
         self._timers.subscribe(
             'listing', _REGISTRATION_RENEW_S, registration.keep
         )
-        self._timers.subscribe('exchange', _EXCHANGE_S, self._tick)
-        self._timers.subscribe(
-            'lease', _LEASE_CHECK_S, self._planner.keep_lease
-        )
-        self._timers.subscribe('idle', _DROP_IDLE_S, self._forwarder.drop_idle)
-        self._timers.subscribe('plan', _PLAN_S, self._plan)
-        self._timers.subscribe('status', _STATUS_S, self._status.report)
+        self._subscribe_timers()
         _log.info(
             'started',
             callers=self._callers.address,
             readiness=self._readiness.address,
         )
 
+    def reload_settings(self) -> None:
+        """Apply a change of the settings file; open requests are not affected."""
+        self._tasks.spawn(self._reloader.reload())
+
     async def shut_down(self) -> None:
         """Shut down gracefully.
 
@@ -196,12 +208,23 @@
             self._settings.bounds.grace_s - elapsed_s - _EXIT_RESERVE_S
         )
         await self._callers.close(max(0, time_left_s))
-        await self._readiness.close(0)
+        for server in (self._readiness, self._metrics_server):
+            await server.close(0)
         await self._timers.close()
         await self._tasks.close()
         self._peers.close()
         _log.info('stopped', spent_s=round(time.monotonic() - began_at, 2))
 
+    def _subscribe_timers(self) -> None:
+        """Start the periodic work."""
+        subscribe = self._timers.subscribe
+        subscribe('exchange', _EXCHANGE_S, self._tick)
+        subscribe('lease', _LEASE_CHECK_S, self._planner.keep_lease)
+        subscribe('idle', _DROP_IDLE_S, self._forwarder.drop_idle)
+        subscribe('plan', _PLAN_S, self._plan)
+        subscribe('settings', _SETTINGS_S, self._reloader.reload)
+        subscribe('status', _STATUS_S, self._status.report)
+
     async def _answer_readiness(
         self,
         request: InboundRequest,
@@ -219,6 +242,30 @@
         else:
             connection.respond(HTTPStatus.NOT_FOUND, (), b'')
 
+    async def _answer_metrics(
+        self,
+        request: InboundRequest,
+        connection: CallerConnection,
+    ) -> None:
+        if request.path == METRICS_PATH:
+            headers = ((b'Content-Type', b'text/plain; version=0.0.4'),)
+            connection.respond(HTTPStatus.OK, headers, self._metrics.render())
+        else:
+            connection.respond(HTTPStatus.NOT_FOUND, (), b'')
+
+    def _note_store_call(
+        self, took_s: float, sizes: tuple[int, int], *, answered: bool
+    ) -> None:
+        self._traffic.note_store_call(took_s, sizes, answered=answered)
+        self._metrics.note_store_call(answered=answered)
+
+    def _apply_settings(self, settings: HostSettings) -> None:
+        """Apply changed settings to the parts that use them."""
+        self._settings = settings
+        self._directory.freshness.pace = make_pace(settings.bounds)
+        self._forwarder.apply_settings(settings)
+        self._planner.apply_settings(settings)
+
     def _apply_limits(self) -> None:
         configuration = self._directory.configuration
         if configuration is not None:
--- a/bramleybeam/gateway/_forward.py
+++ b/bramleybeam/gateway/_forward.py
@@ -34,6 +34,7 @@
 from bramleybeam.gateway._cluster_state import ClusterState
 from bramleybeam.gateway._job import Job, RequestRefusedError
 from bramleybeam.gateway._loads import InFlightRequest
+from bramleybeam.gateway._metrics import GatewayMetrics
 from bramleybeam.gateway._outcome_recorder import OutcomeRecorder
 from bramleybeam.gateway._reply_observer import ReplyObserver
 from bramleybeam.limits import RetryBudget, is_latency_tolerant
@@ -63,8 +64,10 @@
         chooser: Chooser,
         pool: ConnectionPool,
         rng: random.Random,
+        metrics: GatewayMetrics,
     ) -> None:
         """Store the parts of the pipeline."""
+        self._metrics = metrics
         self._is_stopping = False
         self._settings = settings
         self._cluster_state = cluster_state
@@ -88,6 +91,7 @@
         try:
             job = self._admit(request, facts, connection)
         except RequestRefusedError as error:
+            self._metrics.note_refused('', error.refusal.kind)
             answer_refusal(request_id, connection, error.refusal)
             return
         try:
@@ -104,6 +108,14 @@
             _log.info('caller_left', request=request_id, sends=job.sends)
             raise
 
+    def apply_settings(self, settings: HostSettings) -> None:
+        """Apply changed settings; what was counted for the budgets is kept."""
+        self._settings = settings
+        for budget in self._budgets.values():
+            budget.ratio = settings.retry_ratio
+            budget.allowance = settings.retry_allowance
+            budget.window_s = settings.bounds.retry_window_s
+
     def stop(self) -> None:
         """Refuse new and waiting requests; those at a replica continue."""
         self._is_stopping = True
@@ -205,8 +217,12 @@
             replica, in_flight = await self._chooser.choose(job, now)
             outcome = await self._send(job, replica, in_flight)
             self._recorder.note(job, replica, outcome)
+            self._metrics.note_attempt(job.service.name, type(outcome).__name__)
             if isinstance(outcome, outcomes.Delivered):
                 self._log_attempt('answered', job, replica, outcome)
+                self._metrics.note_answered(
+                    job, outcome.status, self._directory.now()
+                )
                 return
             self._log_attempt('attempt_failed', job, replica, outcome)
             if not await self._handle_failure(job, outcome):
@@ -261,6 +277,9 @@
             case StopRetrying(refusal=refusal):
                 if not isinstance(outcome, outcomes.FailedReply):
                     raise RequestRefusedError(refusal)
+                self._metrics.note_answered(
+                    job, outcome.status, self._directory.now()
+                )
                 forward_failure(job, outcome)
         return False
 
@@ -294,6 +313,7 @@
         if job.runs and original.execution == Execution.NOT_RUN:
             # A retry found no replica, but an earlier attempt may have run.
             refusal = refuse_unfinished(job, ErrorKind.UPSTREAM_LOST)
+        self._metrics.note_refused(job.route.name, original.kind)
         _log.warning(
             'refused',
             request=job.facts.request_id,
--- a/bramleybeam/gateway/_planner.py
+++ b/bramleybeam/gateway/_planner.py
@@ -14,7 +14,7 @@
 import structlog
 
 from bramleybeam import platform
-from bramleybeam.catalog import EngineSpec, Holdings
+from bramleybeam.catalog import EngineSpec, Holdings, HostSettings
 from bramleybeam.decisions import TokenBucket
 from bramleybeam.gateway._cluster_state import ClusterState
 from bramleybeam.gateway._order_history import OrderHistory
@@ -125,6 +125,11 @@
             for name, tracker in self._trackers.items()
         }
 
+    def apply_settings(self, settings: HostSettings) -> None:
+        """Apply changed settings from the next use on."""
+        self.order_history.cooldown_s = settings.bounds.order_pause_s
+        self._lease.apply_settings(settings)
+
     async def close(self) -> None:
         """Stop sending orders and release the lease."""
         await self._tasks.close()
--- a/bramleybeam/gateway/_planner_lease.py
+++ b/bramleybeam/gateway/_planner_lease.py
@@ -90,6 +90,10 @@
             return await self._try_acquire()
         return False
 
+    def apply_settings(self, settings: HostSettings) -> None:
+        """Apply changed settings from the next use on."""
+        self._settings = settings
+
     def give_up(self) -> None:
         """Send no more orders: another planner has or may have the lease."""
         self._keeper.give_up()
--- a/bramleybeam/gateway/_planner_ports.py
+++ b/bramleybeam/gateway/_planner_ports.py
@@ -3,7 +3,7 @@
 from typing import Protocol
 
 from bramleybeam import platform
-from bramleybeam.catalog import Holdings, Replica
+from bramleybeam.catalog import Holdings, HostSettings, Replica
 from bramleybeam.orders import ModelOrder
 
 
@@ -17,6 +17,9 @@
     async def keep(self) -> bool:
         """Renew the lease, or try to take it; return whether it was taken."""
 
+    def apply_settings(self, settings: HostSettings) -> None:
+        """Apply changed settings from the next use on."""
+
     def give_up(self) -> None:
         """Give up the lease without releasing it in the store."""
 
--- a/bramleybeam/platform/_settings.py
+++ b/bramleybeam/platform/_settings.py
@@ -3,10 +3,12 @@
 Unknown fields are ignored, because the platform adds fields at times.
 """
 
+import math
 import os
 import tomllib
+from collections.abc import Callable
 from pathlib import Path
-from typing import Any, Final
+from typing import Any, Final, TypeVar
 
 from expression import Error, Ok, Result
 
@@ -14,9 +16,13 @@
 from bramleybeam.checks import Problem
 
 SETTINGS_VARIABLE: Final = 'BRAMLEYBEAM_NODE_FILE'
-# Raised by decoding a field that is missing or has a wrong type.
-_FIELD_ERRORS: Final = (KeyError, TypeError, ValueError, IndexError)
+# Environment variable with the address at which metrics are served, IP:PORT. The
+# deploy file sets it, because the settings file has no field for it.
+METRICS_VARIABLE: Final = 'BRAMLEYBEAM_METRICS_ADDRESS'
+# Raised by converting a field that has a wrong type or value.
+_CONVERSION_ERRORS: Final = (TypeError, ValueError, IndexError, OverflowError)
 _BYTES_PER_MBIT: Final = 125_000
+_Field = TypeVar('_Field')
 _REMEDY: Final = (
     f'{SETTINGS_VARIABLE} must name the settings file of this host.'
 )
@@ -36,49 +42,95 @@
         return Error(Problem(source, str(error), 'readable TOML', _REMEDY))
     try:
         return Ok(_decode(raw))
-    except _FIELD_ERRORS as error:
+    except _InvalidFieldError as error:
         return Error(
-            Problem(source, repr(error), 'present and well typed', _REMEDY),
+            Problem(error.path, error.found, 'present and valid', _REMEDY)
         )
 
 
+class _InvalidFieldError(Exception):
+    """A field is missing or invalid; ``path`` is its dotted path."""
+
+    def __init__(self, path: str, found: object) -> None:
+        super().__init__(path)
+        self.path = path
+        self.found = found
+
+
+def _read(
+    raw: dict[str, Any], path: str, convert: Callable[[Any], _Field]
+) -> _Field:
+    """Return a field, converted; raises ``_InvalidFieldError``."""
+    found: Any = raw
+    try:
+        for part in path.split('.'):
+            found = found[part]
+        return convert(found)
+    except KeyError:
+        raise _InvalidFieldError(path, 'missing') from None
+    except _CONVERSION_ERRORS:
+        raise _InvalidFieldError(path, found) from None
+
+
+def _positive(raw: Any) -> float:
+    """Return a number above 0; raises ``ValueError`` for any other."""
+    number = float(raw)
+    if number > 0 and math.isfinite(number):
+        return number
+    raise ValueError(f'{raw} is not above 0')
+
+
+def _seconds(raw: Any) -> float:
+    """Return milliseconds in seconds; they must be above 0."""
+    return _positive(raw) / 1000
+
+
+def _first_port(raw: Any) -> int:
+    return int(raw[0])
+
+
 def _decode(raw: dict[str, Any]) -> HostSettings:
-    listen = raw['listen-addrs']
-    bounds = raw['bounds']
+    limits = raw.get('limits', {})
+    bounds = raw.get('bounds', {})
     return HostSettings(
-        name=str(raw['node']),
-        zone=str(raw['zone']),
-        ip_address=str(raw['ip-address']),
-        listen=str(listen['front']),
-        readiness_listen=str(listen['ready']),
-        peer_port=int(raw['port-range'][0]),
-        store_address=str(raw['platform']['address']),
-        bounds=_decode_bounds(bounds),
-        retry_ratio=float(bounds['retry-ratio']),
-        retry_allowance=float(bounds['retry-slack']),
-        load_excess=float(bounds['ceiling-over']),
+        name=_read(raw, 'node', str),
+        zone=_read(raw, 'zone', str),
+        ip_address=_read(raw, 'ip-address', str),
+        listen=_read(raw, 'listen-addrs.front', str),
+        readiness_listen=_read(raw, 'listen-addrs.ready', str),
+        peer_port=_read(raw, 'port-range', _first_port),
+        store_address=_read(raw, 'platform.address', str),
+        bounds=_decode_bounds(raw),
+        retry_ratio=_read(raw, 'bounds.retry-ratio', float),
+        retry_allowance=_read(raw, 'bounds.retry-slack', float),
+        load_excess=_read(raw, 'bounds.ceiling-over', _positive),
         replicas_check_epochs=bounds.get('require-fence', False) is True,
-        max_descriptors=int(raw['limits']['max-fds']),
-        link_bytes_per_s=_link_bytes_per_s(raw['limits']),
+        max_descriptors=_read(raw, 'limits.max-fds', int),
+        link_bytes_per_s=_link_bytes_per_s(limits),
+        metrics_listen=os.environ.get(METRICS_VARIABLE, ''),
     )
 
 
 def _link_bytes_per_s(limits: dict[str, Any]) -> float:
     """Return the rate of the network link in bytes/s, or 0 if unknown."""
-    return float(limits.get('link-mbps', 0)) * _BYTES_PER_MBIT
+    if 'link-mbps' not in limits:
+        return 0
+    return _read({'limits': limits}, 'limits.link-mbps', float) * (
+        _BYTES_PER_MBIT
+    )
 
 
-def _decode_bounds(bounds: dict[str, Any]) -> TimeBounds:
+def _decode_bounds(raw: dict[str, Any]) -> TimeBounds:
     """Return the time bounds in seconds.
 
     ``lease-ms`` is the pause between the orders of two planners,
     ``ceiling-window-s`` the window in which loads are counted.
     """
     return TimeBounds(
-        drain_s=bounds['drain-ms'] / 1000,
-        grace_s=float(bounds['grace-period-s']),
-        configuration_s=bounds['config-apply-ms'] / 1000,
-        order_pause_s=bounds['lease-ms'] / 1000,
-        order_window_s=float(bounds['ceiling-window-s']),
-        retry_window_s=float(bounds['retry-window-s']),
+        drain_s=_read(raw, 'bounds.drain-ms', _seconds),
+        grace_s=_read(raw, 'bounds.grace-period-s', _positive),
+        configuration_s=_read(raw, 'bounds.config-apply-ms', _seconds),
+        order_pause_s=_read(raw, 'bounds.lease-ms', _seconds),
+        order_window_s=_read(raw, 'bounds.ceiling-window-s', _positive),
+        retry_window_s=_read(raw, 'bounds.retry-window-s', _positive),
     )
--- a/bramleybeam/simulation/_orders.py
+++ b/bramleybeam/simulation/_orders.py
@@ -6,7 +6,7 @@
 import attrs
 
 from bramleybeam import platform
-from bramleybeam.catalog import Holdings, Replica
+from bramleybeam.catalog import Holdings, HostSettings, Replica
 from bramleybeam.orders import ModelOrder
 from bramleybeam.simulation._engine import EngineModel
 
@@ -24,6 +24,9 @@
         """Return ``False``: the lease is never newly acquired."""
         return False
 
+    def apply_settings(self, settings: HostSettings) -> None:
+        """Do nothing: the lease depends on no setting."""
+
     def give_up(self) -> None:
         """Do nothing: no other gateway competes for the lease."""
 
--- a/tests/platform_gateway.py
+++ b/tests/platform_gateway.py
@@ -108,7 +108,10 @@
         sys.executable,
         '-m',
         'bramleybeam.gateway',
-        env={'BRAMLEYBEAM_NODE_FILE': str(settings)},
+        env={
+            'BRAMLEYBEAM_NODE_FILE': str(settings),
+            'BRAMLEYBEAM_METRICS_ADDRESS': '127.0.0.1:0',
+        },
         cwd=Path(__file__).parent.parent,
         stdout=asyncio.subprocess.PIPE,
     )
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -1,11 +1,13 @@
 """Tests of a gateway process with stand-ins for the store and replicas."""
 
 import asyncio
+import signal
 
 import psutil
 import pytest
 import pytest_asyncio
 
+from bramleybeam.relay import connect_peer
 from tests.platform_site import make_configuration, run_site
 
 MODEL_HEADERS = {
@@ -37,6 +39,14 @@
     )
 
 
+def parse_metrics(text):
+    """Return the numbers of a gateway's metrics by name and labels."""
+    prefix = 'bramleybeam_gateway_'
+    lines = [line for line in text.splitlines() if line.startswith(prefix)]
+    rows = [line.removeprefix(prefix).rsplit(' ', 1) for line in lines]
+    return {name: float(number) for name, number in rows}
+
+
 def set_fault(site, request_id, *faults):
     """Set a fault for the request's next run at each replica."""
     for replica in site.replicas.values():
@@ -261,6 +271,32 @@
     assert (await site.ask('/post/2f')).status == 200
 
 
+async def test_metrics_show_requests_attempts_and_paused_replicas(site):
+    overloaded = site.replicas['l1']
+    overloaded.extra_headers = ((b'Retry-After', b'30'),)
+    overloaded.draw_fault = lambda: 'refuse'
+    async with asyncio.timeout(10):
+        while not site.gateway.events('replica_paused'):
+            await ask_at_once(site, '/post/2f')
+    await site.ask('/post/2f', Host='elsewhere')
+    await site.ask('/ask/2f', **MODEL_HEADERS)
+    (served,) = site.gateway.events('metrics_served')
+    call = await connect_peer(served['address'], 1)
+    call.send(b'GET /metrics HTTP/1.1', (), b'')
+    assert (await call.read_head()).status == 200
+    metrics = parse_metrics((await call.read_body(100_000)).decode())
+    call.close()
+    assert metrics['requests_total{outcome="200",route="ask"}'] == 1
+    assert metrics['requests_total{outcome="200",route="post"}'] >= 12
+    assert metrics['requests_total{outcome="unknown_service",route=""}'] == 1
+    assert metrics['attempts_total{outcome="NotRun",service="ledger"}'] >= 1
+    assert metrics['first_event_seconds_count{route="ask"}'] == 1
+    assert metrics['store_calls_total{outcome="answered"}'] > 1
+    assert metrics['state{name="replicas_paused"}'] == 1
+    assert 20 < metrics['state{name="longest_pause_s"}'] <= 36
+    assert metrics['state{name="is_ready"}'] == 1
+
+
 async def test_absent_model_is_loaded_for_queued_request(site):
     await site.wait_for_planner()
     answer = await site.ask(
@@ -344,6 +380,53 @@
             await asyncio.sleep(0.01)
 
 
+async def test_changed_settings_are_applied_and_nothing_is_cut(site):
+    """Waves of SIGHUP, with good and bad files, while a stream runs."""
+    for replica in site.replicas.values():
+        replica.pause_s = 0.3
+    pending = asyncio.create_task(site.ask('/ask/2f', **MODEL_HEADERS))
+    file = site.folder / 'settings.toml'
+    whole = file.read_text()
+    await asyncio.sleep(0.2)
+    for text in (
+        whole.replace('retry-slack = 50', 'retry-slack = 70'),
+        whole.replace('drain-ms = 2000', 'drain-ms = "soon"'),
+        whole.replace('[bounds]', '[bounds'),
+        whole.replace('lease-ms = 600\n', ''),
+        whole.replace('node = "front-1"', 'node = "front-9"'),
+    ):
+        file.write_text(text)
+        for _ in range(3):
+            site.gateway.process.send_signal(signal.SIGHUP)
+            await asyncio.sleep(0.05)
+    answer = await pending
+    assert (answer.is_truncated, answer.body) == (False, WHOLE_STREAM)
+    changes = site.gateway.events('settings_changed')
+    assert [change['settings'] for change in changes] == [
+        ['retry_allowance'],
+        ['retry_allowance'],
+    ]
+    assert changes[1]['need_restart'] == ['name']
+    problems = [
+        line['problem'] for line in site.gateway.events('settings_rejected')
+    ]
+    assert 'bounds.drain-ms' in problems[0]
+    assert 'TOML' in problems[1]
+    assert 'bounds.lease-ms' in problems[2]
+    assert len(problems) == 3
+    assert (await site.ask('/post/2f')).status == 200
+
+
+async def test_settings_that_change_without_a_signal_are_applied(site):
+    file = site.folder / 'settings.toml'
+    file.write_text(
+        file.read_text().replace('retry-ratio = 0.2', 'retry-ratio = 0.1')
+    )
+    async with asyncio.timeout(20):
+        while not site.gateway.events('settings_changed'):
+            await asyncio.sleep(0.05)
+
+
 async def test_sigterm_truncates_no_answer(site):
     for replica in site.replicas.values():
         replica.pause_s = 0.4
