Do not try to take a lease that is known to be held

Cause: what a gateway knows of the planner's key is as old as its last batch of changes. At the start of all gateways each of them made three attempts of three calls, the last two after it had been refused and a neighbour had reported the planner.

Change: a planner's key that a neighbour has read, and that is newer than what was read here, counts as held. A gateway that was refused reads the store, and tries again only with a newer revision.

--- a/bramleybeam/gateway/_planner_lease.py
+++ b/bramleybeam/gateway/_planner_lease.py
@@ -64,6 +64,9 @@
         self._was_key_listed = False
         self._is_cut_off = False
         self._is_closed = False
+        # The store revision read here when another gateway was found to hold the
+        # lease; a newer one tells whether it still does.
+        self._refused_at_revision = -1
         self._active_from = 0.0
         self._renewed_at = float('-inf')
 
@@ -86,7 +89,7 @@
             self.give_up()
         elif self._held_epoch:
             await self._renew()
-        elif self._directory.is_ready and not self._directory.planner.revision:
+        elif self._directory.is_ready and self._seems_free():
             return await self._try_acquire()
         return False
 
@@ -106,6 +109,20 @@
         self._is_closed = True
         await self._keeper.release()
 
+    def _seems_free(self) -> bool:
+        """Whether no gateway holds the lease, as far as is known here.
+
+        What was read of the store may lag behind: a planner's key that peers
+        have read, or that has refused this gateway, may be newer.
+        """
+        directory = self._directory
+        read_revision = directory.freshness.revision
+        return (
+            not directory.planner.revision
+            and directory.newest_planner.revision <= read_revision
+            and read_revision > self._refused_at_revision
+        )
+
     def _epoch_while_cut_off(self) -> int:
         """The epoch while the store is unreachable, else 0.
 
@@ -159,9 +176,12 @@
         if self._has_wider_peers():
             delay_s += _NARROW_LINK_DELAY_S
         await asyncio.sleep(delay_s)
-        if self._is_closed or self._directory.planner.revision:
+        if self._is_closed or not self._seems_free():
             return False
-        await self._keeper.renew()
+        if await self._keeper.renew() == Renewal.LOST:
+            freshness = self._directory.freshness
+            self._refused_at_revision = freshness.revision
+            freshness.request_read()
         epoch = self._keeper.epoch
         if epoch is None:
             return False
--- a/bramleybeam/gateway/tests/test_planner_lease.py
+++ b/bramleybeam/gateway/tests/test_planner_lease.py
@@ -77,6 +77,33 @@
     assert lease.epoch == 0
 
 
+async def test_does_not_take_a_lease_that_a_neighbour_knows_to_be_held():
+    """The key is newer than what this gateway has read of the store."""
+    store = Store()
+    lease, directory = make_lease(store)
+    directory.freshness.note_sync(4, 0)
+    directory.note_peer_planner(ObservedPlanner(5))
+    assert not await lease.keep()
+    assert store.calls == 0
+    directory.freshness.note_sync(6, 0)
+    assert await lease.keep()
+
+
+async def test_refused_gateway_reads_the_store_before_it_tries_again():
+    """68 gateways that start at once made three attempts each."""
+    store = Store(LeaseHeld('', 0))
+    lease, directory = make_lease(store)
+    reads = []
+    directory.freshness.on_lagging.append(lambda: reads.append(1))
+    directory.freshness.note_sync(4, 0)
+    for _ in range(3):
+        assert not await lease.keep()
+    assert (store.calls, len(reads)) == (1, 1)
+    store.reply = None
+    directory.freshness.note_sync(5, 0)
+    assert await lease.keep()
+
+
 @pytest.mark.parametrize(
     ('reply', 'checks_epochs', 'epoch'),
     [
