Split admission, the host's endpoints and the making of messages from long modules

No change of behaviour: the retry budgets of all services moved to limits, with the settings that they depend on.

--- /dev/null
+++ b/bramleybeam/gateway/_admission.py
@@ -0,0 +1,124 @@
+"""Matches callers' requests to routes, or refuses them."""
+
+import random
+from typing import Final
+
+from bramleybeam import platform
+from bramleybeam.catalog import Route, RoutingConfiguration, Service
+from bramleybeam.errors import ErrorKind, Refusal, refuse
+from bramleybeam.gateway._cluster_state import ClusterState
+from bramleybeam.gateway._job import Job, RequestRefusedError
+from bramleybeam.limits import RetryBudgets, is_latency_tolerant
+from bramleybeam.relay import CallerConnection, InboundRequest
+
+# Retry-After while the configuration is missing or stale.
+_RETRY_AFTER_S: Final = 0.5
+# Retry-After while this process shuts down.
+_SHUTDOWN_RETRY_AFTER_S: Final = 0.1
+
+
+class Admitter:
+    """Makes the state of each request, and counts it as demand."""
+
+    def __init__(
+        self,
+        cluster_state: ClusterState,
+        retries: RetryBudgets,
+        rng: random.Random,
+    ) -> None:
+        """Store the tables; ``rng`` draws among the services of a route."""
+        self._is_stopping = False
+        self._directory = cluster_state.directory
+        self._demand = cluster_state.demand
+        self._retries = retries
+        self._rng = rng
+
+    def stop(self) -> None:
+        """Refuse all new requests, for shutdown."""
+        self._is_stopping = True
+
+    def admit(
+        self,
+        request: InboundRequest,
+        facts: platform.RequestFacts | None,
+        connection: CallerConnection,
+    ) -> Job:
+        """Return the request's state; raises ``RequestRefusedError``.
+
+        ``facts`` are those in its headers, ``None`` without a request id.
+        """
+        configuration = self._require_configuration()
+        route = configuration.match(request.host, request.path)
+        if route is None:
+            raise RequestRefusedError(self._refuse_unknown(request.path))
+        if facts is None:
+            raise RequestRefusedError(
+                refuse(ErrorKind.INVALID_REQUEST, 'The request id is missing.'),
+            )
+        service = configuration.services.get(self._pick_service(route))
+        if service is None:
+            raise RequestRefusedError(
+                refuse(ErrorKind.NO_READY_UPSTREAM, retry_after=_RETRY_AFTER_S),
+            )
+        return self._make_job(request, facts, route, service, connection)
+
+    def _refuse_unknown(self, path: str) -> Refusal:
+        """Return the refusal for a path without a route.
+
+        It is retryable while this gateway lags behind others, because its
+        configuration may be missing the route.
+        """
+        if self._directory.is_lagging or self._directory.freshness.is_outdated:
+            return refuse(ErrorKind.NOT_CONFIGURED, retry_after=_RETRY_AFTER_S)
+        return refuse(ErrorKind.UNKNOWN_SERVICE, path)
+
+    def _require_configuration(self) -> RoutingConfiguration:
+        """Return the configuration; raises if requests can't be handled now."""
+        if self._is_stopping:
+            raise RequestRefusedError(
+                refuse(
+                    ErrorKind.SHUTTING_DOWN, retry_after=_SHUTDOWN_RETRY_AFTER_S
+                ),
+            )
+        configuration = self._directory.configuration
+        if configuration is None or not self._directory.has_listing:
+            raise RequestRefusedError(
+                refuse(ErrorKind.NOT_CONFIGURED, retry_after=_RETRY_AFTER_S),
+            )
+        return configuration
+
+    def _make_job(
+        self,
+        request: InboundRequest,
+        facts: platform.RequestFacts,
+        route: Route,
+        service: Service,
+        connection: CallerConnection,
+    ) -> Job:
+        time_limit_s = min(facts.deadline_s, route.timeout_s)
+        job = Job(
+            request,
+            facts,
+            route,
+            service,
+            connection,
+            request.received_at + time_limit_s,
+            last_event=facts.last_event,
+        )
+        now = self._directory.now()
+        self._retries.note_request(service.name, now)
+        if facts.model:
+            self._demand.note_request(
+                job.target,
+                facts.prompt_tokens,
+                now,
+                is_latency_tolerant=is_latency_tolerant(route),
+            )
+        return job
+
+    def _pick_service(self, route: Route) -> str:
+        if len(route.targets) == 1:
+            return route.targets[0].service
+        names = [target.service for target in route.targets]
+        weights = [target.weight for target in route.targets]
+        return self._rng.choices(names, weights)[0]
--- a/bramleybeam/gateway/_daemon.py
+++ b/bramleybeam/gateway/_daemon.py
@@ -5,7 +5,6 @@
 import time
 from collections.abc import Mapping
 from functools import partial
-from http import HTTPStatus
 from typing import Final
 
 import attrs
@@ -24,7 +23,8 @@
     make_pace,
 )
 from bramleybeam.gateway._forward import Forwarder
-from bramleybeam.gateway._metrics import METRICS_PATH, GatewayMetrics
+from bramleybeam.gateway._host_endpoints import HostEndpoints
+from bramleybeam.gateway._metrics import GatewayMetrics
 from bramleybeam.gateway._order_history import OrderHistory
 from bramleybeam.gateway._parent import ParentSelector
 from bramleybeam.gateway._peer_messages import PeerMessage
@@ -36,12 +36,7 @@
 from bramleybeam.gateway._status import StatusReporter, Traffic
 from bramleybeam.gateway._tree import Peer, encode_peer
 from bramleybeam.keyvalue import LeaseKeeper
-from bramleybeam.relay import (
-    CallerConnection,
-    CallerServer,
-    ConnectionPool,
-    InboundRequest,
-)
+from bramleybeam.relay import CallerServer, ConnectionPool
 from bramleybeam.timers import Coalescer, TaskSet, TimerService
 
 # Periods of the timers, in seconds: the exchange with neighbours, the planning
@@ -135,11 +130,8 @@
             settings, platform.load_host_settings, self._apply_settings
         )
         self._callers = CallerServer(settings.listen, self._forwarder.handle)
-        self._readiness = CallerServer(
-            settings.readiness_listen, self._answer_readiness
-        )
-        self._metrics_server = CallerServer(
-            settings.metrics_listen, self._answer_metrics
+        self._endpoints = HostEndpoints(
+            settings, self._metrics, self._accepts_requests
         )
         self._published_at = float('-inf')
         self._directory.on_change.append(self._apply_limits)
@@ -154,16 +146,13 @@
     @property
     def readiness_address(self) -> str:
         """Address of the readiness check, ``IP:PORT``."""
-        return self._readiness.address
+        return self._endpoints.readiness_address
 
     async def start(self) -> None:
         """Open the ports, follow the store and start the timers."""
-        await self._readiness.start()
+        await self._endpoints.start()
         await self._callers.start()
         await self._peers.start()
-        if self._settings.metrics_listen:
-            await self._metrics_server.start()
-            _log.info('metrics_served', address=self._metrics_server.address)
         self._tasks.spawn(self._follower.run())
         key = PEER_PREFIX.removeprefix(GATEWAY_PREFIX) + self._peers.address
         registered_peer = attrs.evolve(
@@ -183,7 +172,7 @@
         _log.info(
             'started',
             callers=self._callers.address,
-            readiness=self._readiness.address,
+            readiness=self._endpoints.readiness_address,
         )
 
     def reload_settings(self) -> None:
@@ -208,8 +197,7 @@
             self._settings.bounds.grace_s - elapsed_s - _EXIT_RESERVE_S
         )
         await self._callers.close(max(0, time_left_s))
-        for server in (self._readiness, self._metrics_server):
-            await server.close(0)
+        await self._endpoints.close()
         await self._timers.close()
         await self._tasks.close()
         self._peers.close()
@@ -225,33 +213,10 @@
         subscribe('settings', _SETTINGS_S, self._reloader.reload)
         subscribe('status', _STATUS_S, self._status.report)
 
-    async def _answer_readiness(
-        self,
-        request: InboundRequest,
-        connection: CallerConnection,
-    ) -> None:
+    def _accepts_requests(self) -> bool:
+        """Whether the load balancer may send callers here."""
         is_current = self._directory.is_ready and not self._directory.is_lagging
-        accepts_requests = is_current and not self._is_stopping
-        if request.path == platform.READINESS_PATH:
-            status = (
-                HTTPStatus.OK
-                if accepts_requests
-                else HTTPStatus.SERVICE_UNAVAILABLE
-            )
-            connection.respond(status, (), b'')
-        else:
-            connection.respond(HTTPStatus.NOT_FOUND, (), b'')
-
-    async def _answer_metrics(
-        self,
-        request: InboundRequest,
-        connection: CallerConnection,
-    ) -> None:
-        if request.path == METRICS_PATH:
-            headers = ((b'Content-Type', b'text/plain; version=0.0.4'),)
-            connection.respond(HTTPStatus.OK, headers, self._metrics.render())
-        else:
-            connection.respond(HTTPStatus.NOT_FOUND, (), b'')
+        return is_current and not self._is_stopping
 
     def _note_store_call(
         self, took_s: float, sizes: tuple[int, int], *, answered: bool
--- a/bramleybeam/gateway/_exchange.py
+++ b/bramleybeam/gateway/_exchange.py
@@ -89,10 +89,7 @@
         self._is_planner = is_planner
         self._directory = cluster_state.directory
         self._tables = NeighbourTables(cluster_state)
-        self._loads = cluster_state.loads
         self._demand = cluster_state.demand
-        self._pauses = cluster_state.pauses
-        self._failures = cluster_state.failures
         self._order_history = order_history
         self._parent = parent
         self._send = send
@@ -284,31 +281,21 @@
             for address, child in self._children.items()
             if address != parent
         ]
-        unreachable = set(self._directory.reachability.list_backing_off())
+        unreachable: set[str] = set()
         unreachable.update(*(child.unreachable for child in subtrees))
-        return SubtreeReport(
-            self._parent_pacer.period_s,
+        return self._tables.make_report(
+            self._parent_pacer,
             1 + max((child.depth for child in subtrees), default=-1),
-            self._directory.placement.version,
-            observe_store(self._directory),
-            self._loads.report_for(parent, now, with_targets=True),
-            self._demand.report_for(now, parent),
-            sorted(unreachable),
-            self._directory.departures.list_recent(),
-            self._pauses.list_requested(now),
-            self._failures.report_for(parent, now),
+            unreachable,
+            now,
         )
 
     def _make_parent_update(self, child: _Child, now: float) -> ParentUpdate:
-        return ParentUpdate(
-            child.pacer.period_s,
-            self._directory.placement.delta_since(child.version, 0),
-            observe_store(self._directory),
-            self._loads.report_for(child.pacer.address, now),
-            self._order_history.list_ages() if self._is_planner() else None,
-            self._directory.departures.list_recent(),
-            self._pauses.list_requested(now),
-            self._failures.report_for(child.pacer.address, now),
+        order_ages = (
+            self._order_history.list_ages() if self._is_planner() else None
+        )
+        return self._tables.make_update(
+            child.pacer, child.version, order_ages, now
         )
 
     def _send_periodic(
--- a/bramleybeam/gateway/_neighbour_pacer.py
+++ b/bramleybeam/gateway/_neighbour_pacer.py
@@ -48,10 +48,11 @@
     """What was sent to a neighbour, and what may be sent to it now.
 
     ``bytes_per_s`` are the bytes for it, ``tables_share`` is the share of them
-    for complete tables. Their period ``period_s`` grows with their size. ``budget`` limits the messages that are
-    sent immediately, so that neither kind can starve the other.
-    ``tables_sent_at`` is the time of the last complete tables, ``last_sent_at``
-    that of the last message that counts as a keepalive. Times are in seconds.
+    for complete tables. Their period ``period_s`` grows with their size.
+    ``budget`` limits the messages that are sent immediately, so that neither
+    kind can starve the other. ``tables_sent_at`` is the time of the last
+    complete tables, ``last_sent_at`` that of the last message that counts as a
+    keepalive. Times are in seconds.
     """
 
     address: str
--- a/bramleybeam/gateway/_neighbour_tables.py
+++ b/bramleybeam/gateway/_neighbour_tables.py
@@ -1,21 +1,25 @@
 """The tables that a gateway sums with those of its neighbours in the tree."""
 
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 
 from bramleybeam.catalog import ReplicaState
 from bramleybeam.gateway._cluster_state import ClusterState
 from bramleybeam.gateway._departures import Departure
 from bramleybeam.gateway._directory import Directory
+from bramleybeam.gateway._neighbour_pacer import NeighbourPacer
 from bramleybeam.gateway._peer_messages import (
     ObservedStoreState,
     ParentUpdate,
     SubtreeReport,
 )
-from bramleybeam.gateway._placement import ReplicaPlacement
+from bramleybeam.gateway._placement import PlacementVersion, ReplicaPlacement
 
 
 class NeighbourTables:
-    """Merges what neighbours report; arguments ``now`` are in seconds."""
+    """Merges what neighbours report, and makes what is sent to them.
+
+    Arguments ``now`` are in seconds.
+    """
 
     def __init__(self, cluster_state: ClusterState) -> None:
         """Store the tables to merge into."""
@@ -67,6 +71,57 @@
         if _lists_more(update.delta.rows, self._directory):
             self._directory.freshness.request_read()
 
+    def make_report(
+        self,
+        pacer: NeighbourPacer,
+        depth: int,
+        unreachable: Collection[str],
+        now: float,
+    ) -> SubtreeReport:
+        """Return the report for the parent with the pacer ``pacer``.
+
+        ``depth`` is the number of levels below this gateway, ``unreachable``
+        the replicas that gateways below it can't reach.
+        """
+        parent = pacer.address
+        directory = self._directory
+        return SubtreeReport(
+            pacer.period_s,
+            depth,
+            directory.placement.version,
+            observe_store(directory),
+            self._loads.report_for(parent, now, with_targets=True),
+            self._demand.report_for(now, parent),
+            sorted({*directory.reachability.list_backing_off(), *unreachable}),
+            directory.departures.list_recent(),
+            self._pauses.list_requested(now),
+            self._failures.report_for(parent, now),
+        )
+
+    def make_update(
+        self,
+        pacer: NeighbourPacer,
+        version: PlacementVersion,
+        order_ages: Mapping[str, float] | None,
+        now: float,
+    ) -> ParentUpdate:
+        """Return the tables for the child with the pacer ``pacer``.
+
+        ``version`` is the placement version that the child has; its rows are
+        sent apart. ``order_ages`` are the planner's orders, ``None`` from any
+        other gateway.
+        """
+        return ParentUpdate(
+            pacer.period_s,
+            self._directory.placement.delta_since(version, 0),
+            observe_store(self._directory),
+            self._loads.report_for(pacer.address, now),
+            order_ages,
+            self._directory.departures.list_recent(),
+            self._pauses.list_requested(now),
+            self._failures.report_for(pacer.address, now),
+        )
+
     def learn_departures(self, departures: Mapping[str, Departure]) -> None:
         """Record departures that a neighbour knows of.
 
--- a/bramleybeam/limits/__init__.py
+++ b/bramleybeam/limits/__init__.py
@@ -7,13 +7,14 @@
     stream_idle_timeout,
 )
 from bramleybeam.limits._replica_pauses import Incarnation, PauseTable
-from bramleybeam.limits._retry_budget import RetryBudget
+from bramleybeam.limits._retry_budget import RetryBudget, RetryBudgets
 
 __all__ = [
     'ByteBudget',
     'Incarnation',
     'PauseTable',
     'RetryBudget',
+    'RetryBudgets',
     'is_latency_tolerant',
     'max_queue_wait',
     'stream_idle_timeout',
--- a/bramleybeam/limits/_retry_budget.py
+++ b/bramleybeam/limits/_retry_budget.py
@@ -10,6 +10,8 @@
 
 import attrs
 
+from bramleybeam.catalog import HostSettings
+
 # Share of the configured bound that is used. The rest is a margin, because the
 # counts are not exact: gateways don't exchange them, and the number of gateways
 # may be out of date.
@@ -53,3 +55,37 @@
         for times in (self._requests, self._retries):
             while times and times[0] < window_start:
                 times.popleft()
+
+
+class RetryBudgets:
+    """The budget of each service, by the settings of the host."""
+
+    def __init__(self, settings: HostSettings) -> None:
+        """Start without requests."""
+        self._settings = settings
+        self._budgets: dict[str, RetryBudget] = {}
+
+    def apply_settings(self, settings: HostSettings) -> None:
+        """Apply changed settings; what was counted is kept."""
+        self._settings = settings
+        for budget in self._budgets.values():
+            budget.ratio = settings.retry_ratio
+            budget.allowance = settings.retry_allowance
+            budget.window_s = settings.bounds.retry_window_s
+
+    def note_request(self, service: str, now: float) -> None:
+        """Count a request from a caller, received at ``now`` seconds."""
+        self._budget(service).note_request(now)
+
+    def take(self, service: str, now: float, gateways: int) -> bool:
+        """Count a retry if the limit allows it, and return whether it does."""
+        return self._budget(service).take(now, gateways)
+
+    def _budget(self, service: str) -> RetryBudget:
+        if service not in self._budgets:
+            self._budgets[service] = RetryBudget(
+                self._settings.retry_ratio,
+                self._settings.retry_allowance,
+                self._settings.bounds.retry_window_s,
+            )
+        return self._budgets[service]
