--- a/bramleybeam/gateway/_neighbour_pacer.py
+++ b/bramleybeam/gateway/_neighbour_pacer.py
@@ -81,9 +81,9 @@
 
     def count_rows(self, now: float) -> int:
         """Return the number of placement rows that may be sent now."""
-        available_bytes = self.budget.available_bytes(now) - _KEEPALIVE_BYTES
-        rows = int(available_bytes / _ROW_BYTES)
-        return rows if rows >= _MIN_ROWS else 0
+        rows = _rows_in(self.budget.available_bytes(now))
+        full_budget = self.budget.burst + self.budget.credit
+        return rows if rows >= min(_MIN_ROWS, _rows_in(full_budget)) else 0
 
     def note_tables_sent(self, size: int, now: float) -> None:
         """Record complete tables of ``size`` bytes, and set their period.
@@ -94,3 +94,8 @@
         self.last_sent_at = now
         rate = self.bytes_per_s * self.tables_share
         self.period_s = max(PERIOD_S, size / rate)
+
+
+def _rows_in(available_bytes: float) -> int:
+    """Return the number of rows that fit into a message of some bytes."""
+    return max(0, int((available_bytes - _KEEPALIVE_BYTES) / _ROW_BYTES))
