Show in the lines of failed attempts what requests have in common

A failed attempt now shows the hash of target, caller and body, and the prompt's parts. The lines of answered requests are unchanged.

--- a/bramleybeam/gateway/_answers.py
+++ b/bramleybeam/gateway/_answers.py
@@ -48,8 +48,11 @@
     replica: Replica,
     outcome: outcomes.Outcome,
 ) -> dict[str, object]:
-    """Return the log fields of an attempt; times are in seconds."""
-    return {
+    """Return the log fields of an attempt; times are in seconds.
+
+    The lines of failed attempts also show what requests have in common.
+    """
+    fields: dict[str, object] = {
         'request': job.facts.request_id,
         'route': job.route.name,
         'replica': replica.name,
@@ -64,6 +67,10 @@
         'longest_gap_s': round(job.longest_gap_s, 3),
         'age_s': _seconds_after_arrival(job, asyncio.get_running_loop().time()),
     }
+    if not isinstance(outcome, outcomes.Delivered):
+        fields['fingerprint'] = job.fingerprint
+        fields['parts'] = [part.name for part in job.facts.parts]
+    return fields
 
 
 def _seconds_after_arrival(job: Job, event_at: float) -> float | None:
--- a/bramleybeam/gateway/_job.py
+++ b/bramleybeam/gateway/_job.py
@@ -1,6 +1,7 @@
 """State of a caller's request while a gateway handles it."""
 
 import enum
+from functools import cached_property
 
 import attrs
 import xxhash
@@ -11,7 +12,7 @@
 from bramleybeam.limits import max_queue_wait
 from bramleybeam.orders import Target
 from bramleybeam.platform import RequestFacts
-from bramleybeam.relay import CallerConnection, InboundRequest
+from bramleybeam.relay import CallerConnection, InboundRequest, find_header
 
 
 class RequestRefusedError(Exception):
@@ -86,6 +87,18 @@
         self.last_event = last_event
         self.events += count
 
+    @cached_property
+    def fingerprint(self) -> str:
+        """Hash of what repeats of a request share: target, caller and body.
+
+        Each repeat has another request id.
+        """
+        request = self.request
+        caller = find_header(request.headers, b'authorization') or b''
+        first_line = b'%s %s' % (request.method, request.target)
+        described = (first_line, request.host.encode(), caller, request.body)
+        return xxhash.xxh64_hexdigest(b'\n'.join(described))
+
     @property
     def target(self) -> Target:
         """The requested model and adapter; empty for plain services."""
