--- a/tests/platform_replica.py
+++ b/tests/platform_replica.py
@@ -65,9 +65,10 @@
     - ``hang``: no answer
     - ``endless_head``, ``endless_body``, ``endless_event``: bytes until the
       connection is closed
-    - ``crash``: runs, then resets the connection and closes the port
+    - ``crash``: runs, then aborts all connections and closes the port
 
-    ``draw_fault`` returns the fault of any other request, or an empty string.
+    A run for which ``crashes_on`` returns true crashes the replica likewise,
+    after ``events_before_crash`` events of a stream. ``draw_fault`` returns the fault of any other request, or an empty string.
     ``requests`` are the ids of all requests that arrived, ``runs`` those that
     ran. With ``echoes`` answers contain the request's id. ``max_models`` is the
     number of models that fit in memory; load orders beyond it are kept in
@@ -102,6 +103,9 @@
     is_unresponsive: bool = False
     extra_headers: tuple = ()
     late_refusals: dict = attrs.field(factory=dict)
+    crashes_on: object = None
+    events_before_crash: int = 0
+    has_crashed: bool = False
 
     def entry(self, **changed) -> dict:
         """Return the replica's entry in the store."""
@@ -134,6 +138,13 @@
         self.loading_count = 0
         await self.start()
 
+    async def crash(self) -> None:
+        """Abort all connections without an answer and close the port."""
+        self.has_crashed = True
+        for connection in tuple(self._server.connections):
+            connection.abort_response()
+        await self.close()
+
     async def _answer(self, request, connection) -> None:
         if self.is_unresponsive:
             await asyncio.sleep(_NO_ANSWER_S)
@@ -236,6 +247,8 @@
         run = Run(
             request_id, request.target.decode(), headers, request.body, now()
         )
+        if self.crashes_on is not None and self.crashes_on(run):
+            fault = 'crash'
         run.is_sound = not fault
         run.fault = fault
         self.runs.append(run)
@@ -251,6 +264,11 @@
         id_field = b'other' if fault == 'other_id' else run.request_id.encode()
         head = ((REQUEST_ID, id_field), (SEAL, b'seal-1'), *self.extra_headers)
         await asyncio.sleep(self.pause_s)
+        if is_stream and fault == 'crash' and self.events_before_crash:
+            connection.start(200, head)
+            for event in self.make_events(run)[: self.events_before_crash]:
+                await connection.write_chunk(event)
+                await asyncio.sleep(self.pause_s)
         if is_stream and fault not in {'lost', 'crash', 'hang'}:
             await self._stream(run, fault, head, connection)
             return
@@ -264,8 +282,7 @@
             case 'lost':
                 connection.abort_response()
             case 'crash':
-                connection.abort_response()
-                await self.close()
+                await self.crash()
             case 'hang':
                 await asyncio.sleep(60)
             case 'error':
@@ -318,12 +335,18 @@
                 await asyncio.sleep(self.pause_s)
                 connection.abort_response()
                 return
-            content = run.request_id if self.echoes else 'piece'
-            event = f'id: {number}\ndata: {content}\n\n'
-            await connection.write_chunk(event.encode())
+            await connection.write_chunk(self.make_events(run)[number])
             await asyncio.sleep(self.pause_s)
         connection.finish()
 
+    def make_events(self, run: Run) -> list[bytes]:
+        """Return the events of a complete stream."""
+        content = run.request_id if self.echoes else 'piece'
+        return [
+            f'id: {number}\ndata: {content}\n\n'.encode()
+            for number in range(self.events)
+        ]
+
 
 def _answer_resumed(fault, head, connection) -> None:
     """Answer a request that resumes a stream with an error."""
