Reproduce a part of a prompt that crashes each replica that answers it

Three gateways and four engines, 18 requests with the part, no two alike, each beside a sound request with the same first part.

--- a/tests/platform_crashes.py
+++ b/tests/platform_crashes.py
@@ -24,6 +24,7 @@
 
     fleet: Fleet
     is_poisoned: object
+    events_before_crash: int = 0
     crashes: list = attrs.field(factory=list)
     _known: dict = attrs.field(factory=dict)
     _started: int = 0
@@ -69,6 +70,7 @@
             f'{crashed.name[:2]}-{self._started}',
             crashed.service,
             models=dict(crashed.models),
+            events_before_crash=self.events_before_crash,
         )
         self.arm(replacement)
         self.fleet.store.remove(f'servers/{crashed.name}')
--- a/tests/test_crashing_replicas.py
+++ b/tests/test_crashing_replicas.py
@@ -7,11 +7,14 @@
 
 from tests.platform_crashes import RESTART_S, replacing_crashed
 from tests.platform_fleet import run_fleet
+from tests.platform_replica import ReplicaStandIn
 from tests.platform_site import run_site
 
 LINK_BYTES_PER_S = 12_500_000
 # Bound on the runs of a crashing request after it has crashed three replicas.
 MAX_RUNS_AFTER_THIRD_CRASH = 3
+# The same for all requests with a part that has crashed five.
+MAX_RUNS_AFTER_FIFTH_CRASH = 3
 
 
 def is_poisoned_path(path, _headers):
@@ -124,3 +127,59 @@
                     f's{number}', '/look/beside', 'GET'
                 )
                 assert answer.status == 200
+
+
+def is_poisoned_prompt(_path, headers):
+    """Whether a prompt has the part that crashes the replica that answers."""
+    return 'bad:' in headers.get('bramleybeam-prompt-prefix', '')
+
+
+async def ask_model(gateway, path, name, part):
+    """Send a request whose prompt has a part between two others."""
+    return await gateway.ask_with_id(
+        name,
+        f'/{path}/{name}',
+        Bramleybeam_Model='model000',
+        Bramleybeam_Token_Counts='100,8',
+        Bramleybeam_Prompt_Prefix=f'aa:50,{part}:30,{name}:20',
+    )
+
+
+@pytest.mark.parametrize(
+    ('path', 'events_before_crash'), [('ask', 0), ('ask', 1), ('digest', 0)]
+)
+async def test_prompt_part_that_crashed_five_replicas_is_not_sent_again(
+    tmp_path, path, events_before_crash
+):
+    """Guards against replicas that crash on a part of otherwise new prompts.
+
+    Sound requests share the first part, and arrive at the same time.
+    """
+    rates = [LINK_BYTES_PER_S] * 3
+    async with run_fleet(
+        tmp_path, rates, models=3, engines=1, plain=1
+    ) as fleet:
+        for number in range(1, 4):
+            models = dict(fleet.replicas['e0'].models)
+            await fleet.add(
+                ReplicaStandIn(f'e{number}', 'engine', models=models)
+            )
+        async with replacing_crashed(fleet, is_poisoned_prompt) as crashing:
+            crashing.events_before_crash = events_before_crash
+            for replica in fleet.replicas.values():
+                replica.events_before_crash = events_before_crash
+            for number in range(18):
+                gateway = fleet.gateways[number % len(fleet.gateways)]
+                other = fleet.gateways[(number + 1) % len(fleet.gateways)]
+                await asyncio.gather(
+                    ask_model(gateway, path, f'p{number}', 'bad'),
+                    ask_model(other, path, f's{number}', 'good'),
+                )
+                await asyncio.sleep(RESTART_S)
+            assert len(crashing.crashes) >= 3
+            runs_after = len(crashing.arrivals) - 5
+            assert runs_after <= MAX_RUNS_AFTER_FIFTH_CRASH, crashing.arrivals
+            await asyncio.sleep(RESTART_S)
+            for number, gateway in enumerate(fleet.gateways):
+                answer = await ask_model(gateway, path, f't{number}', 'good')
+                assert answer.status == 200
