Refuse prompts with a part that crashes each replica that answers it

Cause: the same as of a whole request that crashes replicas, of which nothing was remembered; a hash of the whole request is new each time here.

Change: each part of a prompt but the last is a suspect too. A part that was answered completely in the last 30 s is not, and a gateway that knows so corrects the others.

--- a/bramleybeam/decisions/_quarantine.py
+++ b/bramleybeam/decisions/_quarantine.py
@@ -154,9 +154,17 @@
             self.add(key, crash, now)
 
     def add(self, key: str, crash: Crash, now: float) -> bool:
-        """Record a crash for one suspect; returns whether that is news."""
+        """Record a crash for one suspect; returns whether that is news.
+
+        Reports of the same crash differ by their delays. The least delayed one,
+        with the earliest time, counts.
+        """
         suspect = self._find(key, now) or Suspect()
-        if crash.name in suspect.crashes:
+        known = suspect.crashes.get(crash.name)
+        if known is not None:
+            if crash.at < known.at:
+                suspect.crashes[crash.name] = crash
+                self._confirm(key, suspect)
             return False
         if crash.name in suspect.cleared:
             # The sender does not know this yet, so that it is told again.
@@ -216,6 +224,11 @@
         suspect.trial_ends_at = now + _TRIAL_S
         return True
 
+    def count_crashes(self, key: str) -> int:
+        """Return the number of crashes that are held against a suspect."""
+        suspect = self._suspects.get(key)
+        return len(suspect.crashes) if suspect else 0
+
     def list_changed(self, since: float) -> dict[str, Suspect]:
         """Return the suspects with news since a time, the newest first."""
         changed = {}
@@ -238,15 +251,19 @@
     def _update(self, key: str, suspect: Suspect, now: float) -> None:
         """Store a suspect of which there is news."""
         suspect.changed_at = now
-        suspect.is_confirmed = self._must_quarantine(suspect)
         self._suspects[key] = suspect
         self._suspects.move_to_end(key)
+        self._confirm(key, suspect)
+        while len(self._suspects) > _MAX_SUSPECTS:
+            self._drop(self._pick_least_important())
+
+    def _confirm(self, key: str, suspect: Suspect) -> None:
+        """Decide whether a suspect is quarantined."""
+        suspect.is_confirmed = self._must_quarantine(suspect)
         if suspect.is_confirmed:
             self._confirmed.add(key)
         else:
             self._confirmed.discard(key)
-        while len(self._suspects) > _MAX_SUSPECTS:
-            self._drop(self._pick_least_important())
 
     def _drop(self, key: str) -> None:
         self._suspects.pop(key)
--- a/bramleybeam/gateway/_answers.py
+++ b/bramleybeam/gateway/_answers.py
@@ -68,7 +68,7 @@
         'age_s': _seconds_after_arrival(job, asyncio.get_running_loop().time()),
     }
     if not isinstance(outcome, outcomes.Delivered):
-        fields['fingerprint'] = job.fingerprint
+        fields['keys'] = list(job.suspect_keys)
         fields['parts'] = [part.name for part in job.facts.parts]
     return fields
 
--- a/bramleybeam/gateway/_job.py
+++ b/bramleybeam/gateway/_job.py
@@ -104,7 +104,19 @@
     @property
     def suspect_keys(self) -> tuple[str, ...]:
         """What may be the cause if this request crashes a replica."""
-        return (self.fingerprint,)
+        return (self.fingerprint, *self.part_keys)
+
+    @cached_property
+    def part_keys(self) -> tuple[str, ...]:
+        """Hashes of the prompt's parts that other requests may share.
+
+        The last part belongs to the request or to its session. The same part is
+        the same suspect whatever model the request is for.
+        """
+        return tuple(
+            xxhash.xxh64_hexdigest(f'part {part.name}'.encode())
+            for part in self.facts.parts[:-1]
+        )
 
     @property
     def target(self) -> Target:
--- a/bramleybeam/gateway/_suspects.py
+++ b/bramleybeam/gateway/_suspects.py
@@ -1,11 +1,13 @@
 """Requests that crash replicas, as far as all gateways together know.
 
 Handles this load: a request crashes each replica that runs it, and comes again
-under new ids at any gateway. Each gateway sees few of the crashes, so that all
-of them exchange what they have seen, and decide by the same rule.
+under new ids at any gateway; or requests that are otherwise unlike have a part of
+their prompts in common that does. Each gateway sees few of the crashes, so that
+all of them exchange what they have seen, and decide by the same rule.
 """
 
 import random
+from collections import OrderedDict
 from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 from typing import Final
 
@@ -26,6 +28,10 @@
 _RETRY_AFTER_S: Final = 120.0
 # Time for which a change is in the report to neighbours.
 _REPORT_S: Final = 6.0
+# Time for which a part of a prompt is not suspected after a complete answer to
+# it, and the number of parts for which that is recorded.
+_SOUND_S: Final = 30.0
+_MAX_SOUND_PARTS: Final = 4096
 # Most suspects in one report. Of more quarantined ones, some are drawn.
 _MAX_REPORTED: Final = 32
 _log = structlog.get_logger('suspects')
@@ -87,6 +93,7 @@
         self._clock = clock
         self._rng = rng
         self._table = SuspectTable(SeesOwnRequests())
+        self._sound_at: OrderedDict[str, float] = OrderedDict()
 
     def note_crash(
         self, crash_name: str, lost_requests: Iterable[LostRequest]
@@ -101,15 +108,17 @@
             ]
             for lost in lost_requests
             for key in lost.keys
+            if not self._is_sound(key, now)
         }
         self.learn(SuspectReport(crashes), 'own requests')
 
     def note_sound(self, job: Job) -> None:
         """Record that a request was answered completely."""
+        now = self._clock()
+        self._note_sound_parts(job, now)
         if not self._table:
             return
         suspected = [key for key in job.suspect_keys if key in self._table]
-        now = self._clock()
         cleared = {key: tuple(self._table.clear(key, now)) for key in suspected}
         news = {key: names for key, names in cleared.items() if names}
         if news:
@@ -149,10 +158,14 @@
         What is new here is passed on. ``source`` is for the log.
         """
         now = self._clock()
+        contradicted = {
+            key: [row.name for row in rows]
+            for key, rows in report.crashes.items()
+            if self._is_sound(key, now)
+        }
         cleared = {
-            key: names
-            for key, names in report.cleared.items()
-            if self._table.learn_cleared(key, names, now)
+            **self._learn_cleared(report.cleared, now),
+            **self._learn_cleared(contradicted, now),
         }
         was_quarantined = self._list_quarantined(report.crashes, now)
         added = {
@@ -163,7 +176,8 @@
         news = SuspectReport(crashes, cleared)
         if news:
             self._publish(news)
-        quarantined = self._list_quarantined(crashes, now) - was_quarantined
+        quarantined = self._list_quarantined(report.crashes, now)
+        quarantined -= was_quarantined
         if quarantined:
             self._note_quarantined(quarantined, source, now)
 
@@ -183,6 +197,31 @@
         """Return the number of quarantined suspects."""
         return len(self._table.list_quarantined(self._clock()))
 
+    def count_crashes(self, key: str) -> int:
+        """Return the number of crashes that are held against a suspect."""
+        return self._table.count_crashes(key)
+
+    def _is_sound(self, key: str, now: float) -> bool:
+        """Whether a part of a prompt was answered completely of late."""
+        return now - self._sound_at.get(key, float('-inf')) < _SOUND_S
+
+    def _note_sound_parts(self, job: Job, now: float) -> None:
+        for key in job.part_keys:
+            self._sound_at[key] = now
+            self._sound_at.move_to_end(key)
+        while len(self._sound_at) > _MAX_SOUND_PARTS:
+            self._sound_at.popitem(last=False)
+
+    def _learn_cleared(
+        self, cleared: Mapping[str, Sequence[str]], now: float
+    ) -> dict[str, Sequence[str]]:
+        """Record crashes that suspects have not caused; returns the news."""
+        return {
+            key: names
+            for key, names in cleared.items()
+            if self._table.learn_cleared(key, names, now)
+        }
+
     def _add_crashes(
         self, key: str, rows: Iterable[SuspectCrash], now: float
     ) -> list[SuspectCrash]:
--- a/bramleybeam/gateway/tests/test_suspects.py
+++ b/bramleybeam/gateway/tests/test_suspects.py
@@ -7,7 +7,7 @@
 from bramleybeam.gateway._suspects import LostRequest
 from bramleybeam.gateway.tests.exchange_network import Network
 from bramleybeam.gateway.tests.test_choose import ROUTE
-from bramleybeam.platform import RequestFacts
+from bramleybeam.platform import PromptPart, RequestFacts
 from bramleybeam.relay import InboundRequest
 from bramleybeam.simulation import run_in_virtual_time
 
@@ -27,10 +27,11 @@
     return run_in_virtual_time(build())
 
 
-def make_job(path='/p/x'):
-    """Return the state of a request."""
+def make_job(path='/p/x', parts=()):
+    """Return the state of a request with the named parts in its prompt."""
     request = InboundRequest(b'POST', path.encode(), (), b'body', 0)
-    facts = RequestFacts('r1', 10)
+    prompt = tuple(PromptPart(name, 10) for name in parts)
+    facts = RequestFacts('r1', 10, parts=prompt)
     return Job(request, facts, ROUTE, Service('ledger', '', 9), None, 10)
 
 
@@ -154,3 +155,30 @@
         assert max(spent) < CONTROL_BYTES_PER_S, sorted(spent)[-5:]
 
     run(scenario, 28, 4)
+
+
+@pytest.mark.parametrize('loss', [0.0, 0.1])
+def test_only_the_parts_that_crash_replicas_are_refused(loss):
+    """Two parts crash replicas in the same minutes, beside sound requests.
+
+    The first part is in each crash; it is answered completely elsewhere.
+    """
+
+    async def scenario(network):
+        nodes = list(network.nodes.values())
+        await network.run(3)
+        for number in range(8):
+            sound = make_job(f'/s{number}', ('first', 'group', 's'))
+            nodes[-1].cluster_state.suspects.note_sound(sound)
+            part = ('bad1', 'bad2')[number % 2]
+            crashing = make_job(f'/p{number}', ('first', part, 'p'))
+            beside = make_job(f'/b{number}', ('first', 'group', 'b'))
+            keys = crashing.suspect_keys + beside.suspect_keys
+            crash(nodes[number % 3], f'c{number}', keys)
+            await network.run(0.5)
+        await network.run(CONTACT_S)
+        for part, expected in (('bad1', 28), ('bad2', 28), ('group', 0)):
+            job = make_job('/new', ('first', part, 'new'))
+            assert count_refusing(network, job) == expected, part
+
+    run(scenario, 28, 4, loss)
