Refuse what would be cut off at the end of a graceful shutdown

Another operator's report: requests that came late in the grace period were passed on, and cut without an answer at its end.

Cause: for 2.6 s after SIGTERM, while the load balancer still sends callers, a gateway took requests with their whole time limit, up to 20 s, of which 5 s of the grace period were left.

Change: a stopping gateway takes a request only if its time limit ends in time, or if none of the last 100 answers of its route took longer than is left. Others are refused at once with Retry-After, since another gateway can serve them. A replica is told no more time than is left, also by a repeated attempt.

tests/test_gateway.py, sigterm: two tests fail before (a stream of 10 s was taken and cut; a replica was told 19999 ms), and pass now.

--- a/bramleybeam/gateway/_admission.py
+++ b/bramleybeam/gateway/_admission.py
@@ -1,5 +1,6 @@
 """Matches callers' requests to routes, or refuses them."""
 
+import math
 import random
 from typing import Final
 
@@ -8,7 +9,11 @@
 from bramleybeam.errors import ErrorKind, Refusal, refuse
 from bramleybeam.gateway._cluster_state import ClusterState
 from bramleybeam.gateway._job import Job, RequestRefusedError
-from bramleybeam.limits import RetryBudgets, is_latency_tolerant
+from bramleybeam.limits import (
+    AnswerDurations,
+    RetryBudgets,
+    is_latency_tolerant,
+)
 from bramleybeam.relay import CallerConnection, InboundRequest
 
 # Retry-After while the configuration is missing or stale.
@@ -28,11 +33,17 @@
     ) -> None:
         """Store the tables; ``rng`` draws among the services of a route."""
         self._is_stopping = False
+        self._ends_at = math.inf
+        self.durations = AnswerDurations()
         self._directory = cluster_state.directory
         self._demand = cluster_state.demand
         self._retries = retries
         self._rng = rng
 
+    def end_at(self, ends_at: float) -> None:
+        """Take only requests that end before a time in seconds."""
+        self._ends_at = ends_at
+
     def stop(self) -> None:
         """Refuse all new requests, for shutdown."""
         self._is_stopping = True
@@ -60,7 +71,22 @@
             raise RequestRefusedError(
                 refuse(ErrorKind.NO_READY_UPSTREAM, retry_after=_RETRY_AFTER_S),
             )
-        return self._make_job(request, facts, route, service, connection)
+        job = self._make_job(request, facts, route, service, connection)
+        self._check_end(job)
+        self._count(job)
+        return job
+
+    def _check_end(self, job: Job) -> None:
+        """Raise the refusal of a request that would outlast this process."""
+        if self._ends_at == math.inf:
+            return
+        time_left_s = self._ends_at - job.received_at
+        time_limit_s = job.deadline_at - job.received_at
+        if not self.durations.ends_within(
+            job.route.name, time_limit_s, time_left_s
+        ):
+            raise RequestRefusedError(_refuse_for_shutdown())
+        job.deadline_at = min(job.deadline_at, self._ends_at)
 
     def _refuse_unknown(self, path: str) -> Refusal:
         """Return the refusal for a path without a route.
@@ -75,11 +101,7 @@
     def _require_configuration(self) -> RoutingConfiguration:
         """Return the configuration; raises if requests can't be handled now."""
         if self._is_stopping:
-            raise RequestRefusedError(
-                refuse(
-                    ErrorKind.SHUTTING_DOWN, retry_after=_SHUTDOWN_RETRY_AFTER_S
-                ),
-            )
+            raise RequestRefusedError(_refuse_for_shutdown())
         configuration = self._directory.configuration
         if configuration is None or not self._directory.has_listing:
             raise RequestRefusedError(
@@ -96,7 +118,7 @@
         connection: CallerConnection,
     ) -> Job:
         time_limit_s = min(facts.deadline_s, route.timeout_s)
-        job = Job(
+        return Job(
             request,
             facts,
             route,
@@ -105,16 +127,18 @@
             request.received_at + time_limit_s,
             last_event=facts.last_event,
         )
+
+    def _count(self, job: Job) -> None:
+        """Count a request as demand."""
         now = self._directory.now()
-        self._retries.note_request(service.name, now)
-        if facts.model:
+        self._retries.note_request(job.service.name, now)
+        if job.facts.model:
             self._demand.note_request(
                 job.target,
-                facts.prompt_tokens,
+                job.facts.prompt_tokens,
                 now,
-                is_latency_tolerant=is_latency_tolerant(route),
+                is_latency_tolerant=is_latency_tolerant(job.route),
             )
-        return job
 
     def _pick_service(self, route: Route) -> str:
         if len(route.targets) == 1:
@@ -122,3 +146,7 @@
         names = [target.service for target in route.targets]
         weights = [target.weight for target in route.targets]
         return self._rng.choices(names, weights)[0]
+
+
+def _refuse_for_shutdown() -> Refusal:
+    return refuse(ErrorKind.SHUTTING_DOWN, retry_after=_SHUTDOWN_RETRY_AFTER_S)
--- a/bramleybeam/gateway/_daemon.py
+++ b/bramleybeam/gateway/_daemon.py
@@ -183,21 +183,20 @@
     async def shut_down(self) -> None:
         """Shut down gracefully.
 
-        Fails the readiness check, waits until the load balancer sends no more
-        requests, finishes those that were received and stops all parts.
+        Fails the readiness check, and waits until the load balancer sends no more
+        requests; those that would outlast the grace period are refused. Finishes
+        those that were received and stops all parts.
         """
         _log.info('stopping', open=len(self._callers.connections))
         self._is_stopping = True
         self._callers.announce_close()
         began_at = time.monotonic()
+        ends_at = began_at + self._settings.bounds.grace_s - _EXIT_RESERVE_S
+        self._forwarder.end_at(ends_at)
         self._tasks.spawn(self._planner.close())
         await asyncio.sleep(_BALANCER_LAG_S)
         self._forwarder.stop()
-        elapsed_s = time.monotonic() - began_at
-        time_left_s = (
-            self._settings.bounds.grace_s - elapsed_s - _EXIT_RESERVE_S
-        )
-        await self._callers.close(max(0, time_left_s))
+        await self._callers.close(max(0, ends_at - time.monotonic()))
         await self._stop_parts()
         _log.info('stopped', spent_s=round(time.monotonic() - began_at, 2))
 
--- a/bramleybeam/gateway/_forward.py
+++ b/bramleybeam/gateway/_forward.py
@@ -1,6 +1,7 @@
 """Forwards callers' requests to replicas, with retries where they are safe."""
 
 import asyncio
+import math
 import random
 from typing import Final
 
@@ -71,6 +72,7 @@
         self._pool = pool
         self._retries = RetryBudgets(settings)
         self._admitter = Admitter(cluster_state, self._retries, rng)
+        self._ends_at = math.inf
 
     async def handle(
         self,
@@ -104,6 +106,14 @@
         """Apply changed settings from the next request on."""
         self._retries.apply_settings(settings)
 
+    def end_at(self, ends_at: float) -> None:
+        """Take only requests that end before a time in seconds.
+
+        Later attempts of the others are told no more time than is left.
+        """
+        self._ends_at = ends_at
+        self._admitter.end_at(ends_at)
+
     def stop(self) -> None:
         """Refuse new and waiting requests; those at a replica continue."""
         self._admitter.stop()
@@ -133,15 +143,20 @@
             self._recorder.note(job, replica, outcome)
             self._metrics.note_attempt(job.service.name, type(outcome).__name__)
             if isinstance(outcome, outcomes.Delivered):
-                self._log_attempt('answered', job, replica, outcome)
-                self._metrics.note_answered(
-                    job, outcome.status, self._directory.now()
-                )
+                self._note_answered(job, replica, outcome)
                 return
             self._log_attempt('attempt_failed', job, replica, outcome)
             if not await self._handle_failure(job, outcome):
                 return
 
+    def _note_answered(
+        self, job: Job, replica: Replica, outcome: outcomes.Delivered
+    ) -> None:
+        now = self._directory.now()
+        self._log_attempt('answered', job, replica, outcome)
+        self._metrics.note_answered(job, outcome.status, now)
+        self._admitter.durations.note(job.route.name, now - job.received_at)
+
     def _check_quarantine(self, job: Job) -> None:
         """Raise the refusal of a request that crashes replicas."""
         refusal = self._cluster_state.suspects.find_refusal(job)
@@ -167,7 +182,8 @@
         replica: Replica,
         in_flight: InFlightRequest,
     ) -> outcomes.Outcome:
-        time_left = job.deadline_at - self._directory.now()
+        ends_at = min(job.deadline_at, self._ends_at)
+        time_left = ends_at - self._directory.now()
         with self._loads.track(replica.name, in_flight):
             observer = ReplyObserver(
                 self._cluster_state, replica, in_flight, job, self._crashes
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -142,6 +142,12 @@
         """Return the status of the readiness endpoint, 0 if unreachable."""
         return await self.gateway.readiness_status()
 
+    async def wait_for_readiness_status(self, status: int) -> None:
+        """Wait until the readiness endpoint returns a status."""
+        async with asyncio.timeout(10):
+            while await self.readiness_status() != status:
+                await asyncio.sleep(0.02)
+
     async def ask(self, path: str, **headers) -> Answer:
         """Send a request with a new id to the gateway; return its answer."""
         self._request_count += 1
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -15,6 +15,9 @@
     'Bramleybeam_Token_Counts': '100,8',
     'Bramleybeam_Prompt_Prefix': 'aa:60,bb:40',
 }
+LONG_REQUEST = {**MODEL_HEADERS, 'Bramleybeam_Request_Deadline': '20000'}
+# Grace period in the settings of the tests.
+GRACE_MS = 8000
 # Limit on the growth of a gateway's memory during one request.
 MAX_GROWTH_BYTES = 8_000_000
 HEADERS_BY_PATH = {'/post/2f': {}, '/look/2f': {}, '/ask/2f': MODEL_HEADERS}
@@ -477,3 +480,28 @@
     answer = await asyncio.wait_for(pending, 10)
     assert answer.status == 502
     assert await stopping == 0
+
+
+async def test_sigterm_refuses_a_stream_that_would_be_cut_off(site):
+    """Nothing is known of its route, and it may last longer than the grace."""
+    for replica in site.replicas.values():
+        replica.pause_s = 0.5
+        replica.events = 20
+    stopping = asyncio.create_task(site.gateway.stop())
+    await site.wait_for_readiness_status(503)
+    answer = await site.ask_with_id('late', '/night/2f', **LONG_REQUEST)
+    assert (answer.status, site.runs('late')) == (503, [])
+    assert 'retry-after' in answer.headers
+    assert await stopping == 0
+
+
+async def test_sigterm_takes_a_stream_that_ends_in_time(site):
+    """The replica is told no more time than is left of the grace."""
+    answer = await site.ask('/night/2f', **LONG_REQUEST)
+    stopping = asyncio.create_task(site.gateway.stop())
+    await site.wait_for_readiness_status(503)
+    late_answer = await site.ask_with_id('late', '/night/2f', **LONG_REQUEST)
+    assert (late_answer.status, late_answer.body) == (200, answer.body)
+    (run,) = site.runs('late')
+    assert int(run.headers['bramleybeam-request-deadline']) < GRACE_MS
+    assert await stopping == 0
