Do not take a reset of an upstream's connection for the end of its answer

Another operator's report: a replica stopped in the middle of its answer's head and closed, and callers got a 200 with an empty or short body.

The agent's client for services took a reset for the end of an answer without a length, as aiohttp does: it reported such an answer as finished. A head that breaks off was no answer there either.

Change: services are called over the relay's connection, as replicas of the platform are. It also no longer asks a service for a compressed answer, whose encoding callers were not told.

bramleybeam/agent/tests/test_upstream.py fails before for the reset.

--- a/bramleybeam/agent/_upstream.py
+++ b/bramleybeam/agent/_upstream.py
@@ -1,8 +1,12 @@
 """HTTP client of the upstream: inference, orders and state."""
 
+import asyncio
 import json
+import ssl
 from collections.abc import AsyncIterator
+from contextlib import closing
 from typing import Any, Final
+from urllib.parse import SplitResult, urlsplit
 
 import aiohttp
 import attrs
@@ -19,6 +23,12 @@
 )
 from bramleybeam.links import Dispatch
 from bramleybeam.messages import ArtifactState, Order
+from bramleybeam.relay import (
+    BrokenReplyError,
+    PeerConnection,
+    connect_peer,
+    find_header,
+)
 
 CONNECT_TIMEOUT_S: Final = 1.0
 ADMIN_TIMEOUT_S: Final = 3.0
@@ -27,6 +37,8 @@
 # Limit of the body of a service's response.
 MAX_RESPONSE_BYTES: Final = 900_000
 _OK: Final = 200
+_HTTP_PORT: Final = 80
+_HTTPS_PORT: Final = 443
 _CONFLICT: Final = 409
 # Raised by a call that fails or whose response can't be decoded.
 _CALL_FAILURES: Final = (
@@ -55,6 +67,7 @@
     def __init__(self, base_url: str) -> None:
         """Store the base URL; ``start`` opens the session."""
         self._base_url = base_url
+        self._url = urlsplit(base_url)
         self._session: aiohttp.ClientSession | None = None
 
     def start(self) -> None:
@@ -98,23 +111,18 @@
 
     async def request(self, dispatch: Dispatch) -> AsyncIterator[Event]:
         """Send a request to a service and yield the events of its response."""
-        headers = json.loads(dispatch.headers or '{}')
-        headers['traceparent'] = dispatch.traceparent
         try:
-            async with self._require_session().request(
-                dispatch.method,
-                f'{self._base_url}{dispatch.path}',
-                data=dispatch.body or None,
-                headers=headers,
-                timeout=_make_stream_timeout(),
-                allow_redirects=False,
-            ) as response:
-                async for event in _read_service_response(response):
-                    yield event
-        except aiohttp.ClientConnectorError as error:
+            connection = await self._connect()
+        except (OSError, TimeoutError) as error:
             yield NotRun(f'cannot connect: {error}', busy=True)
-        except _CALL_FAILURES as error:
-            yield Lost(repr(error), crashed=False)
+            return
+        with closing(connection):
+            try:
+                _send_to_service(connection, self._url, dispatch)
+                async for event in _read_service_response(connection):
+                    yield event
+            except (BrokenReplyError, TimeoutError) as error:
+                yield Lost(repr(error), crashed=False)
 
     async def cancel(self, request_id: str) -> None:
         """Ask the engine to stop a request; failures are ignored."""
@@ -173,6 +181,22 @@
         status, _body = await self._call_admin('GET', '/health')
         return status == _OK
 
+    async def _connect(self) -> PeerConnection:
+        """Open a connection to a service.
+
+        aiohttp would take a reset for the end of a reply without a length.
+        """
+        port = self._url.port
+        tls = None
+        if self._url.scheme == 'https':
+            port = port or _HTTPS_PORT
+            tls = ssl.create_default_context()
+        return await connect_peer(
+            f'{self._url.hostname}:{port or _HTTP_PORT}',
+            CONNECT_TIMEOUT_S,
+            tls=tls,
+        )
+
     async def _call_admin(
         self,
         method: str,
@@ -229,15 +253,38 @@
     return Lost(f'HTTP {response.status}: {text}', crashed=False)
 
 
+def _send_to_service(
+    connection: PeerConnection, url: SplitResult, dispatch: Dispatch
+) -> None:
+    fields = json.loads(dispatch.headers or '{}')
+    fields['Host'] = url.netloc
+    fields['traceparent'] = dispatch.traceparent
+    headers = tuple(
+        (name.encode(), str(field).encode()) for name, field in fields.items()
+    )
+    target = f'{url.path.rstrip("/")}{dispatch.path}'
+    connection.send(
+        f'{dispatch.method} {target} HTTP/1.1'.encode(), headers, dispatch.body
+    )
+
+
 async def _read_service_response(
-    response: aiohttp.ClientResponse,
+    connection: PeerConnection,
 ) -> AsyncIterator[Event]:
-    yield Started(response.status, response.headers.get('Content-Type', ''))
+    async with asyncio.timeout(STREAM_IDLE_TIMEOUT_S):
+        head = await connection.read_head()
+    content_type = find_header(head.headers, b'content-type') or b''
+    yield Started(head.status, content_type.decode('latin-1'))
     size_bytes = 0
-    async for received in response.content.iter_any():
+    while received := await _read_chunk(connection):
         yield Text(size_bytes, len(received), received)
         size_bytes += len(received)
         if size_bytes > MAX_RESPONSE_BYTES:
             yield Lost('the response exceeds the size limit', crashed=False)
             return
     yield Finished(size_bytes, 'stop')
+
+
+async def _read_chunk(connection: PeerConnection) -> bytes:
+    async with asyncio.timeout(STREAM_IDLE_TIMEOUT_S):
+        return await connection.read_chunk()
--- a/bramleybeam/agent/tests/test_upstream.py
+++ b/bramleybeam/agent/tests/test_upstream.py
@@ -1,10 +1,12 @@
-"""The client of an upstream that writes a reply twice."""
+"""The client of an upstream that writes a reply twice, or a part of it."""
 
 import asyncio
+import socket
+import struct
 
 import pytest
 
-from bramleybeam.agent._events import Finished, NotRun, Text
+from bramleybeam.agent._events import Finished, Lost, NotRun, Text
 from bramleybeam.agent._upstream import UpstreamClient
 from bramleybeam.links import Dispatch
 
@@ -21,10 +23,12 @@
 
     def __init__(self):
         self.runs = 0
+        self.writers = []
         self._refusals = 0
 
     async def serve(self, reader, writer):
         """Answer the requests of one connection."""
+        self.writers.append(writer)
         has_refused = False
         while await self._read_request(reader):
             if not self._refusals:
@@ -64,6 +68,8 @@
     finally:
         await client.close()
         server.close()
+        for writer in upstream.writers:
+            writer.close()
     assert upstream.runs == 1
     # Without this, a request that ran was reported as not run.
     assert not any(isinstance(event, NotRun) for event in second)
@@ -71,3 +77,56 @@
         assert second[1:] == [Text(0, 5, b'whole'), Finished(5, 'stop')]
     else:
         assert isinstance(first[0], NotRun)
+
+
+CLOSED = b'HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\npart'
+RESET = struct.pack('ii', 1, 0)
+
+
+async def request_reply(reply, *, is_reset):
+    """Return the events of a request whose connection ends after a reply."""
+
+    served = asyncio.Event()
+
+    async def serve(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(reply)
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        if is_reset:
+            connection = writer.get_extra_info('socket')
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        writer.transport.abort()
+        served.set()
+
+    server = await asyncio.start_server(serve, '127.0.0.1', 0)
+    port = server.sockets[0].getsockname()[1]
+    client = UpstreamClient(f'http://127.0.0.1:{port}')
+    client.start()
+    dispatch = Dispatch(
+        request_id='r1', kind='service', path='/x', method='GET', body=b''
+    )
+    try:
+        return [event async for event in client.request(dispatch)]
+    finally:
+        await served.wait()
+        await client.close()
+        server.close()
+
+
+@pytest.mark.parametrize(
+    ('reply', 'is_reset', 'expected'),
+    [
+        (CLOSED, False, Finished),
+        # Guards against a reset that looks like the end of the answer.
+        (CLOSED, True, Lost),
+        (b'HTTP/1.1 200 OK\r\nContent-Le', False, Lost),
+        (b'HTTP/1.1 200 OK\r\n', False, Lost),
+        (b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n', False, Lost),
+        (b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart', False, Lost),
+    ],
+)
+async def test_part_of_a_reply_is_not_the_answer(reply, is_reset, expected):
+    events = await request_reply(reply, is_reset=is_reset)
+    assert isinstance(events[-1], expected)
+    assert not any(isinstance(event, NotRun) for event in events)
--- a/bramleybeam/relay/_peer_connection.py
+++ b/bramleybeam/relay/_peer_connection.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import socket
+import ssl
 from typing import Final
 
 from bramleybeam.relay._reply_parser import ReplyParser
@@ -232,8 +233,10 @@
         await self._waiter
 
 
-async def connect_peer(address: str, timeout: float) -> PeerConnection:
-    """Connect to ``IP:PORT`` within ``timeout`` seconds.
+async def connect_peer(
+    address: str, timeout: float, *, tls: ssl.SSLContext | None = None
+) -> PeerConnection:
+    """Connect to ``IP:PORT`` within ``timeout`` seconds, with TLS if given.
 
     Raises ``OSError``, which includes ``TimeoutError``.
     """
@@ -241,6 +244,6 @@
     loop = asyncio.get_running_loop()
     async with asyncio.timeout(timeout):
         _, connection = await loop.create_connection(
-            PeerConnection, host, int(port)
+            PeerConnection, host, int(port), ssl=tls
         )
     return connection
