Keep quarantines in the store, for a loss of all gateways

Cause: what gateways know of crashing requests was only in their memory and on their tree. After a loss of all gateways at once, or at a gateway that reaches the store and no other gateway, three more replicas would have to crash.

Change: the planner writes each quarantine to the store and removes it when its suspect is cleared; every gateway reads it with the rest of the store. Quarantines are reported to each neighbour in turn, no longer by a random draw: a draw of 32 of 40 left some out for seconds (seen once in a test run, traced to this).

The decoders of the store's replies are a module of their own. tests/test_crashing_replicas.py, outlives, fails before: the request runs again.

--- a/bramleybeam/gateway/_cluster_state.py
+++ b/bramleybeam/gateway/_cluster_state.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Callable
+from functools import partial
 
 import attrs
 
@@ -43,11 +44,15 @@
     ``clock`` returns seconds, ``rng`` draws pauses, and ``pace`` is how often
     the changes in the store are read.
     """
-    rng = rng or random.Random()
+    directory = Directory(clock, pace)
+    suspects = CrashSuspects(clock)
+    directory.stored_suspects.on_read.append(
+        partial(suspects.learn, source='store')
+    )
     return ClusterState(
-        Directory(clock, pace),
+        directory,
         LoadTable(),
         DemandTable(),
-        PauseTable(rng),
-        CrashSuspects(clock, rng),
+        PauseTable(rng or random.Random()),
+        suspects,
     )
--- a/bramleybeam/gateway/_daemon.py
+++ b/bramleybeam/gateway/_daemon.py
@@ -34,6 +34,7 @@
 from bramleybeam.gateway._reply_observer import note_leaving
 from bramleybeam.gateway._settings_reload import SettingsReloader
 from bramleybeam.gateway._status import StatusReporter, Traffic
+from bramleybeam.gateway._suspect_keeper import SuspectKeeper
 from bramleybeam.gateway._tree import Peer, encode_peer
 from bramleybeam.keyvalue import LeaseKeeper
 from bramleybeam.relay import CallerServer, ConnectionPool
@@ -51,6 +52,8 @@
 _REGISTRATION_TTL_S: Final = 10.0
 _REGISTRATION_RENEW_S: Final = 3.0
 _STATUS_S: Final = 1.0
+# Period at which the planner compares its suspects with those in the store.
+_SUSPECTS_S: Final = 0.5
 # Period at which the settings file is read, because it may change without a signal.
 _SETTINGS_S: Final = 5.0
 # Time until the load balancer has stopped sending requests to a gateway whose
@@ -103,6 +106,7 @@
             self._store, self._directory, rng, self._batch_delay_s
         )
         cluster_state.suspects.may_try = self._is_planner
+        self._suspect_keeper = SuspectKeeper(cluster_state, self._store)
         self._local_peer = Peer(
             f'{settings.ip_address}:{settings.peer_port}',
             settings.name,
@@ -216,6 +220,7 @@
         subscribe('idle', _DROP_IDLE_S, self._forwarder.drop_idle)
         subscribe('plan', _PLAN_S, self._plan)
         subscribe('settings', _SETTINGS_S, self._reloader.reload)
+        subscribe('suspects', _SUSPECTS_S, self._suspect_keeper.keep)
         subscribe('status', _STATUS_S, self._status.report)
 
     def _accepts_requests(self) -> bool:
--- a/bramleybeam/gateway/_directory.py
+++ b/bramleybeam/gateway/_directory.py
@@ -24,6 +24,10 @@
 from bramleybeam.gateway._freshness import StoreFreshness
 from bramleybeam.gateway._placement import PlacementTable, ReplicaPlacement
 from bramleybeam.gateway._reachability import ReachabilityTable
+from bramleybeam.gateway._stored_suspects import (
+    SUSPECT_PREFIX,
+    StoredSuspects,
+)
 from bramleybeam.gateway._tree import ObservedPlanner, Peer, decode_peer
 from bramleybeam.keyvalue import Changes, Item, Listing, Removal
 
@@ -66,6 +70,7 @@
         self.placement = PlacementTable(clock)
         self.departures = DepartureTable(clock)
         self.freshness = StoreFreshness(clock, pace)
+        self.stored_suspects = StoredSuspects()
         self._clock = clock
         self._lapsed: dict[str, float] = {}
         self._lost_peers: dict[str, float] = {}
@@ -153,6 +158,7 @@
         current_keys = [
             *(platform.REPLICA_PREFIX + name for name in self.replicas),
             *(PEER_PREFIX + name for name in self.peers),
+            *self.stored_suspects.store_keys,
         ]
         for key in current_keys:
             if key not in present:
@@ -199,6 +205,9 @@
 
     def _apply_item(self, item: Item) -> None:
         key = item.key
+        if key.startswith(SUSPECT_PREFIX):
+            self.stored_suspects.update(key, item.content)
+            return
         if key == platform.CONFIGURATION_KEY:
             self._update_configuration(item.content)
         elif key.startswith(platform.REPLICA_PREFIX):
@@ -269,6 +278,8 @@
             self._lost_peers.setdefault(name, self._clock())
         elif key.startswith(platform.REPLICA_PREFIX):
             self._remove_replica(key.removeprefix(platform.REPLICA_PREFIX))
+        elif key.startswith(SUSPECT_PREFIX):
+            self.stored_suspects.remove(key)
 
     def _remove_replica(self, name: str) -> None:
         replica = self.replicas.get(name)
--- a/bramleybeam/gateway/_neighbour_tables.py
+++ b/bramleybeam/gateway/_neighbour_tables.py
@@ -36,6 +36,7 @@
         self._loads.forget(address)
         self._failures.forget(address)
         self._demand.forget(address)
+        self._suspects.forget(address)
 
     def merge_report(
         self,
@@ -100,7 +101,7 @@
             directory.departures.list_recent(),
             self._pauses.list_requested(now),
             self._failures.report_for(parent, now),
-            self._suspects.report(),
+            self._suspects.report_for(parent),
         )
 
     def make_update(
@@ -125,7 +126,7 @@
             self._directory.departures.list_recent(),
             self._pauses.list_requested(now),
             self._failures.report_for(pacer.address, now),
-            self._suspects.report(),
+            self._suspects.report_for(pacer.address),
         )
 
     def learn_suspects(self, report: SuspectReport, sender: str) -> None:
--- a/bramleybeam/gateway/_suspects.py
+++ b/bramleybeam/gateway/_suspects.py
@@ -6,7 +6,6 @@
 all of them exchange what they have seen, and decide by the same rule.
 """
 
-import random
 from collections import OrderedDict
 from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 from typing import Final
@@ -32,7 +31,7 @@
 # it, and the number of parts for which that is recorded.
 _SOUND_S: Final = 30.0
 _MAX_SOUND_PARTS: Final = 4096
-# Most suspects in one report. Of more quarantined ones, some are drawn.
+# Most recent and most quarantined suspects in one report.
 _MAX_REPORTED: Final = 32
 _log = structlog.get_logger('suspects')
 
@@ -81,17 +80,17 @@
 
     The callbacks in ``on_news`` are called with what neighbours don't know yet,
     those in ``on_quarantined`` when further requests are to be refused.
-    ``may_try`` returns whether this gateway is the one that tries quarantined
-    requests again.
+    ``may_try`` returns whether this gateway is the planner, the only one that
+    tries quarantined requests again.
     """
 
-    def __init__(self, clock: Callable[[], float], rng: random.Random) -> None:
-        """Start without suspects; ``rng`` draws what is reported."""
+    def __init__(self, clock: Callable[[], float]) -> None:
+        """Start without suspects."""
         self.on_news: list[Callable[[SuspectReport], None]] = []
         self.on_quarantined: list[Callable[[], None]] = []
         self.may_try: Callable[[], bool] = _never
         self._clock = clock
-        self._rng = rng
+        self._reported: dict[str, int] = {}
         self._table = SuspectTable(SeesOwnRequests())
         self._sound_at: OrderedDict[str, float] = OrderedDict()
 
@@ -181,22 +180,37 @@
         if quarantined:
             self._note_quarantined(quarantined, source, now)
 
-    def report(self) -> SuspectReport:
-        """Return what is sent to neighbours repeatedly.
+    def report_for(self, neighbour: str) -> SuspectReport:
+        """Return what is sent to a neighbour repeatedly.
 
-        These are the quarantined suspects and what has changed lately.
+        These are what has changed lately and the quarantined suspects, in turn.
         """
         now = self._clock()
         recent = list(self._table.list_changed(now - _REPORT_S).items())
         quarantined = list(self._table.list_quarantined(now).items())
-        count = min(len(quarantined), _MAX_REPORTED)
-        drawn = self._rng.sample(quarantined, count)
-        return _make_report(dict(recent[:_MAX_REPORTED] + drawn), now)
+        start = self._reported.get(neighbour, 0) % max(1, len(quarantined))
+        self._reported[neighbour] = start + _MAX_REPORTED
+        in_turn = quarantined[start:] + quarantined[:start]
+        chosen = recent[:_MAX_REPORTED] + in_turn[:_MAX_REPORTED]
+        return _make_report(dict(chosen), now)
+
+    def forget(self, neighbour: str) -> None:
+        """Drop what was reported to a gateway that is no neighbour now."""
+        self._reported.pop(neighbour, None)
+
+    def report_quarantined(self) -> SuspectReport:
+        """Return all quarantined suspects."""
+        now = self._clock()
+        return _make_report(self._table.list_quarantined(now), now)
 
     def count_quarantined(self) -> int:
         """Return the number of quarantined suspects."""
         return len(self._table.list_quarantined(self._clock()))
 
+    def is_suspect(self, key: str) -> bool:
+        """Whether any crash is held against a key."""
+        return bool(self.count_crashes(key))
+
     def count_crashes(self, key: str) -> int:
         """Return the number of crashes that are held against a suspect."""
         return self._table.count_crashes(key)
--- a/bramleybeam/gateway/tests/test_suspects_machine.py
+++ b/bramleybeam/gateway/tests/test_suspects_machine.py
@@ -5,8 +5,6 @@
 the other parts are in flight at both.
 """
 
-import random
-
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
@@ -41,7 +39,7 @@
         self._complete(self.hosts[0])
 
     def _make_host(self, number):
-        host = CrashSuspects(lambda: self.now, random.Random(number))
+        host = CrashSuspects(lambda: self.now)
         host.on_news.append(
             lambda news: self.messages.extend(
                 (other, news) for other in range(HOSTS) if other != number
@@ -105,12 +103,14 @@
         self.hosts[at] = self._make_host(at)
         for other in range(HOSTS):
             if other != at:
-                self.hosts[at].learn(self.hosts[other].report(), 'neighbour')
+                self.hosts[at].learn(
+                    self.hosts[other].report_for(str(at)), 'neighbour'
+                )
 
     def _send_report(self, at):
-        report = self.hosts[at].report()
         for other, host in enumerate(self.hosts):
             if other != at:
+                report = self.hosts[at].report_for(str(other))
                 host.learn(report, 'neighbour')
 
     @rule()
--- a/bramleybeam/platform/_store.py
+++ b/bramleybeam/platform/_store.py
@@ -8,6 +8,7 @@
 import base64
 import json
 import time
+from collections.abc import Mapping, Sequence
 from contextlib import closing
 from typing import Any, Final, Protocol
 from urllib.parse import urlencode
@@ -23,9 +24,14 @@
     Lease,
     LeaseHeld,
     Listing,
-    Removal,
     Unavailable,
 )
+from bramleybeam.platform._store_replies import (
+    REPLY_ERRORS,
+    decode_changes,
+    decode_page,
+    note_unreadable,
+)
 from bramleybeam.relay import BrokenReplyError, connect_peer
 
 _CONNECT_TIMEOUT_S: Final = 0.5
@@ -35,6 +41,8 @@
 _OK: Final = 200
 # Largest number of pages read for one listing.
 _MAX_PAGES: Final = 40
+# Largest number of keys that one call may change.
+_MAX_CHANGES: Final = 32
 # Expected statuses besides success: a lease that has ended (404), a history
 # that is gone (410) and a key that is taken (412).
 _EXPECTED_STATUSES: Final = frozenset((_OK, 404, 410, 412))
@@ -47,14 +55,6 @@
     ValueError,
     RecursionError,
 )
-# Raised by decoding a reply with missing or mistyped fields.
-_REPLY_ERRORS: Final = (
-    ValueError,
-    KeyError,
-    TypeError,
-    AttributeError,
-    OverflowError,
-)
 
 
 class CallObserver(Protocol):
@@ -135,9 +135,9 @@
             if not isinstance(reply, _Answer) or reply.status != _OK:
                 return Error(Unavailable(str(reply)))
             try:
-                page = _decode_page(reply.content)
-            except _REPLY_ERRORS as error:
-                return Error(_note_unreadable('listing', error))
+                page = decode_page(reply.content)
+            except REPLY_ERRORS as error:
+                return Error(note_unreadable('listing', error))
             items.extend(page.items)
             revision = revision or page.revision
             if not page.items or not page.is_truncated:
@@ -164,9 +164,9 @@
         match reply:
             case _Answer(status=200, content=content):
                 try:
-                    return Ok(_decode_changes(content))
-                except _REPLY_ERRORS as error:
-                    return Error(_note_unreadable('changes', error))
+                    return Ok(decode_changes(content))
+                except REPLY_ERRORS as error:
+                    return Error(note_unreadable('changes', error))
             case _Answer(status=410):
                 return Error(HistoryLost())
         return Error(Unavailable(str(reply)))
@@ -194,6 +194,27 @@
             return Error(Unavailable(str(renewal)))
         return await self._acquire(name, holder, ttl)
 
+    async def write(
+        self, writes: Mapping[str, bytes], deletes: Sequence[str]
+    ) -> bool:
+        """Write and delete keys together; returns whether that was confirmed.
+
+        Without a confirmation the change may still take effect. At most
+        ``_MAX_CHANGES`` are made in one call.
+        """
+        rows = [
+            {'key': key, 'value': base64.b64encode(content).decode()}
+            for key, content in writes.items()
+        ]
+        deletes = deletes[:_MAX_CHANGES]
+        body = {
+            'expected': [],
+            'writes': rows[: _MAX_CHANGES - len(deletes)],
+            'deletes': list(deletes),
+        }
+        answer = await self._post('/api/kv-txn', body)
+        return isinstance(answer, _Answer) and answer.status == _OK
+
     async def release(self, name: str, holder: str) -> None:
         """Release a lease if this client holds it."""
         held = self._held_leases.pop(name, None)
@@ -329,42 +350,3 @@
 def boot_clock() -> float:
     """Return a monotonic time in seconds that includes suspension."""
     return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
-def _note_unreadable(name: str, error: Exception) -> Unavailable:
-    """Log a reply that can't be decoded, which counts as no reply."""
-    _log.warning('store_reply_unreadable', reply=name, error=repr(error)[:200])
-    return Unavailable(f'unreadable {name}')
-
-
-@attrs.frozen
-class _Page:
-    """One page of a listing; ``is_truncated`` if another one follows."""
-
-    items: tuple[Item, ...]
-    revision: int
-    is_truncated: bool
-
-
-def _decode_page(content: Any) -> _Page:
-    return _Page(
-        tuple(map(_decode_item, content['items'])),
-        int(content['as-of']),
-        bool(content.get('truncated')),
-    )
-
-
-def _decode_changes(content: Any) -> Changes:
-    events = tuple(map(_decode_event, content['events']))
-    return Changes(events, int(content['as-of']))
-
-
-def _decode_item(row: dict[str, Any]) -> Item:
-    content = base64.b64decode(row['value'])
-    return Item(str(row['key']), content, int(row['revision']))
-
-
-def _decode_event(row: dict[str, Any]) -> Item | Removal:
-    if row.get('removed'):
-        return Removal(str(row['key']), int(row['revision']))
-    return _decode_item(row)
--- a/tests/test_crashing_replicas.py
+++ b/tests/test_crashing_replicas.py
@@ -183,3 +183,30 @@
             for number, gateway in enumerate(fleet.gateways):
                 answer = await ask_model(gateway, path, f't{number}', 'good')
                 assert answer.status == 200
+
+
+async def test_quarantine_outlives_all_gateways(tmp_path):
+    """Guards against crashes that begin again after a loss of all hosts."""
+    rates = [LINK_BYTES_PER_S] * 2
+    async with (
+        run_fleet(tmp_path, rates, models=3, engines=1, plain=3) as fleet,
+        replacing_crashed(fleet, is_poisoned_path) as crashing,
+    ):
+        for number in range(6):
+            gateway = fleet.gateways[number % len(fleet.gateways)]
+            await gateway.ask_with_id(f'p{number}', '/look/poison', 'GET')
+            await asyncio.sleep(1.5 * RESTART_S)
+        assert fleet.gateways[0].events('suspect_quarantined')
+        async with asyncio.timeout(10):
+            while not any('/suspects/' in key for key in fleet.store.items):
+                await asyncio.sleep(0.05)
+        runs_before = len(crashing.arrivals)
+        await asyncio.gather(*(process.kill() for process in fleet.gateways))
+        for number in (0, 1):
+            gateway = await fleet.restart(number)
+            await gateway.wait_ready()
+            answer = await gateway.ask_with_id(
+                f'q{number}', '/look/poison', 'GET'
+            )
+            assert answer.status == 503
+        assert len(crashing.arrivals) == runs_before
