Soak: requests and parts of prompts that crash replicas

One request and then prompts with one part in common are sent to any gateway through the whole soak, beside its other faults; replicas that run them crash and are replaced. Checked: at most 3 runs by unaffected gateways later than 3 s after the third crash of the request, the fifth of the part.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -4,6 +4,7 @@
 
 from tests.platform_fleet import Fleet
 from tests.soak.callers import DEADLINE_S
+from tests.soak.crashes import check_crashes
 from tests.soak.record import DRAIN_S, FAULT_GRACE_S, CallerRequest, Record
 
 # Statuses that guarantee that the request has not run and never will.
@@ -41,6 +42,7 @@
         violations.extend(
             _check_time(request, runs.get(request.request_id, []), record)
         )
+    violations.extend(check_crashes(record, runs))
     violations.extend(_check_orders(record))
     violations.extend(_check_processes(fleet, record))
     violations.extend(_check_recovery(record))
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -55,6 +55,7 @@
         self._record = record
         self._rng = random.Random(seed)
         self._affected: set[int] = set()
+        self.on_replacement: Callable[[ReplicaStandIn], None] = _ignore
         self._version = 1
         self._replica_count = 100
         self._kinds: dict[str, Callable[[], Awaitable[None]]] = {
@@ -307,6 +308,7 @@
             events=replica.events,
             pause_s=replica.pause_s,
         )
+        self.on_replacement(replacement)
         self._record.replicas.append(replacement)
         await self._fleet.add(replacement)
 
@@ -338,5 +340,9 @@
             await asyncio.sleep(self._rng.uniform(0.05, 0.3))
 
 
+def _ignore(_replica: ReplicaStandIn) -> None:
+    """Do nothing."""
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -6,6 +6,8 @@
 
 # Time limits are not checked until this long after a fault.
 FAULT_GRACE_S = 4.0
+# Time after a fault by which a gateway has to know what the others know.
+CONTACT_S = 3.0
 # Bounds from the gateways' settings: drain-ms and config-apply-ms.
 DRAIN_S = 2.0
 CONFIGURATION_APPLY_S = 2.0
@@ -66,6 +68,14 @@
     written_at: float
 
 
+@attrs.frozen
+class Crash:
+    """A crash of a replica, and the name of what caused it."""
+
+    name: str
+    at: float
+
+
 @attrs.define
 class Record:
     """All observations that the checks use.
@@ -80,6 +90,7 @@
     replicas: list = attrs.field(factory=list)
     fault_counts: Counter = attrs.field(factory=Counter)
     stopped_gateways: set = attrs.field(factory=set)
+    crashes: list[Crash] = attrs.field(factory=list)
     violations: list[str] = attrs.field(factory=list)
     final_period_from: float = 0
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -12,6 +12,7 @@
 from tests.platform_replica import ReplicaStandIn
 from tests.soak.callers import Caller, LoadBalancer
 from tests.soak.checks import check_all
+from tests.soak.crashes import CrashingRequests
 from tests.soak.faults import FaultInjector
 from tests.soak.record import FAULT_GRACE_S, ConfigurationVersion, Record
 
@@ -96,6 +97,10 @@
         self._injector = FaultInjector(
             fleet, self._record, rng.randrange(1 << 30)
         )
+        self._crashing = CrashingRequests(
+            fleet, self._record, random.Random(len(fleet.gateways))
+        )
+        self._injector.on_replacement = self._crashing.arm
 
     async def execute(self) -> SoakResult:
         await self._start_replicas()
@@ -110,7 +115,8 @@
         ]
         tasks = [asyncio.create_task(caller.run()) for caller in callers]
         await asyncio.sleep(_WARM_UP_S)
-        await self._inject_faults()
+        await asyncio.gather(self._inject_faults(), self._crashing.run())
+        await self._crashing.wait_replaced()
         await asyncio.sleep(_SETTLE_S)
         self._record.final_period_from = asyncio.get_running_loop().time()
         await asyncio.sleep(_FINAL_PERIOD_S)
@@ -174,6 +180,7 @@
         replica.max_models = _MODELS_PER_REPLICA
         replica.events = _EVENTS
         replica.pause_s = _EVENT_PAUSE_S
+        self._crashing.arm(replica)
         self._record.replicas.append(replica)
         await self._fleet.add(replica)
 
