Do not suspect a request that was answered completely of late

Found by reading: a request that many callers repeat, with the same path and body, is in flight at many crashes. It was cleared by a complete answer after each, but blamed after three crashes in a row without one, as when another request ends all replicas of a service. The record of the last 30 s that parts of prompts have counts for whole requests too.

test_popular_request_is_not_blamed_for_crashes_of_another fails before.

--- a/bramleybeam/gateway/_outcome_recorder.py
+++ b/bramleybeam/gateway/_outcome_recorder.py
@@ -56,7 +56,7 @@
     def _note_delivered(
         self, job: Job, replica: Replica, outcome: outcomes.Delivered
     ) -> None:
-        if outcome.status == HTTPStatus.OK:
+        if HTTPStatus.OK <= outcome.status < HTTPStatus.MULTIPLE_CHOICES:
             self._suspects.note_sound(job)
         self._note_run(replica, has_failed=False)
         self._directory.reachability.note_reachable(replica.name)
--- a/bramleybeam/gateway/_suspects.py
+++ b/bramleybeam/gateway/_suspects.py
@@ -27,10 +27,10 @@
 _RETRY_AFTER_S: Final = 120.0
 # Time for which a change is in the report to neighbours.
 _REPORT_S: Final = 6.0
-# Time for which a part of a prompt is not suspected after a complete answer to
-# it, and the number of parts for which that is recorded.
+# Time for which a request or a part of a prompt is not suspected after a complete
+# answer, and the number of keys for which that is recorded.
 _SOUND_S: Final = 30.0
-_MAX_SOUND_PARTS: Final = 4096
+_MAX_SOUND_KEYS: Final = 4096
 # Most recent and most quarantined suspects in one report.
 _MAX_REPORTED: Final = 32
 _log = structlog.get_logger('suspects')
@@ -114,7 +114,7 @@
     def note_sound(self, job: Job) -> None:
         """Record that a request was answered completely."""
         now = self._clock()
-        self._note_sound_parts(job, now)
+        self._note_sound_keys(job, now)
         if not self._table:
             return
         suspected = [key for key in job.suspect_keys if key in self._table]
@@ -216,14 +216,14 @@
         return self._table.count_crashes(key)
 
     def _is_sound(self, key: str, now: float) -> bool:
-        """Whether a part of a prompt was answered completely of late."""
+        """Whether a request with this key was answered completely of late."""
         return now - self._sound_at.get(key, float('-inf')) < _SOUND_S
 
-    def _note_sound_parts(self, job: Job, now: float) -> None:
-        for key in job.part_keys:
+    def _note_sound_keys(self, job: Job, now: float) -> None:
+        for key in job.suspect_keys:
             self._sound_at[key] = now
             self._sound_at.move_to_end(key)
-        while len(self._sound_at) > _MAX_SOUND_PARTS:
+        while len(self._sound_at) > _MAX_SOUND_KEYS:
             self._sound_at.popitem(last=False)
 
     def _learn_cleared(
--- a/bramleybeam/gateway/tests/test_suspects.py
+++ b/bramleybeam/gateway/tests/test_suspects.py
@@ -182,3 +182,23 @@
             assert count_refusing(network, job) == expected, part
 
     run(scenario, 28, 4, loss)
+
+
+def test_popular_request_is_not_blamed_for_crashes_of_another():
+    """The same sound request is in flight at each crash, at any gateway."""
+
+    async def scenario(network):
+        popular = make_job('/popular')
+        nodes = list(network.nodes.values())
+        await network.run(2)
+        nodes[-1].cluster_state.suspects.note_sound(popular)
+        for number in range(6):
+            crashing = make_job('/crashing')
+            keys = popular.suspect_keys + crashing.suspect_keys
+            crash(nodes[number % 3], f'c{number}', keys)
+            await network.run(0.5)
+        await network.run(CONTACT_S)
+        assert count_refusing(network, crashing) == len(nodes)
+        assert not count_refusing(network, popular)
+
+    run(scenario, 5, 3)
--- a/tests/soak/crashes.py
+++ b/tests/soak/crashes.py
@@ -135,7 +135,8 @@
     ``runs`` are pairs of a replica and a run by the id of a request.
     """
     violations = []
-    for name in {crash.name for crash in record.crashes}:
+    names = {crash.name for crash in record.crashes}
+    for name in sorted(names):
         times = [crash.at for crash in record.crashes if crash.name == name]
         limit = (
             _CRASHES_OF_PART if name.endswith('part') else _CRASHES_OF_REQUEST
