--- a/bramleybeam/relay/_caller_server.py
+++ b/bramleybeam/relay/_caller_server.py
@@ -23,6 +23,7 @@
     RequestParser,
     UnreadableRequestError,
 )
+from bramleybeam.relay._restartable_timer import RestartableTimer
 
 # Reading pauses when more pipelined requests than this wait on a connection.
 _MAX_QUEUED_REQUESTS: Final = 4
@@ -47,7 +48,7 @@
         self._parser = RequestParser(owner.limits, owner.now)
         self._queue: deque[InboundRequest] = deque()
         self._task: asyncio.Task[None] | None = None
-        self._timer = _Timer(self._on_timeout)
+        self._timer = RestartableTimer(self._on_timeout)
         self._writable = asyncio.Event()
         self._writable.set()
         self._response_started = False
@@ -242,24 +243,6 @@
             self._transport.close()
 
 
-class _Timer:
-    """Calls back once after a delay, unless restarted or stopped before."""
-
-    def __init__(self, callback: Callable[[], None]) -> None:
-        self._callback = callback
-        self._handle: asyncio.TimerHandle | None = None
-
-    def start(self, delay: float) -> None:
-        self.stop()
-        loop = asyncio.get_running_loop()
-        self._handle = loop.call_later(delay, self._callback)
-
-    def stop(self) -> None:
-        if self._handle is not None:
-            self._handle.cancel()
-            self._handle = None
-
-
 class CallerServer:
     """Listens at one address and calls one handler for each request.
 
