Do not blame sound parts of prompts for crashes while nothing is answered

Their parts had the same crashes as the guilty one.

Change: a suspect is not refused if more specific ones explain its crashes (a request those of its parts, a later part those of the first), or one of its kind with more crashes does. If two have the same crashes, the planner's gateway tries one at once. There is one trial at a time; one late trial in place of two keeps the sum of trials within the bound. What is kept of cleared crashes is bounded, and only what changes a decision is passed on at once.

--- a/bramleybeam/decisions/__init__.py
+++ b/bramleybeam/decisions/__init__.py
@@ -19,6 +19,7 @@
     ClaimState,
     Verdict,
 )
+from bramleybeam.decisions._crash_evidence import Crash, Suspect
 from bramleybeam.decisions._homes import assign_homes, rank_by_hash
 from bramleybeam.decisions._memory import (
     DRAINING,
@@ -42,10 +43,8 @@
 )
 from bramleybeam.decisions._prefixes import PrefixHistory, hash_blocks
 from bramleybeam.decisions._quarantine import (
-    Crash,
     SeesAllRequests,
     SeesOwnRequests,
-    Suspect,
     SuspectTable,
     Suspicion,
 )
--- a/bramleybeam/decisions/_quarantine.py
+++ b/bramleybeam/decisions/_quarantine.py
@@ -20,24 +20,28 @@
 
 import attrs
 
+from bramleybeam.decisions._crash_evidence import (
+    MAX_TRIALS,
+    TRIAL_AFTER_S,
+    Crash,
+    Suspect,
+    are_conclusive,
+    count_late_crashes,
+    keep_last,
+    sort_crashes,
+)
+
 # Seconds after the last crash at which a quarantine or a suspicion ends.
 QUARANTINE_S: Final = 600.0
 SUSPICION_S: Final = 600.0
 # The same for a quarantine in a process that sees only its own requests, where
 # it ends sooner if a trial succeeds.
 COUNTED_QUARANTINE_S: Final = 86_400.0
-# Seconds after the last crash at which a quarantined request may be tried, and
-# the number of failed trials after which it is not tried again.
-TRIAL_AFTER_S: Final = 120.0
-MAX_TRIALS: Final = 2
 # Time in which a trial is expected to end.
-_TRIAL_S: Final = 30.0
-# Independent crashes that confirm a suspect.
-_INDEPENDENT_CRASHES: Final = 3
-# Crashes that confirm a suspect if only two of them are independent.
-_CRASHES: Final = 5
-# Crashes that are kept for a suspect.
+_TRIAL_S: Final = 10.0
+# Crashes that are kept for a suspect, and those that it has not caused.
 _MAX_CRASHES: Final = 8
+_MAX_CLEARED: Final = 32
 _MAX_SUSPECTS: Final = 5000
 
 
@@ -50,21 +54,6 @@
     QUARANTINED = 'quarantined'
 
 
-@attrs.frozen
-class Crash:
-    """A crash of an upstream on which a suspect was in flight.
-
-    ``name`` identifies the crash. The suspect was sent at ``sent_at`` and the
-    upstream crashed at ``at``, in seconds. ``was_alone`` is whether no other
-    request was in flight.
-    """
-
-    name: str
-    sent_at: float
-    at: float
-    was_alone: bool = False
-
-
 @attrs.frozen
 class SeesAllRequests:
     """The process sees all requests that are in flight on an upstream."""
@@ -78,29 +67,6 @@
 Visibility = SeesAllRequests | SeesOwnRequests
 
 
-@attrs.define
-class Suspect:
-    """What is known of one suspect.
-
-    ``crashes`` are in the order in which they were recorded. ``cleared`` are
-    the names of crashes that it has not caused, as it has finished since.
-    ``changed_at`` is the time of the last news, ``trial_ends_at`` the latest end
-    of the current trial, in seconds. ``is_confirmed`` is whether it is
-    quarantined.
-    """
-
-    crashes: dict[str, Crash] = attrs.field(factory=dict)
-    cleared: set[str] = attrs.field(factory=set)
-    changed_at: float = 0
-    trial_ends_at: float = 0
-    is_confirmed: bool = False
-
-    @property
-    def last_crash_at(self) -> float:
-        """Time of the last crash in seconds, 0 without any."""
-        return max((crash.at for crash in self.crashes.values()), default=0)
-
-
 class SuspectTable:
     """Suspects by key, limited in number and duration.
 
@@ -114,6 +80,8 @@
         self._suspects: OrderedDict[str, Suspect] = OrderedDict()
         self._confirmed: set[str] = set()
         self._crash_count = 0
+        self._tried_key = ''
+        self._trial_ends_at = float('-inf')
 
     def __len__(self) -> int:
         """Return the number of suspects, with cleared ones."""
@@ -171,8 +139,7 @@
             self._update(key, suspect, now)
             return False
         suspect.crashes[crash.name] = crash
-        while len(suspect.crashes) > _MAX_CRASHES:
-            suspect.crashes.pop(next(iter(suspect.crashes)))
+        keep_last(suspect.crashes, _MAX_CRASHES)
         self._update(key, suspect, now)
         return True
 
@@ -198,30 +165,56 @@
     ) -> bool:
         """Record crashes that a suspect has not caused.
 
-        Returns whether that is news.
+        Returns whether one of them was held against it.
         """
         suspect = self._find(key, now) or Suspect()
-        if suspect.cleared.issuperset(names):
+        if suspect.cleared.keys() >= set(names):
             return False
-        suspect.cleared.update(names)
+        was_held = not suspect.crashes.keys().isdisjoint(names)
         for name in names:
+            suspect.cleared[name] = None
             suspect.crashes.pop(name, None)
+        keep_last(suspect.cleared, _MAX_CLEARED)
         self._update(key, suspect, now)
-        return True
+        return was_held
+
+    def is_cleared(self, key: str, name: str) -> bool:
+        """Whether a suspect is known not to have caused a crash."""
+        suspect = self._suspects.get(key)
+        return suspect is not None and name in suspect.cleared
 
-    def take_trial(self, key: str, now: float) -> bool:
+    def is_explained(self, key: str, others: Iterable[str]) -> bool:
+        """Whether a suspect would not be quarantined without shared crashes.
+
+        These are the crashes that are also held against ``others``.
+        """
+        shared: set[str] = set()
+        for other in others:
+            shared.update(self._suspects[other].crashes)
+        unshared = [
+            crash
+            for crash in sort_crashes(self._suspects[key])
+            if crash.name not in shared
+        ]
+        return not are_conclusive(unshared)
+
+    def take_trial(self, key: str, now: float, *, is_ambiguous: bool) -> bool:
         """Begin a trial of a quarantined request, if one is due.
 
         The caller must be the only process that takes trials. There is one
-        trial at a time; each that ends in a crash is a new crash.
+        trial at a time. ``is_ambiguous`` is whether another suspect has the same
+        crashes: a trial tells them apart, and is due at once.
         """
         suspect = self._find(key, now)
-        if suspect is None or now < suspect.trial_ends_at:
+        if suspect is None or now < self._trial_ends_at:
+            return False
+        is_late = now - suspect.last_crash_at >= TRIAL_AFTER_S
+        if not is_ambiguous and not is_late:
             return False
-        is_early = now - suspect.last_crash_at < TRIAL_AFTER_S
-        if is_early or _count_trials(suspect) >= MAX_TRIALS:
+        if count_late_crashes(suspect) >= MAX_TRIALS:
             return False
-        suspect.trial_ends_at = now + _TRIAL_S
+        self._tried_key = key
+        self._trial_ends_at = now + _TRIAL_S
         return True
 
     def count_crashes(self, key: str) -> int:
@@ -251,6 +244,8 @@
     def _update(self, key: str, suspect: Suspect, now: float) -> None:
         """Store a suspect of which there is news."""
         suspect.changed_at = now
+        if key == self._tried_key:
+            self._trial_ends_at = float('-inf')
         self._suspects[key] = suspect
         self._suspects.move_to_end(key)
         self._confirm(key, suspect)
@@ -259,7 +254,7 @@
 
     def _confirm(self, key: str, suspect: Suspect) -> None:
         """Decide whether a suspect is quarantined."""
-        suspect.is_confirmed = self._must_quarantine(suspect)
+        suspect.is_confirmed = _must_quarantine(self._visibility, suspect)
         if suspect.is_confirmed:
             self._confirmed.add(key)
         else:
@@ -269,17 +264,6 @@
         self._suspects.pop(key)
         self._confirmed.discard(key)
 
-    def _must_quarantine(self, suspect: Suspect) -> bool:
-        crashes = sorted(suspect.crashes.values(), key=lambda crash: crash.at)
-        match self._visibility:
-            case SeesAllRequests():
-                return any(crash.was_alone for crash in crashes[1:])
-            case SeesOwnRequests():
-                independent = _count_independent(crashes)
-                if independent >= _INDEPENDENT_CRASHES:
-                    return True
-                return independent > 1 and len(crashes) >= _CRASHES
-
     def _expires_at(self, suspect: Suspect) -> float:
         """Return when a suspect is forgotten, in seconds."""
         if not suspect.is_confirmed:
@@ -305,24 +289,10 @@
         return next(iter(self._suspects))
 
 
-def _count_independent(crashes: Iterable[Crash]) -> int:
-    """Return the most crashes of which each request followed the last crash.
-
-    ``crashes`` are in the order of their times.
-    """
-    count = 0
-    last_crash_at = float('-inf')
-    for crash in crashes:
-        if crash.sent_at >= last_crash_at:
-            count += 1
-            last_crash_at = crash.at
-    return count
-
-
-def _count_trials(suspect: Suspect) -> int:
-    """Return the number of crashes long after the one before."""
-    times = sorted(crash.at for crash in suspect.crashes.values())
-    return sum(
-        later - earlier >= TRIAL_AFTER_S
-        for earlier, later in zip(times, times[1:], strict=False)
-    )
+def _must_quarantine(visibility: Visibility, suspect: Suspect) -> bool:
+    crashes = sort_crashes(suspect)
+    match visibility:
+        case SeesAllRequests():
+            return any(crash.was_alone for crash in crashes[1:])
+        case SeesOwnRequests():
+            return are_conclusive(crashes)
--- a/bramleybeam/gateway/_forward.py
+++ b/bramleybeam/gateway/_forward.py
@@ -20,8 +20,8 @@
 from bramleybeam.gateway._admission import Admitter
 from bramleybeam.gateway._answers import (
     answer_refusal,
-    describe_outcome,
     classify_failure,
+    describe_outcome,
     forward_failure,
     refuse_unfinished,
 )
--- a/bramleybeam/gateway/_job.py
+++ b/bramleybeam/gateway/_job.py
@@ -2,6 +2,7 @@
 
 import enum
 from functools import cached_property
+from itertools import chain, repeat
 
 import attrs
 import xxhash
@@ -24,6 +25,17 @@
         self.refusal = refusal
 
 
+class SuspectKind(enum.StrEnum):
+    """What a suspect of a crash is, from the least to the most specific.
+
+    The first part of a prompt is usually shared by all requests of a route.
+    """
+
+    FIRST_PART = 'first'
+    PART = 'part'
+    REQUEST = 'request'
+
+
 class QueueExitReason(enum.StrEnum):
     """Why a request stopped waiting for a replica."""
 
@@ -104,7 +116,7 @@
     @property
     def suspect_keys(self) -> tuple[str, ...]:
         """What may be the cause if this request crashes a replica."""
-        return (self.fingerprint, *self.part_keys)
+        return (f'{SuspectKind.REQUEST}:{self.fingerprint}', *self.part_keys)
 
     @cached_property
     def part_keys(self) -> tuple[str, ...]:
@@ -113,9 +125,11 @@
         The last part belongs to the request or to its session. The same part is
         the same suspect whatever model the request is for.
         """
+        kinds = chain((SuspectKind.FIRST_PART,), repeat(SuspectKind.PART))
+        shared_parts = self.facts.parts[:-1]
         return tuple(
-            xxhash.xxh64_hexdigest(f'part {part.name}'.encode())
-            for part in self.facts.parts[:-1]
+            f'{kind}:{xxhash.xxh64_hexdigest(part.name.encode())}'
+            for kind, part in zip(kinds, shared_parts, strict=False)
         )
 
     @property
--- a/bramleybeam/gateway/_neighbour_tables.py
+++ b/bramleybeam/gateway/_neighbour_tables.py
@@ -13,7 +13,7 @@
     SubtreeReport,
 )
 from bramleybeam.gateway._placement import PlacementVersion, ReplicaPlacement
-from bramleybeam.gateway._suspects import SuspectReport
+from bramleybeam.gateway._suspect_report import SuspectReport
 
 
 class NeighbourTables:
--- a/bramleybeam/gateway/_peer_codec_parts.py
+++ b/bramleybeam/gateway/_peer_codec_parts.py
@@ -14,7 +14,7 @@
 from bramleybeam.gateway._peer_messages import ObservedStoreState
 from bramleybeam.gateway._pending_demand import PendingDemand
 from bramleybeam.gateway._placement import PlacementVersion, ReplicaPlacement
-from bramleybeam.gateway._suspects import SuspectCrash, SuspectReport
+from bramleybeam.gateway._suspect_report import SuspectCrash, SuspectReport
 from bramleybeam.gateway._tree import ObservedPlanner
 from bramleybeam.limits import Incarnation
 from bramleybeam.orders import Target
--- a/bramleybeam/gateway/_peer_messages.py
+++ b/bramleybeam/gateway/_peer_messages.py
@@ -9,7 +9,7 @@
 from bramleybeam.gateway._loads import RemoteLoads
 from bramleybeam.gateway._pending_demand import PendingDemand
 from bramleybeam.gateway._placement import PlacementDelta, PlacementVersion
-from bramleybeam.gateway._suspects import SuspectReport
+from bramleybeam.gateway._suspect_report import SuspectReport
 from bramleybeam.gateway._tree import ObservedPlanner
 from bramleybeam.limits import Incarnation
 from bramleybeam.orders import Demand
--- a/bramleybeam/gateway/_stored_suspects.py
+++ b/bramleybeam/gateway/_stored_suspects.py
@@ -15,7 +15,7 @@
     decode_suspects,
     encode_suspects,
 )
-from bramleybeam.gateway._suspects import SuspectReport
+from bramleybeam.gateway._suspect_report import SuspectReport
 
 SUSPECT_PREFIX: Final = 'bramleybeam/suspects/'
 _DECODING_ERRORS: Final = (
--- a/bramleybeam/gateway/_suspects.py
+++ b/bramleybeam/gateway/_suspects.py
@@ -6,8 +6,8 @@
 all of them exchange what they have seen, and decide by the same rule.
 """
 
-from collections import OrderedDict
-from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
+from types import MappingProxyType
 from typing import Final
 
 import attrs
@@ -21,46 +21,27 @@
     Suspicion,
 )
 from bramleybeam.errors import ErrorKind, Refusal, refuse
-from bramleybeam.gateway._job import Job
+from bramleybeam.gateway._job import Job, SuspectKind
+from bramleybeam.gateway._sound_keys import SoundKeys
+from bramleybeam.gateway._suspect_report import (
+    SuspectCrash,
+    SuspectReport,
+    make_report,
+)
 
 # Retry-After of a request that is held back.
 _RETRY_AFTER_S: Final = 120.0
 # Time for which a change is in the report to neighbours.
 _REPORT_S: Final = 6.0
-# Time for which a request or a part of a prompt is not suspected after a complete
-# answer, and the number of keys for which that is recorded.
-_SOUND_S: Final = 30.0
-_MAX_SOUND_KEYS: Final = 4096
 # Most recent and most quarantined suspects in one report.
 _MAX_REPORTED: Final = 32
+# Kinds of suspects and how specific each is.
+_KINDS: Final = MappingProxyType(
+    {kind.value: rank for rank, kind in enumerate(SuspectKind)}
+)
 _log = structlog.get_logger('suspects')
 
 
-@attrs.frozen
-class SuspectCrash:
-    """A crash of a replica, for other gateways.
-
-    ``name`` identifies the crash, which was ``age_s`` ago. The suspect had
-    been sent ``in_flight_s`` before.
-    """
-
-    name: str
-    age_s: float
-    in_flight_s: float
-
-
-@attrs.frozen
-class SuspectReport:
-    """Crashes by suspect, and the names of those that it has not caused."""
-
-    crashes: Mapping[str, Sequence[SuspectCrash]] = attrs.field(factory=dict)
-    cleared: Mapping[str, Sequence[str]] = attrs.field(factory=dict)
-
-    def __bool__(self) -> bool:
-        """Whether there is anything to report."""
-        return bool(self.crashes or self.cleared)
-
-
 @attrs.frozen
 class LostRequest:
     """A request that was in flight when a replica may have crashed.
@@ -92,7 +73,7 @@
         self._clock = clock
         self._reported: dict[str, int] = {}
         self._table = SuspectTable(SeesOwnRequests())
-        self._sound_at: OrderedDict[str, float] = OrderedDict()
+        self._sound = SoundKeys()
 
     def note_crash(
         self, crash_name: str, lost_requests: Iterable[LostRequest]
@@ -107,14 +88,14 @@
             ]
             for lost in lost_requests
             for key in lost.keys
-            if not self._is_sound(key, now)
+            if not self._sound.is_sound(key, now)
         }
         self.learn(SuspectReport(crashes), 'own requests')
 
     def note_sound(self, job: Job) -> None:
         """Record that a request was answered completely."""
         now = self._clock()
-        self._note_sound_keys(job, now)
+        self._sound.note(job.suspect_keys, now)
         if not self._table:
             return
         suspected = [key for key in job.suspect_keys if key in self._table]
@@ -135,9 +116,7 @@
         quarantined = sorted(self._list_quarantined(job.suspect_keys, now))
         if not quarantined:
             return None
-        if self.may_try() and all(
-            self._table.take_trial(key, now) for key in quarantined
-        ):
+        if len(quarantined) == 1 and self._take_trial(quarantined[0], now):
             job.is_trial = True
             _log.info(
                 'suspect_tried',
@@ -157,15 +136,12 @@
         What is new here is passed on. ``source`` is for the log.
         """
         now = self._clock()
-        contradicted = {
-            key: [row.name for row in rows]
-            for key, rows in report.crashes.items()
-            if self._is_sound(key, now)
-        }
         cleared = {
-            **self._learn_cleared(report.cleared, now),
-            **self._learn_cleared(contradicted, now),
+            key: names
+            for key, names in report.cleared.items()
+            if self._table.learn_cleared(key, names, now)
         }
+        cleared.update(self._contradict(report, now))
         was_quarantined = self._list_quarantined(report.crashes, now)
         added = {
             key: self._add_crashes(key, rows, now)
@@ -192,7 +168,7 @@
         self._reported[neighbour] = start + _MAX_REPORTED
         in_turn = quarantined[start:] + quarantined[:start]
         chosen = recent[:_MAX_REPORTED] + in_turn[:_MAX_REPORTED]
-        return _make_report(dict(chosen), now)
+        return make_report(dict(chosen), now)
 
     def forget(self, neighbour: str) -> None:
         """Drop what was reported to a gateway that is no neighbour now."""
@@ -201,7 +177,7 @@
     def report_quarantined(self) -> SuspectReport:
         """Return all quarantined suspects."""
         now = self._clock()
-        return _make_report(self._table.list_quarantined(now), now)
+        return make_report(self._table.list_quarantined(now), now)
 
     def count_quarantined(self) -> int:
         """Return the number of quarantined suspects."""
@@ -215,26 +191,24 @@
         """Return the number of crashes that are held against a suspect."""
         return self._table.count_crashes(key)
 
-    def _is_sound(self, key: str, now: float) -> bool:
-        """Whether a request with this key was answered completely of late."""
-        return now - self._sound_at.get(key, float('-inf')) < _SOUND_S
-
-    def _note_sound_keys(self, job: Job, now: float) -> None:
-        for key in job.suspect_keys:
-            self._sound_at[key] = now
-            self._sound_at.move_to_end(key)
-        while len(self._sound_at) > _MAX_SOUND_KEYS:
-            self._sound_at.popitem(last=False)
-
-    def _learn_cleared(
-        self, cleared: Mapping[str, Sequence[str]], now: float
+    def _contradict(
+        self, report: SuspectReport, now: float
     ) -> dict[str, Sequence[str]]:
-        """Record crashes that suspects have not caused; returns the news."""
-        return {
-            key: names
-            for key, names in cleared.items()
-            if self._table.learn_cleared(key, names, now)
-        }
+        """Clear what a neighbour suspects and was answered here of late.
+
+        Returns the names of the crashes, which the neighbour has to know.
+        """
+        contradicted: dict[str, Sequence[str]] = {}
+        for key, rows in report.crashes.items():
+            names = [
+                row.name
+                for row in rows
+                if not self._table.is_cleared(key, row.name)
+            ]
+            if names and self._sound.is_sound(key, now):
+                self._table.learn_cleared(key, names, now)
+                contradicted[key] = names
+        return contradicted
 
     def _add_crashes(
         self, key: str, rows: Iterable[SuspectCrash], now: float
@@ -249,11 +223,54 @@
         return news
 
     def _list_quarantined(self, keys: Iterable[str], now: float) -> set[str]:
-        return {
+        """Return those of the keys that are quarantined, and not explained."""
+        confirmed = [
             key
             for key in keys
             if self._table.suspicion_of(key, now) == Suspicion.QUARANTINED
-        }
+        ]
+        return {key for key in confirmed if not self._is_explained(key, now)}
+
+    def _is_explained(self, key: str, now: float) -> bool:
+        """Whether other suspects explain the crashes of a suspect.
+
+        While nothing is answered, the part that all requests of a route share is
+        in flight at each crash that a later part causes. A suspect of the same
+        kind explains them if more crashes are held against it.
+        """
+        more_specific = [
+            other
+            for other in self._table.list_quarantined(now)
+            if _specificity(other) > _specificity(key)
+        ]
+        if self._table.is_explained(key, more_specific):
+            return True
+        count = self.count_crashes(key)
+        return any(
+            self.count_crashes(rival) > count
+            for rival in self._list_rivals(key, now)
+        )
+
+    def _list_rivals(self, key: str, now: float) -> list[str]:
+        """Return suspects of the same kind that may have caused its crashes."""
+        return [
+            other
+            for other in self._table.list_quarantined(now)
+            if other != key
+            and _specificity(other) == _specificity(key)
+            and self._table.is_explained(key, (other,))
+        ]
+
+    def _take_trial(self, key: str, now: float) -> bool:
+        """Begin a trial if this gateway may and one is due."""
+        count = self.count_crashes(key)
+        is_ambiguous = any(
+            self.count_crashes(rival) == count
+            for rival in self._list_rivals(key, now)
+        )
+        return self.may_try() and self._table.take_trial(
+            key, now, is_ambiguous=is_ambiguous
+        )
 
     def _note_quarantined(
         self, keys: Collection[str], source: str, now: float
@@ -277,27 +294,15 @@
             callback(news)
 
 
-def _make_report(suspects: Mapping[str, Suspect], now: float) -> SuspectReport:
-    crashes = {
-        key: [
-            SuspectCrash(crash.name, now - crash.at, crash.at - crash.sent_at)
-            for crash in suspect.crashes.values()
-        ]
-        for key, suspect in suspects.items()
-        if suspect.crashes
-    }
-    cleared = {
-        key: sorted(suspect.cleared)
-        for key, suspect in suspects.items()
-        if suspect.cleared
-    }
-    return SuspectReport(crashes, cleared)
-
-
 def _first_crash_age_s(suspect: Suspect, now: float) -> float:
     first_at = min(crash.at for crash in suspect.crashes.values())
     return round(now - first_at, 3)
 
 
+def _specificity(key: str) -> int:
+    """Return the rank of a key's kind; -1 if the kind is unknown."""
+    return _KINDS.get(key.partition(':')[0], -1)
+
+
 def _never() -> bool:
     return False
