Compare only newly confirmed suspects with the others

Found in the last reading: each message of a neighbour compared every quarantined suspect in it with all others, twice. Only those that the message confirms need it.

--- a/bramleybeam/gateway/_suspects.py
+++ b/bramleybeam/gateway/_suspects.py
@@ -142,7 +142,7 @@
             if self._table.learn_cleared(key, names, now)
         }
         cleared.update(self._contradict(report, now))
-        was_quarantined = self._list_quarantined(report.crashes, now)
+        was_confirmed = self._list_confirmed(report.crashes, now)
         added = {
             key: self._add_crashes(key, rows, now)
             for key, rows in report.crashes.items()
@@ -151,10 +151,8 @@
         news = SuspectReport(crashes, cleared)
         if news:
             self._publish(news)
-        quarantined = self._list_quarantined(report.crashes, now)
-        quarantined -= was_quarantined
-        if quarantined:
-            self._note_quarantined(quarantined, source, now)
+        confirmed = self._list_confirmed(report.crashes, now)
+        self._note_confirmed(confirmed - was_confirmed, source, now)
 
     def report_for(self, neighbour: str) -> SuspectReport:
         """Return what is sent to a neighbour repeatedly.
@@ -224,12 +222,15 @@
 
     def _list_quarantined(self, keys: Iterable[str], now: float) -> set[str]:
         """Return those of the keys that are quarantined, and not explained."""
-        confirmed = [
+        confirmed = self._list_confirmed(keys, now)
+        return {key for key in confirmed if not self._is_explained(key, now)}
+
+    def _list_confirmed(self, keys: Iterable[str], now: float) -> set[str]:
+        return {
             key
             for key in keys
             if self._table.suspicion_of(key, now) == Suspicion.QUARANTINED
-        ]
-        return {key for key in confirmed if not self._is_explained(key, now)}
+        }
 
     def _is_explained(self, key: str, now: float) -> bool:
         """Whether other suspects explain the crashes of a suspect.
@@ -272,13 +273,16 @@
             key, now, is_ambiguous=is_ambiguous
         )
 
-    def _note_quarantined(
+    def _note_confirmed(
         self, keys: Collection[str], source: str, now: float
     ) -> None:
         """Log new quarantines, and let waiting requests be refused."""
-        quarantined = self._table.list_quarantined(now)
-        for key in keys:
-            suspect = quarantined[key]
+        quarantined = self._list_quarantined(keys, now)
+        if not quarantined:
+            return
+        suspects = self._table.list_quarantined(now)
+        for key in quarantined:
+            suspect = suspects[key]
             _log.warning(
                 'suspect_quarantined',
                 key=key,
