--- a/review/rig.py
+++ b/review/rig.py
@@ -391,7 +391,10 @@
 
 
 async def run(folder: Path, case) -> int:
-    """Run a case; return the exit status."""
+    """Run a case; return the exit status. A stop ends all that was started."""
+    task = asyncio.current_task()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
     try:
         async with asyncio.timeout(110):
             async with Rig(folder) as rig:
@@ -403,3 +406,6 @@
     except TimeoutError:
         print('the case could not run: out of time')
         return 2
+    except asyncio.CancelledError:
+        print('the case was stopped')
+        return 2
