--- a/review/rig.py
+++ b/review/rig.py
@@ -330,11 +330,13 @@
             self._streams[1].close()
         self._streams = None
 
-    async def ask(self, request_id: str, route: str, deadline_ms: int = 4000) -> Answer:
+    async def ask(
+        self, request_id: str, route: str, deadline_ms: int = 4000, rest: str = 'a'
+    ) -> Answer:
         on_kept = self._streams is not None and self._served > 0
         try:
             async with asyncio.timeout(deadline_ms / 1000 + 1):
-                answer = await self._ask(request_id, route, deadline_ms)
+                answer = await self._ask(request_id, route, deadline_ms, rest)
         except (OSError, asyncio.IncompleteReadError, TimeoutError):
             answer = Answer(request_id, route, 'closed')
         answer.on_kept = on_kept
@@ -348,7 +350,9 @@
         )
         return answer
 
-    async def _ask(self, request_id: str, route: str, deadline_ms: int) -> Answer:
+    async def _ask(
+        self, request_id: str, route: str, deadline_ms: int, rest: str
+    ) -> Answer:
         if self._streams is None:
             host, _, port = self.address.rpartition(':')
             self._streams = await asyncio.open_connection(host, int(port))
@@ -356,7 +360,7 @@
         is_get = route == 'permit-lookup'
         body = b'' if is_get else b'{"permit": 1}'
         lines = [
-            f'{"GET" if is_get else "POST"} /{route}/a HTTP/1.1',
+            f'{"GET" if is_get else "POST"} /{route}/{rest} HTTP/1.1',
             'Host: permits.example',
             f'Bramleybeam-Request-Id: {request_id}',
             f'Bramleybeam-Request-Deadline: {deadline_ms}',
