--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,13 +1,14 @@
 """Two replicas of four end some bodies with bytes without end."""
 
 import asyncio
+import random
 import signal
 import sys
 from pathlib import Path
 
 from review.rig import TROUBLE, Client, Rig, run
 
-CLIENTS = 24
+CLIENTS = 40
 MEMORY_MB = 300
 # The platform starts a process again after a short delay.
 RESTART_S = 0.5
@@ -85,6 +86,7 @@
 
 
 async def send(rig, platform, number, answers, stop) -> None:
+    rng = random.Random(number)
     client = Client(rig, platform.gateway.callers)
     route = 'permit-issue' if number % 3 else 'permit-lookup'
     count = 0
@@ -96,7 +98,7 @@
         request_id = f'{number:03x}{count:05x}'
         answer = await client.ask(request_id, route)
         answers.append((len(platform.kills), answer))
-        await asyncio.sleep(0.2)
+        await asyncio.sleep(rng.uniform(0.05, 0.35))
     client.close()
 
 
--- a/review/replica.py
+++ b/review/replica.py
@@ -14,6 +14,7 @@
     unframed   neither a length nor chunks; the answer ends with its connection
     endless    a chunked body whose trailer section does not end until the caller closes
     stray      bytes that are no answer of this protocol come in place of the answer
+    again      the line with the seal comes once more behind the last chunk of the body
 
 --closes is the share of the sound answers with Connection: close, as the pages say
 that it comes occasionally. A run of a path that begins with --dark-on crashes the
@@ -174,7 +175,7 @@
             start += 'Connection: close\r\n'
         if fault == 'unframed':
             start += 'Connection: close\r\n\r\n'
-        elif fault == 'endless' or kind:
+        elif fault in {'endless', 'again'} or kind:
             start += 'Transfer-Encoding: chunked\r\n\r\n'
         else:
             start += f'Content-Length: {len(pieces[0])}\r\n\r\n'
@@ -197,6 +198,8 @@
                 # The next request may follow as soon as the answer is complete.
                 await stop_watching(left)
             end = b'0\r\n\r\n' if is_chunked and is_last and not fault else b''
+            if fault == 'again' and is_last:
+                end = f'0\r\n{SEAL}: seal.{request_id}\r\n\r\n'.encode()
             writer.write((start.encode() if not number else b'') + framed + end)
             await writer.drain()
         if fault == 'endless':
--- a/review/rig.py
+++ b/review/rig.py
@@ -380,7 +380,8 @@
         headers = {}
         for line in head[1:]:
             name, _, value = line.partition(':')
-            headers[name.lower()] = value.strip()
+            # Of fields with the same name, the first counts.
+            headers.setdefault(name.lower(), value.strip())
         answer = Answer(request_id, route, 'whole', status, headers)
         try:
             if 'content-length' in headers:
