--- a/review/replica.py
+++ b/review/replica.py
@@ -17,14 +17,12 @@
     again      the line with the seal comes once more behind the last chunk of the body
 
 --closes is the share of the sound answers with Connection: close, as the pages say
-that it comes occasionally. A run of a path that begins with --dark-on crashes the
-replica: it stops, sends nothing more and closes nothing.
+that it comes occasionally.
 """
 
 import argparse
 import asyncio
 import json
-import os
 import signal
 import sys
 import time
@@ -105,10 +103,6 @@
             reply(writer, self.take_order(json.loads(body)), b'{}')
             return True
         self.note('run', request_id, method=method, path=path, bytes=len(body))
-        if self.options.dark_on and path.startswith(self.options.dark_on):
-            # The request crashes the replica, which falls silent.
-            self.note('goes dark', request_id)
-            os.kill(os.getpid(), signal.SIGSTOP)
         # A caller that leaves ends the run.
         left = asyncio.ensure_future(reader.read(1))
         self.running += 1
@@ -248,7 +242,6 @@
     parser.add_argument('--garble', default='')
     parser.add_argument('--share', type=float, default=0)
     parser.add_argument('--closes', type=float, default=0)
-    parser.add_argument('--dark-on', default='')
     options = parser.parse_args()
     replica = Replica(options)
     loop = asyncio.get_running_loop()
--- a/review/rig.py
+++ b/review/rig.py
@@ -414,3 +414,6 @@
     except asyncio.CancelledError:
         print('the case was stopped')
         return 2
+    except Exception as error:
+        print(f'the case could not run: {error!r}')
+        return 2
