--- a/review/1/case.py
+++ b/review/1/case.py
@@ -13,7 +13,7 @@
 # The platform starts a process again after a short delay.
 RESTART_S = 0.5
 # Share of the answers that two replicas of four garble, for 5 s a round.
-SHARE = 0.03
+SHARE = 0.02
 ROUNDS = 4
 TROUBLED = ('i-2', 'i-3')
 
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -8,11 +8,11 @@
 from review.replica import whole_body
 from review.rig import TROUBLE, Client, Rig, run
 
-CLIENTS = 40
+CLIENTS = 60
 BODY = 800
 # Share of the answers that two replicas of four garble, for 5 s a round.
-SHARE = 0.05
-ROUNDS = 9
+SHARE = 0.02
+ROUNDS = 13
 TROUBLED = ('i-2', 'i-3')
 
 
@@ -30,7 +30,7 @@
         for number in range(CLIENTS)
     ]
     for _ in range(ROUNDS):
-        await asyncio.sleep(5)
+        await asyncio.sleep(2)
         for name in TROUBLED if TROUBLE else ():
             rig.record.note(f'{name} begins to garble {SHARE} of its answers')
             rig.replicas[name].signal(signal.SIGUSR1)
--- a/review/rig.py
+++ b/review/rig.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import ctypes
 import json
 import os
 import signal
@@ -127,6 +128,15 @@
 }
 
 
+_LIBC = ctypes.CDLL(None)
+
+
+def end_with_parent() -> None:
+    """Let the system end this new process when the one that started it ends."""
+    parent_death_signal = 1
+    _LIBC.prctl(parent_death_signal, signal.SIGKILL)
+
+
 class Record:
     """Writes what happens to record.txt in the folder of the case."""
 
@@ -208,6 +218,7 @@
         process = await asyncio.create_subprocess_exec(
             sys.executable, '-B', str(HERE / 'replica.py'), name, *options,
             stdout=asyncio.subprocess.PIPE,
+            preexec_fn=end_with_parent,
         )
         replica = Replica(process, name)
         self.started.append(replica)
@@ -257,6 +268,7 @@
                 'BRAMLEYBEAM_METRICS_ADDRESS': '127.0.0.1:0',
             },
             stdout=asyncio.subprocess.PIPE,
+            preexec_fn=end_with_parent,
             limit=1 << 20,
         )
         gateway = Gateway(process, name)
@@ -305,7 +317,7 @@
 
 @attrs.define
 class Answer:
-    """What a client saw: ``end`` is 'whole', 'cut' or 'closed' (no answer)."""
+    """What a client saw: ``end`` is 'whole', 'cut', 'closed' or 'silent' (no answer)."""
 
     request_id: str
     route: str
@@ -337,7 +349,9 @@
         try:
             async with asyncio.timeout(deadline_ms / 1000 + 1):
                 answer = await self._ask(request_id, route, deadline_ms, rest)
-        except (OSError, asyncio.IncompleteReadError, TimeoutError):
+        except TimeoutError:
+            answer = Answer(request_id, route, 'silent')
+        except (OSError, asyncio.IncompleteReadError):
             answer = Answer(request_id, route, 'closed')
         answer.on_kept = on_kept
         self._served += 1
@@ -398,7 +412,7 @@
 async def run(folder: Path, case) -> int:
     """Run a case; return the exit status. A stop ends all that was started."""
     task = asyncio.current_task()
-    for number in (signal.SIGTERM, signal.SIGINT):
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
         asyncio.get_running_loop().add_signal_handler(number, task.cancel)
     try:
         async with asyncio.timeout(110):
