Bound the bytes of a reply that are not its body

Seen: a replica that ended a chunked body with header lines without end took a gateway past 300 MB in about 1.5 s.

Cause: the limit for a reply's head ended with the head. Lines behind the last chunk were kept until the route's timeout, and the HTTP library keeps a line that does not end by itself, so that a count of headers is not a limit.

Change: the bytes of a reply that are not its body are limited to 64 KiB and the length of its body; past that the connection is closed. Trailer sections are dropped. Such a reply is an InvalidReplyError, not the end of a connection: its replica is alive and no request is suspected of a crash. Replicas, reports, orders and the store have this parser in common.

--- a/bramleybeam/gateway/_attempt.py
+++ b/bramleybeam/gateway/_attempt.py
@@ -15,6 +15,7 @@
     BrokenReplyError,
     ConnectionPool,
     Headers,
+    InvalidReplyError,
     PeerConnection,
     ReplyHead,
 )
@@ -71,7 +72,8 @@
 class Lost:
     """The request may have run; its answer was lost or is not usable.
 
-    ``is_broken_off`` is whether the connection ended, or the answer was invalid.
+    ``is_broken_off`` is whether the connection ended. It did not if a replica
+    that is alive sent something else than the answer.
     """
 
     reason: str
@@ -150,7 +152,8 @@
             outcome = await self._exchange(peer_connection, time_left_s)
         except BrokenReplyError as error:
             peer_connection.close()
-            return Lost(str(error), is_broken_off=True)
+            is_broken_off = not isinstance(error, InvalidReplyError)
+            return Lost(str(error), is_broken_off=is_broken_off)
         except BaseException:
             peer_connection.close()
             raise
@@ -228,7 +231,7 @@
                 status=head.status,
             )
             if not facts.echoed_id or not peer_connection.completed_replies:
-                raise BrokenReplyError(
+                raise InvalidReplyError(
                     'the answer does not have the id of this request'
                 )
             await peer_connection.skip_reply(_MAX_SKIPPED_BYTES)
--- a/bramleybeam/relay/_messages.py
+++ b/bramleybeam/relay/_messages.py
@@ -24,7 +24,14 @@
 
 
 class BrokenReplyError(Exception):
-    """A peer's reply was incomplete or was not valid HTTP."""
+    """A peer's reply was incomplete or unusable."""
+
+
+class InvalidReplyError(BrokenReplyError):
+    """A peer sent bytes that are not a reply to this request.
+
+    The peer is alive: the reply was not broken off by the end of the connection.
+    """
 
 
 @attrs.frozen
--- a/bramleybeam/relay/_peer_connection.py
+++ b/bramleybeam/relay/_peer_connection.py
@@ -14,6 +14,7 @@
 from bramleybeam.relay._messages import (
     BrokenReplyError,
     Headers,
+    InvalidReplyError,
     ReplyHead,
     render_head,
 )
@@ -36,7 +37,7 @@
         self._transport: asyncio.Transport | None = None
         self._parser = ReplyParser()
         self._waiter: asyncio.Future[None] | None = None
-        self._failure: str | None = None
+        self._failure: BrokenReplyError | None = None
         self._completed_replies = 0
         self._is_idle = False
 
@@ -72,7 +73,7 @@
         ``BrokenReplyError`` if there is no usable connection.
         """
         if self._transport is None or self._failure:
-            raise BrokenReplyError(self._failure or 'not connected')
+            raise self._failure or BrokenReplyError('not connected')
         if self._is_idle:
             self._probe_peer(enabled=False)
         if self._parser.reply.is_complete:
@@ -117,14 +118,14 @@
     async def read_body(self, limit: int) -> bytes:
         """Return the whole body.
 
-        Raises ``BrokenReplyError`` if it exceeds ``limit`` bytes or the
-        connection ends before it is complete.
+        Raises ``InvalidReplyError`` if it exceeds ``limit`` bytes and
+        ``BrokenReplyError`` if the connection ends before it is complete.
         """
         collected = bytearray()
         while chunk := await self.read_chunk():
             collected += chunk
             if len(collected) > limit:
-                raise BrokenReplyError(f'reply body exceeds {limit} bytes')
+                raise InvalidReplyError(f'reply body exceeds {limit} bytes')
         return bytes(collected)
 
     async def read_prefix(self, limit: int) -> tuple[bytes, bool]:
@@ -149,7 +150,7 @@
     ) -> tuple[ReplyHead, bytes]:
         """Send a request and return the head and the body of the reply.
 
-        Raises ``BrokenReplyError`` if the body exceeds ``limit`` bytes.
+        Raises ``InvalidReplyError`` if the body exceeds ``limit`` bytes.
         """
         self.send(first_line, headers, body)
         head = await self.read_head()
@@ -178,7 +179,7 @@
             return
         error = self._parser.feed(received)
         if error is not None:
-            self._failure = f'invalid HTTP reply: {error}'
+            self._failure = InvalidReplyError(f'invalid HTTP reply: {error}')
         if self._parser.is_unusable:
             # The buffered part of a complete reply can still be read.
             self.close()
@@ -196,7 +197,7 @@
         """Record a failure if the connection ended before the reply did."""
         self._parser.is_unusable = True
         if not self._parser.reply.is_complete and not self._failure:
-            self._failure = f'connection lost: {exc!r}'
+            self._failure = BrokenReplyError(f'connection lost: {exc!r}')
         self._wake()
 
     def _probe_peer(self, *, enabled: bool) -> None:
@@ -228,7 +229,7 @@
         Raises ``BrokenReplyError`` if the connection has failed.
         """
         if self._failure:
-            raise BrokenReplyError(self._failure)
+            raise self._failure
         self._waiter = asyncio.get_running_loop().create_future()
         await self._waiter
 
--- a/bramleybeam/relay/_reply_parser.py
+++ b/bramleybeam/relay/_reply_parser.py
@@ -10,8 +10,10 @@
 
 _NO_BODY_STATUSES: Final = frozenset((204, 304))
 _MIN_FINAL_STATUS: Final = 200
-# Limit for the head of a reply including interim (1xx) replies before it.
-_MAX_HEAD_BYTES: Final = 65_536
+# Limit for the bytes of a reply that are not its body: heads, including those of
+# interim (1xx) replies, sizes and extensions of chunks, and the trailer section.
+# A reply with a longer body may have as many more of them.
+_MAX_FRAMING_BYTES: Final = 65_536
 
 
 @attrs.define
@@ -50,12 +52,14 @@
         self.is_unusable = False
         self._parser = httptools.HttpResponseParser(self)
         self._headers: list[tuple[bytes, bytes]] = []
-        self._head_bytes = 0
+        self._received_bytes = 0
+        self._body_bytes = 0
 
     def start_next(self) -> None:
         """Discard the last reply and expect another."""
         self.reply = Reply()
-        self._head_bytes = 0
+        self._received_bytes = 0
+        self._body_bytes = 0
 
     def feed(self, received: bytes) -> str | None:
         """Parse bytes and return the error of an incomplete reply, if any."""
@@ -70,7 +74,8 @@
         ) as error:
             self.is_unusable = True
             return None if self.reply.is_complete else repr(error)
-        return self._check_head(len(received))
+        self._received_bytes += len(received)
+        return self._check_framing()
 
     def note_eof(self) -> None:
         """Complete a reply that is delimited by the end of the connection."""
@@ -83,8 +88,9 @@
         self.is_unusable = self.is_unusable or self.reply.is_complete
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect a header of the current reply."""
-        self._headers.append((name, value))
+        """Collect a header of the current reply; drop its trailer section."""
+        if self.reply.head is None:
+            self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Store the head of a final reply; interim (1xx) ones are dropped."""
@@ -99,6 +105,7 @@
 
     def on_body(self, chunk: bytes) -> None:
         """Store a part of the body."""
+        self._body_bytes += len(chunk)
         if not self.reply.is_complete:
             self.reply.chunks.append(chunk)
             self.reply.buffered_bytes += len(chunk)
@@ -110,15 +117,18 @@
             reply.is_complete = True
             reply.allows_reuse = self._parser.should_keep_alive()
 
-    def _check_head(self, size: int) -> str | None:
-        """Count bytes of an incomplete head; return the error if too long."""
-        if self.reply.head is not None:
-            return None
-        self._head_bytes += size
-        if self._head_bytes <= _MAX_HEAD_BYTES:
+    def _check_framing(self) -> str | None:
+        """Return the error of an incomplete reply with too much framing.
+
+        The parser collects the bytes of an unfinished line itself, so that
+        counting the headers received would not limit them.
+        """
+        framing_bytes = self._received_bytes - self._body_bytes
+        limit = _MAX_FRAMING_BYTES + self._body_bytes
+        if self.reply.is_complete or framing_bytes <= limit:
             return None
         self.is_unusable = True
-        return f'reply head is longer than {_MAX_HEAD_BYTES} bytes'
+        return f'{framing_bytes} bytes of framing exceed the limit of {limit}'
 
 
 def _has_body_framing(headers: Headers) -> bool:
--- a/bramleybeam/relay/tests/test_relay.py
+++ b/bramleybeam/relay/tests/test_relay.py
@@ -139,6 +139,50 @@
     assert parser.reply.head is None
 
 
+CHUNKED_HEAD = b'HTTP/1.1 200 OK\r\n' + CHUNKED + b'\r\n'
+LAST_CHUNK = b'5\r\nhello\r\n0\r\n'
+
+
+# Guards against a replica that ends a gateway by bytes without end behind a body.
+@pytest.mark.parametrize(
+    ('start', 'repeated'),
+    [
+        (LAST_CHUNK, MANY_HEADERS),
+        (LAST_CHUNK + b'A: ', ENDLESS_LINE),
+        (LAST_CHUNK, ENDLESS_LINE),
+        (b'5;', ENDLESS_LINE),
+        (b'', b'1\r\nx\r\n' * 100),
+    ],
+    ids=[
+        'trailers',
+        'trailer',
+        'trailer name',
+        'chunk extension',
+        'tiny chunks',
+    ],
+)
+def test_endless_framing_of_a_reply_is_rejected(start, repeated):
+    parser = ReplyParser()
+    error = parser.feed(CHUNKED_HEAD + start)
+    sent_bytes = 0
+    while error is None and sent_bytes < 200_000:
+        error = parser.feed(repeated)
+        sent_bytes += len(repeated)
+    assert error is not None
+    assert parser.is_unusable
+    assert not parser.reply.is_complete
+
+
+@pytest.mark.parametrize('size', [10, 100, 10_000])
+def test_long_reply_in_small_chunks_is_read(size):
+    parser = ReplyParser()
+    chunk = b'%x\r\n%s\r\n' % (size, b'x' * size)
+    for received in (CHUNKED_HEAD, *[chunk] * 30_000, LAST_CHUNK, b'\r\n'):
+        assert parser.feed(received) is None
+        parser.reply.take_chunks()
+    assert parser.reply.is_complete
+
+
 @pytest.mark.parametrize(
     ('start', 'repeated'),
     [
--- a/tests/platform_replica.py
+++ b/tests/platform_replica.py
@@ -65,6 +65,7 @@
     - ``hang``: no answer
     - ``endless_head``, ``endless_body``, ``endless_event``: bytes until the
       connection is closed
+    - ``endless_trailers``: the same, behind the last chunk of a whole body
     - ``crash``: runs, then aborts all connections and closes the port
     - ``crash_unframed``: the same, after a part of an answer without a length
 
@@ -76,6 +77,8 @@
     ``excess_orders``. While ``order_delay_s`` is set, orders get no answer and
     are accepted after that many seconds. While ``is_unresponsive``, requests
     get no answer. All answers to requests have the headers ``extra_headers``.
+    With ``endless_reports``, trailers without end follow each report and each
+    answer to an order.
     """
 
     name: str
@@ -102,6 +105,7 @@
     incarnation: int = 1
     order_delay_s: float = 0
     is_unresponsive: bool = False
+    endless_reports: bool = False
     extra_headers: tuple = ()
     late_refusals: dict = attrs.field(factory=dict)
     crashes_on: object = None
@@ -160,7 +164,7 @@
                 'sequence': self.sequence,
                 'busy': False,
             }
-            connection.respond(200, (), json.dumps(report).encode())
+            await self._respond_to_gateway(200, report, connection)
         else:
             await self._run(request, connection)
 
@@ -174,7 +178,16 @@
                 self.incarnation,
             )
             await asyncio.sleep(_NO_ANSWER_S)
-        connection.respond(self._accept_order(order), (), b'{}')
+        status = self._accept_order(order)
+        await self._respond_to_gateway(status, {}, connection)
+
+    async def _respond_to_gateway(self, status, content, connection) -> None:
+        body = json.dumps(content).encode()
+        if self.endless_reports:
+            connection.start(status, ())
+            await connection.write_chunk(body)
+            await _write_trailers_without_end(connection)
+        connection.respond(status, (), body)
 
     def _accept_late_order(self, order: dict, incarnation: int) -> None:
         if incarnation == self.incarnation:
@@ -279,6 +292,10 @@
         if fault == 'endless_body':
             connection.start(200, head)
             await _write_without_end(connection)
+        if fault == 'endless_trailers':
+            connection.start(200, head)
+            await connection.write_chunk(self.plain_body(run))
+            await _write_trailers_without_end(connection)
         match fault:
             case 'lost':
                 connection.abort_response()
@@ -341,6 +358,8 @@
                 return
             await connection.write_chunk(self.make_events(run)[number])
             await asyncio.sleep(self.pause_s)
+        if fault == 'endless_trailers':
+            await _write_trailers_without_end(connection)
         connection.finish()
 
     def make_events(self, run: Run) -> list[bytes]:
@@ -362,10 +381,21 @@
 
 async def _write_without_end(connection, *, is_head: bool = False) -> None:
     """Write bytes without an event boundary until the peer disconnects."""
+    if is_head:
+        await _repeat_without_end(connection, b'x' * 10_000)
     while True:
-        if is_head:
-            await connection._writable.wait()
-            connection._write(b'x' * 10_000)
-        else:
-            await connection.write_chunk(b'x' * 10_000)
+        await connection.write_chunk(b'x' * 10_000)
+        await asyncio.sleep(0)
+
+
+async def _write_trailers_without_end(connection) -> None:
+    """Write lines behind the last chunk until the peer disconnects."""
+    connection._write(b'0\r\n')
+    await _repeat_without_end(connection, b'x: y\r\n' * 2000)
+
+
+async def _repeat_without_end(connection, encoded: bytes) -> None:
+    while True:
+        await connection._writable.wait()
+        connection._write(encoded)
         await asyncio.sleep(0)
--- a/tests/test_crashing_replicas.py
+++ b/tests/test_crashing_replicas.py
@@ -60,7 +60,7 @@
             await asyncio.sleep(0.02)
 
 
-@pytest.mark.parametrize('fault', ['lost', 'other_id'])
+@pytest.mark.parametrize('fault', ['lost', 'other_id', 'endless_trailers'])
 async def test_lost_answer_of_a_replica_that_runs_on_is_no_crash(site, fault):
     """Guards against refusals of requests that did no harm."""
 
@@ -71,7 +71,7 @@
         replica.draw_fault = draw_fault
     for number in range(6):
         await site.ask_with_id(f'r{number}', '/look/again', 'GET')
-    if fault != 'other_id':
+    if fault == 'lost':
         await wait_for_events(site, 'answers_lost', 1)
     for replica in site.replicas.values():
         replica.draw_fault = None
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -116,6 +116,9 @@
         ('/post/2f', 'endless_body', 200, 1),
         ('/look/2f', 'endless_body', 200, 1),
         ('/ask/2f', 'endless_event', 502, 1),
+        ('/post/2f', 'endless_trailers', 502, 1),
+        ('/look/2f', 'endless_trailers', 502, 2),
+        ('/ask/2f', 'endless_trailers', 200, 1),
     ],
 )
 async def test_endless_answer_is_not_buffered(site, path, fault, status, runs):
