Bound the requests to the product's own interface

Seen, in a trial with the library alone: one connection took the server of entries 363 MB of memory by headers without end and 431 MB by a trailer section without end, within 2 s. A body that went on after the response was read for as long as it came.

Cause: uvicorn with httptools limits neither the headers of a request nor its trailer section, and reads the rest of a request whose response is complete.

Change: uvicorn uses h11, which limits each incomplete part of a request that is not its body and keeps no trailer section. Its protocol is extended so that a request that goes on for more than 1 MiB or 1 s after its response ends with its connection. h11 is slower than httptools; it is used because it limits these bytes itself.

--- a/bramleybeam/web/_server.py
+++ b/bramleybeam/web/_server.py
@@ -9,6 +9,11 @@
 import uvicorn
 from blacksheep import Application
 
+from bramleybeam.web._bounded_protocol import (
+    MAX_INCOMPLETE_BYTES,
+    BoundedProtocol,
+)
+
 # Connections that the kernel queues until they are accepted.
 _BACKLOG: Final = 2048
 # Interval at which ``start`` checks whether the server is running, and grace
@@ -35,7 +40,8 @@
         config = uvicorn.Config(
             app,
             loop='none',
-            http='httptools',
+            http=BoundedProtocol,
+            h11_max_incomplete_event_size=MAX_INCOMPLETE_BYTES,
             ws='none',
             lifespan='on',
             log_config=None,
