Bound the replies of upstreams to agents

Seen, in a test: a refusal without end from an upstream took an agent 854 MB, a reply to its own calls 280 MB; interim replies, a chunk extension and tiny chunks without end held a request for as long as they came.

Cause: aiohttp limits heads and trailer sections, but neither the body that is read before it is decoded nor interim replies or the framing of chunks, and the parser of an engine's events had no limit for one event.

Change: agents use the connection of gateways for all their calls, as they did for services. Bodies of refusals and calls and events have limits. A reply that is not valid is a faulty answer of an engine that is alive, and no sign of its crash.

--- a/bramleybeam/agent/_daemon.py
+++ b/bramleybeam/agent/_daemon.py
@@ -121,7 +121,6 @@
 
     async def start(self) -> None:
         """Open the ports and start the periodic tasks."""
-        self._upstream.start()
         await self._server.start()
         await self._web.start()
         timers = self._timers
@@ -158,7 +157,6 @@
         await self.executor.close()
         await self._server.close()
         await self._web.close()
-        await self._upstream.close()
         self._tracing.close()
 
     def _connect_parts(self) -> None:
--- a/bramleybeam/agent/_events.py
+++ b/bramleybeam/agent/_events.py
@@ -1,11 +1,15 @@
 """Events of an upstream's response and the parser of an engine's stream."""
 
 import json
-from typing import Any
+from typing import Any, Final
 
 import attrs
 
 
+# Limit of one event of an engine's stream.
+_MAX_EVENT_BYTES: Final = 1 << 20
+
+
 @attrs.frozen
 class Started:
     """The upstream accepted the request and responds with this status."""
@@ -65,8 +69,8 @@
     """Parses an engine's event stream.
 
     Tokens that arrive together are joined into one ``Text``. ``feed`` raises
-    ``ValueError`` when an event is malformed or does not start at the offset
-    where the previous one ended, so that a response with a gap or a
+    ``ValueError`` when an event is malformed, too long or does not start at the
+    offset where the previous one ended, so that a response with a gap or a
     repetition is never forwarded.
     """
 
@@ -80,6 +84,8 @@
         """Add received bytes and return the events that are complete."""
         *blocks, incomplete = (self._incomplete + received).split(b'\n\n')
         self._incomplete = incomplete
+        if len(incomplete) > _MAX_EVENT_BYTES:
+            raise ValueError(f'an event exceeds {_MAX_EVENT_BYTES} bytes')
         start_offset = self._offset
         texts: list[str] = []
         finish_events: list[Event] = []
--- a/bramleybeam/agent/_upstream.py
+++ b/bramleybeam/agent/_upstream.py
@@ -8,7 +8,6 @@
 from typing import Any, Final
 from urllib.parse import SplitResult, urlsplit
 
-import aiohttp
 import attrs
 from expression import Error, Ok, Result
 
@@ -25,7 +24,10 @@
 from bramleybeam.messages import ArtifactState, Order
 from bramleybeam.relay import (
     BrokenReplyError,
+    Headers,
+    InvalidReplyError,
     PeerConnection,
+    ReplyHead,
     connect_peer,
     find_header,
 )
@@ -36,17 +38,16 @@
 STREAM_IDLE_TIMEOUT_S: Final = 15.0
 # Limit of the body of a service's response.
 MAX_RESPONSE_BYTES: Final = 900_000
+# Limit of the body of a reply to the agent's own calls.
+_MAX_ADMIN_BYTES: Final = 1 << 20
+# Length of the part of an engine's refusal that is logged and forwarded.
+_MAX_REFUSAL_BYTES: Final = 500
 _OK: Final = 200
 _HTTP_PORT: Final = 80
 _HTTPS_PORT: Final = 443
 _CONFLICT: Final = 409
 # Raised by a call that fails or whose response can't be decoded.
-_CALL_FAILURES: Final = (
-    aiohttp.ClientError,
-    OSError,
-    TimeoutError,
-    ValueError,
-)
+_CALL_FAILURES: Final = (BrokenReplyError, OSError, TimeoutError, ValueError)
 # Statuses which mean that the upstream did not run the request.
 _NOT_RUN_STATUSES: Final = frozenset((400, 404, 413, 422, 429, 503))
 
@@ -62,27 +63,15 @@
 
 
 class UpstreamClient:
-    """HTTP client of one upstream; it never repeats a request by itself."""
+    """HTTP client of one upstream; it never repeats a request by itself.
+
+    Each request has a connection of its own, so that a reply that the upstream
+    writes twice can't be taken for that of the next.
+    """
 
     def __init__(self, base_url: str) -> None:
-        """Store the base URL; ``start`` opens the session."""
-        self._base_url = base_url
+        """Store the base URL."""
         self._url = urlsplit(base_url)
-        self._session: aiohttp.ClientSession | None = None
-
-    def start(self) -> None:
-        """Open the session in the running event loop."""
-        self._session = aiohttp.ClientSession(
-            # Each request has a connection of its own, so that a reply that
-            # the upstream writes twice can't be taken for that of the next.
-            connector=aiohttp.TCPConnector(limit=0, force_close=True),
-            auto_decompress=False,
-        )
-
-    async def close(self) -> None:
-        """Close every connection."""
-        if self._session is not None:
-            await self._session.close()
 
     async def infer(self, dispatch: Dispatch) -> AsyncIterator[Event]:
         """Send a request to an engine and yield the events of its response."""
@@ -94,20 +83,23 @@
             resume_from=dispatch.resume_from,
             priority=dispatch.priority,
         )
-        headers = {'traceparent': dispatch.traceparent}
         try:
-            async with self._require_session().post(
-                f'{self._base_url}{dispatch.path}',
-                json=body,
-                headers=headers,
-                timeout=_make_stream_timeout(),
-            ) as response:
-                async for event in _read_inference(response, dispatch):
-                    yield event
-        except aiohttp.ClientConnectorError as error:
+            connection = await self._connect()
+        except (OSError, TimeoutError) as error:
             yield NotRun(f'cannot connect: {error}', busy=True)
-        except _CALL_FAILURES as error:
-            yield Lost(repr(error), crashed=True)
+            return
+        traceparent = (b'traceparent', dispatch.traceparent.encode())
+        with closing(connection):
+            try:
+                self._send_json(
+                    connection, 'POST', dispatch.path, body, (traceparent,)
+                )
+                async for event in _read_inference(connection, dispatch):
+                    yield event
+            except (InvalidReplyError, ValueError) as error:
+                yield Lost(repr(error), crashed=False)
+            except (BrokenReplyError, TimeoutError) as error:
+                yield Lost(repr(error), crashed=True)
 
     async def request(self, dispatch: Dispatch) -> AsyncIterator[Event]:
         """Send a request to a service and yield the events of its response."""
@@ -182,10 +174,7 @@
         return status == _OK
 
     async def _connect(self) -> PeerConnection:
-        """Open a connection to a service.
-
-        aiohttp would take a reset for the end of a reply without a length.
-        """
+        """Open a connection to the upstream."""
         port = self._url.port
         tls = None
         if self._url.scheme == 'https':
@@ -203,40 +192,56 @@
         path: str,
         body: dict[str, Any] | None = None,
     ) -> tuple[int, Any]:
-        total_timeout = aiohttp.ClientTimeout(total=ADMIN_TIMEOUT_S)
-        url = f'{self._base_url}{path}'
         try:
-            async with self._require_session().request(
-                method, url, json=body, timeout=total_timeout
-            ) as response:
-                return response.status, await response.json()
+            async with asyncio.timeout(ADMIN_TIMEOUT_S):
+                head, raw = await self._fetch_json(method, path, body)
+            return head.status, json.loads(raw)
         except _CALL_FAILURES as error:
             return 0, {'error': repr(error)}
 
-    def _require_session(self) -> aiohttp.ClientSession:
-        if self._session is None:
-            raise RuntimeError('call start() before the first request')
-        return self._session
-
+    async def _fetch_json(
+        self,
+        method: str,
+        path: str,
+        body: dict[str, Any] | None,
+    ) -> tuple[ReplyHead, bytes]:
+        connection = await self._connect()
+        with closing(connection):
+            self._send_json(connection, method, path, body)
+            head = await connection.read_head()
+            return head, await connection.read_body(_MAX_ADMIN_BYTES)
 
-def _make_stream_timeout() -> aiohttp.ClientTimeout:
-    return aiohttp.ClientTimeout(
-        total=None,
-        sock_connect=CONNECT_TIMEOUT_S,
-        sock_read=STREAM_IDLE_TIMEOUT_S,
-    )
+    def _send_json(
+        self,
+        connection: PeerConnection,
+        method: str,
+        path: str,
+        body: dict[str, Any] | None,
+        headers: Headers = (),
+    ) -> None:
+        target = f'{self._url.path.rstrip("/")}{path}'
+        connection.send(
+            f'{method} {target} HTTP/1.1'.encode(),
+            (
+                (b'Host', self._url.netloc.encode()),
+                (b'Content-Type', b'application/json'),
+                *headers,
+            ),
+            b'' if body is None else json.dumps(body).encode(),
+        )
 
 
 async def _read_inference(
-    response: aiohttp.ClientResponse,
+    connection: PeerConnection,
     dispatch: Dispatch,
 ) -> AsyncIterator[Event]:
-    if response.status != _OK:
-        yield await _read_refusal(response)
+    head = await _read_head(connection)
+    if head.status != _OK:
+        yield await _read_refusal(connection, head.status)
         return
-    yield Started(response.status, response.content_type)
+    yield Started(head.status, _content_type_of(head))
     parser = EventParser(dispatch.resume_from)
-    async for received in response.content.iter_any():
+    while received := await _read_chunk(connection):
         for event in parser.feed(received):
             yield event
     if not parser.finished:
@@ -245,12 +250,14 @@
         )
 
 
-async def _read_refusal(response: aiohttp.ClientResponse) -> Event:
-    text = (await response.text())[:500]
-    if response.status in _NOT_RUN_STATUSES:
-        busy = response.status in {404, 429, 503}
-        return NotRun(f'HTTP {response.status}: {text}', busy=busy)
-    return Lost(f'HTTP {response.status}: {text}', crashed=False)
+async def _read_refusal(connection: PeerConnection, status: int) -> Event:
+    async with asyncio.timeout(STREAM_IDLE_TIMEOUT_S):
+        body, _is_complete = await connection.read_prefix(_MAX_REFUSAL_BYTES)
+    text = body[:_MAX_REFUSAL_BYTES].decode(errors='replace')
+    if status in _NOT_RUN_STATUSES:
+        busy = status in {404, 429, 503}
+        return NotRun(f'HTTP {status}: {text}', busy=busy)
+    return Lost(f'HTTP {status}: {text}', crashed=False)
 
 
 def _send_to_service(
@@ -271,8 +278,7 @@
 async def _read_service_response(
     connection: PeerConnection,
 ) -> AsyncIterator[Event]:
-    async with asyncio.timeout(STREAM_IDLE_TIMEOUT_S):
-        head = await connection.read_head()
+    head = await _read_head(connection)
     content_type = find_header(head.headers, b'content-type') or b''
     yield Started(head.status, content_type.decode('latin-1'))
     size_bytes = 0
@@ -288,3 +294,15 @@
 async def _read_chunk(connection: PeerConnection) -> bytes:
     async with asyncio.timeout(STREAM_IDLE_TIMEOUT_S):
         return await connection.read_chunk()
+
+
+async def _read_head(connection: PeerConnection) -> ReplyHead:
+    async with asyncio.timeout(STREAM_IDLE_TIMEOUT_S):
+        return await connection.read_head()
+
+
+def _content_type_of(head: ReplyHead) -> str:
+    """Return the media type of a reply without its parameters."""
+    header_value = find_header(head.headers, b'content-type') or b''
+    media_type = header_value.partition(b';')[0]
+    return media_type.strip().decode('latin-1').lower()
--- a/bramleybeam/agent/tests/test_upstream.py
+++ b/bramleybeam/agent/tests/test_upstream.py
@@ -57,7 +57,6 @@
     server = await asyncio.start_server(upstream.serve, '127.0.0.1', 0)
     port = server.sockets[0].getsockname()[1]
     client = UpstreamClient(f'http://127.0.0.1:{port}')
-    client.start()
     dispatch = Dispatch(
         request_id='r1', kind=kind, path='/x', method='GET', body=b'{}'
     )
@@ -66,7 +65,6 @@
         first = [event async for event in send(dispatch)]
         second = [event async for event in send(dispatch)]
     finally:
-        await client.close()
         server.close()
         for writer in upstream.writers:
             writer.close()
@@ -102,7 +100,6 @@
     server = await asyncio.start_server(serve, '127.0.0.1', 0)
     port = server.sockets[0].getsockname()[1]
     client = UpstreamClient(f'http://127.0.0.1:{port}')
-    client.start()
     dispatch = Dispatch(
         request_id='r1', kind='service', path='/x', method='GET', body=b''
     )
@@ -110,7 +107,6 @@
         return [event async for event in client.request(dispatch)]
     finally:
         await served.wait()
-        await client.close()
         server.close()
 
 
