Bound the replies of the key-value service, the host list and entries

Seen, in a test: a body without end took a client of the key-value service and the reader of the host list 250 MB until their timeout of 2 s.

Cause: aiohttp reads a whole body before it is decoded.

--- a/bramleybeam/entry/_host_list.py
+++ b/bramleybeam/entry/_host_list.py
@@ -6,6 +6,8 @@
 import attrs
 import cattrs
 
+from bramleybeam.replies import read_json_body
+
 _TIMEOUT_S: Final = 2.0
 
 
@@ -56,7 +58,7 @@
             self._session = aiohttp.ClientSession(timeout=client_timeout)
         try:
             async with self._session.get(f'{self._url}/v1/hosts') as response:
-                body = await response.json()
+                body = await read_json_body(response)
             hosts = cattrs.structure(body['hosts'], tuple[Host, ...])
         except Exception:
             return False
--- a/bramleybeam/keyvalue/http/_client.py
+++ b/bramleybeam/keyvalue/http/_client.py
@@ -17,6 +17,7 @@
     Unavailable,
     Versioned,
 )
+from bramleybeam.replies import read_json_body
 
 # Time-out of a call, in addition to the wait of a watch.
 CALL_TIMEOUT_S: Final = 2.0
@@ -149,7 +150,7 @@
             ) as response:
                 if response.status == _NO_CONTENT:
                     return response.status, {}
-                return response.status, await response.json()
+                return response.status, await read_json_body(response)
         except aiohttp.ClientConnectorError as error:
             return f'connect: {error}'
         except _CALL_ERRORS as error:
--- a/bramleybeam/operators/_client.py
+++ b/bramleybeam/operators/_client.py
@@ -20,6 +20,7 @@
 from bramleybeam.documents import Applied, Document, read_document_file
 from bramleybeam.keyvalue.http import HttpKeyValue
 from bramleybeam.operators._apply import ApplyError, read_current
+from bramleybeam.replies import read_json_body
 from bramleybeam.settings import ClientSettings, load_settings
 
 # Exit statuses.
@@ -29,6 +30,13 @@
 EXIT_NOT_FOUND: Final = 5
 # Limits a whole request to an entry.
 _REQUEST_TIMEOUT_S: Final = 5.0
+# Raised by a request that fails or whose answer can't be decoded.
+_CALL_FAILURES: Final = (
+    aiohttp.ClientError,
+    OSError,
+    TimeoutError,
+    ValueError,
+)
 # The lowest HTTP status of an error response.
 _FIRST_ERROR_STATUS: Final = 400
 JSON_OPTION = click.option(
@@ -118,11 +126,11 @@
             ) as session,
             session.get(f'{settings.entry_url}{path}') as response,
         ):
-            return response.status, await response.json()
+            return response.status, await read_json_body(response)
 
     try:
         http_status, body = asyncio.run(ask())
-    except (aiohttp.ClientError, OSError, TimeoutError) as error:
+    except _CALL_FAILURES as error:
         fail(
             f'the entry does not answer: {error!r}; set entry_url to another',
             EXIT_UNAVAILABLE,
