Take no old observation of a replica for what ended an answer

Cause: when a connection ended, the gateway tried to connect to the replica and used the outcome for 1 s for all connections that ended meanwhile. "Accepts connections", found before a crash, says nothing of an answer that the crash cuts off. The same outcome kept requests that were lost in a crash from being reported as such.

Change: ReplicaLiveness says what was seen of a replica after the end of a connection. An answer without a length is complete only if its replica accepted a connection that was begun after the end; if that is unclear, the answer counts as cut off.

Before the change both cases of test_answer_without_length_of_a_replica_that_ends_is_not_complete and test_crash_soon_after_a_lost_answer_is_noticed failed.

--- a/bramleybeam/gateway/_attempt.py
+++ b/bramleybeam/gateway/_attempt.py
@@ -37,6 +37,8 @@
 _OK: Final = 200
 # Largest value of an engine priority; 0 is the most urgent.
 _LOWEST_PRIORITY: Final = 9
+# Why an answer without a stated length does not count as complete.
+_END_UNKNOWN: Final = 'the replica was not seen alive after its answer ended'
 _log = structlog.get_logger('attempts')
 
 
@@ -101,8 +103,8 @@
     def find_obstacle(self) -> str | None:
         """Return why the request may not be sent, ``None`` if it may."""
 
-    async def has_crashed(self) -> bool:
-        """Return whether the replica has crashed, after a connection ended."""
+    async def is_alive(self) -> bool:
+        """Return whether the replica is known to live on after a connection."""
 
     def max_idle_connections(self, service: Service) -> int:
         """Return how many idle connections to the replica may be kept."""
@@ -252,20 +254,23 @@
             )
         if self._job.connection.response_started:
             return Lost(f'the resumed stream was answered with {head.status}')
-        if is_complete and await self._was_cut_off(head):
-            return Lost('the replica crashed', is_broken_off=True)
+        if is_complete and await self._may_be_cut_off(head):
+            return Lost(_END_UNKNOWN, is_broken_off=True)
         if is_complete:
             self._job.connection.respond(head.status, head.headers, body)
         else:
             await self._forward_unbuffered(peer_connection, head, body)
         return Delivered(head.status)
 
-    async def _was_cut_off(self, head: ReplyHead) -> bool:
-        """Whether an answer ended because its replica crashed.
+    async def _may_be_cut_off(self, head: ReplyHead) -> bool:
+        """Whether an answer may have ended because its replica is gone.
 
-        The end of an answer without a stated length looks the same as a crash.
+        The end of an answer without a stated length looks the same as the end
+        of its replica, by a crash or as announced.
         """
-        return not head.is_self_delimited and await self._observer.has_crashed()
+        if head.is_self_delimited:
+            return False
+        return not await self._observer.is_alive()
 
     async def _forward_unbuffered(
         self,
@@ -279,8 +284,8 @@
         await connection.write_chunk(first_part)
         while piece := await peer_connection.read_chunk():
             await connection.write_chunk(piece)
-        if await self._was_cut_off(head):
-            raise BrokenReplyError('the replica crashed')
+        if await self._may_be_cut_off(head):
+            raise BrokenReplyError(_END_UNKNOWN)
         connection.finish()
 
     async def _forward_stream(
@@ -300,8 +305,8 @@
             job.note_events(splitter.take_count(), splitter.last_id, _now())
         if splitter.has_partial_event:
             return Lost('the stream ended in the middle of an event')
-        if await self._was_cut_off(head):
-            return Lost('the replica crashed', is_broken_off=True)
+        if await self._may_be_cut_off(head):
+            return Lost(_END_UNKNOWN, is_broken_off=True)
         if not connection.response_started:
             connection.start(head.status, head.headers)
         connection.finish()
--- a/bramleybeam/gateway/_forward.py
+++ b/bramleybeam/gateway/_forward.py
@@ -32,6 +32,7 @@
 from bramleybeam.gateway._loads import InFlightRequest
 from bramleybeam.gateway._metrics import GatewayMetrics
 from bramleybeam.gateway._outcome_recorder import OutcomeRecorder
+from bramleybeam.gateway._replica_liveness import ReplicaLiveness
 from bramleybeam.gateway._reply_observer import ReplyObserver
 from bramleybeam.limits import RetryBudgets
 from bramleybeam.relay import CallerConnection, ConnectionPool, InboundRequest
@@ -64,8 +65,9 @@
         self._directory = cluster_state.directory
         self._chooser = chooser
         self._loads = cluster_state.loads
+        self._liveness = ReplicaLiveness(cluster_state.directory)
         self._crashes = CrashDetector(
-            cluster_state.directory, cluster_state.suspects
+            cluster_state.directory, cluster_state.suspects, self._liveness
         )
         self._recorder = OutcomeRecorder(cluster_state, chooser, self._crashes)
         self._rng = rng
@@ -122,6 +124,7 @@
     def close(self) -> None:
         """Cancel background work, after the last request."""
         self._crashes.close()
+        self._liveness.close()
 
     async def drop_idle(self) -> None:
         """Close idle connections to replicas."""
@@ -186,7 +189,7 @@
         time_left = ends_at - self._directory.now()
         with self._loads.track(replica.name, in_flight):
             observer = ReplyObserver(
-                self._cluster_state, replica, in_flight, job, self._crashes
+                self._cluster_state, replica, in_flight, job, self._liveness
             )
             attempt = outcomes.Attempt(job, replica, self._pool, observer)
             outcome = await attempt.run(time_left)
--- a/bramleybeam/gateway/_reply_observer.py
+++ b/bramleybeam/gateway/_reply_observer.py
@@ -6,12 +6,13 @@
 import structlog
 
 from bramleybeam import platform
-from bramleybeam.catalog import Replica, Service
+from bramleybeam.catalog import Replica, ReplicaState, Service
 from bramleybeam.gateway._cluster_state import ClusterState
-from bramleybeam.gateway._crash_detector import CrashDetector
 from bramleybeam.gateway._departures import Departure
 from bramleybeam.gateway._job import Job
 from bramleybeam.gateway._loads import InFlightRequest
+from bramleybeam.gateway._replica_liveness import ReplicaLiveness
+from bramleybeam.relay import Liveness
 
 # Share of the connections that a replica accepts which all gateways together may
 # keep idle, and the largest number of one gateway.
@@ -31,7 +32,7 @@
     replica: Replica
     in_flight: InFlightRequest
     job: Job
-    crashes: CrashDetector
+    liveness: ReplicaLiveness
 
     def find_obstacle(self) -> str | None:
         """Return why the request may not be sent, ``None`` if it may.
@@ -48,9 +49,13 @@
             return 'the request is quarantined'
         return None
 
-    async def has_crashed(self) -> bool:
-        """Return whether the replica has crashed, after a connection ended."""
-        return await self.crashes.has_crashed(self.replica)
+    async def is_alive(self) -> bool:
+        """Return whether the replica is known to live on after a connection."""
+        listed = self.cluster_state.directory.replicas.get(self.replica.name)
+        if listed is None or listed.state != ReplicaState.READY:
+            return True
+        liveness = await self.liveness.check(self.replica)
+        return liveness == Liveness.ALIVE
 
     def max_idle_connections(self, service: Service) -> int:
         """Return how many idle connections to the replica may be kept.
--- a/bramleybeam/gateway/tests/test_attempt.py
+++ b/bramleybeam/gateway/tests/test_attempt.py
@@ -131,8 +131,8 @@
     def find_obstacle(self):
         """Allow every request."""
 
-    async def has_crashed(self):
-        return False
+    async def is_alive(self):
+        return True
 
     def max_idle_connections(self, service):
         return 1
--- a/tests/platform_replica.py
+++ b/tests/platform_replica.py
@@ -86,7 +86,9 @@
       connection is closed
     - ``endless_trailers``: the same, behind the last chunk of a whole body
     - ``crash``: runs, then aborts all connections and closes the port
-    - ``crash_unframed``: the same, after a part of an answer without a length
+    - ``crash_unframed``: the same, after a part of an answer without a length,
+      or after two events of a stream without one
+    - ``unframed_stream``: a whole stream without a length, ended by a close
 
     A run for which ``crashes_on`` returns true crashes the replica likewise,
     after ``events_before_crash`` events of a stream. ``draw_fault`` returns the fault of any other request, or an empty string.
@@ -364,8 +366,20 @@
         return b'whole answer'
 
     def _write_unframed(self, head, connection, body: bytes) -> None:
-        lines = b''.join(key + b': ' + field + b'\r\n' for key, field in head)
-        connection._write(b'HTTP/1.1 200 OK\r\n' + lines + b'\r\n' + body)
+        _write_unframed_head(head, connection)
+        connection._write(body)
+        connection._transport.close()
+
+    async def _stream_unframed(self, run, fault, head, connection) -> None:
+        """Stream without a length until the end, or until a crash."""
+        _write_unframed_head(head, connection)
+        events = self.make_events(run)
+        is_cut = fault == 'crash_unframed'
+        for event in events[:2] if is_cut else events:
+            connection._write(event)
+            await asyncio.sleep(self.pause_s)
+        if is_cut:
+            await self.crash()
         connection._transport.close()
 
     async def _stream(self, run, fault, head, connection) -> None:
@@ -373,6 +387,9 @@
         if first_event and fault.startswith('cut_resume'):
             _answer_resumed(fault, head, connection)
             return
+        if fault in {'unframed_stream', 'crash_unframed'}:
+            await self._stream_unframed(run, fault, head, connection)
+            return
         content_type = (b'Content-Type', b'text/event-stream')
         connection.start(200, (*head, content_type))
         if fault == 'endless_event':
@@ -399,6 +416,11 @@
         ]
 
 
+def _write_unframed_head(head, connection) -> None:
+    lines = b''.join(key + b': ' + field + b'\r\n' for key, field in head)
+    connection._write(b'HTTP/1.1 200 OK\r\n' + lines + b'\r\n')
+
+
 def _write_stray(stray: bytes, connection) -> None:
     """Write a stray reply; close the connection if that ends its body."""
     connection._write(b'HTTP/1.1 ' + stray)
--- a/tests/test_crashing_replicas.py
+++ b/tests/test_crashing_replicas.py
@@ -10,6 +10,10 @@
 from tests.platform_replica import ReplicaStandIn
 from tests.platform_site import run_site
 
+MODEL_HEADERS = {
+    'Bramleybeam_Model': 'm1',
+    'Bramleybeam_Token_Counts': '100,8',
+}
 LINK_BYTES_PER_S = 12_500_000
 # Bound on the runs of a crashing request after it has crashed three replicas.
 MAX_RUNS_AFTER_THIRD_CRASH = 3
@@ -111,6 +115,51 @@
             }
 
 
+# A crash follows within a second after a whole answer of the same kind.
+@pytest.mark.parametrize('is_leaving', [False])
+@pytest.mark.parametrize(
+    ('name', 'path', 'headers', 'sound_fault'),
+    [
+        ('l1', '/post/2f', {}, 'unframed'),
+        ('e1', '/ask/2f', MODEL_HEADERS, 'unframed_stream'),
+    ],
+    ids=['plain', 'stream'],
+)
+async def test_answer_without_length_of_a_replica_that_ends_is_not_complete(
+    site, name, path, headers, sound_fault, is_leaving
+):
+    """Guards against an old observation of the replica."""
+    replica = site.replicas[name]
+    site.write_entry(site.replicas[f'{name[0]}2'], state='draining')
+    await wait_for_events(site, 'replica_draining', 1)
+    for number in range(4):
+        replica.faults[f's{number}'] = sound_fault
+        answer = await site.ask_with_id(f's{number}', path, **headers)
+        assert (answer.status, answer.is_truncated) == (200, False)
+        assert answer.body
+    replica.faults['cut'] = 'crash_unframed'
+    replica.pause_s = 1 if is_leaving else 0.2
+    cut = asyncio.create_task(site.ask_with_id('cut', path, **headers))
+    while not site.runs('cut'):
+        await asyncio.sleep(0.01)
+    if is_leaving:
+        site.write_entry(replica, state='draining')
+        await wait_for_events(site, 'replica_draining', 2)
+    answer = await cut
+    assert answer.status != 200 or answer.is_truncated
+
+
+async def test_crash_soon_after_a_lost_answer_is_noticed(site):
+    """Guards against an old observation of a replica that crashes now."""
+    site.write_entry(site.replicas['l2'], state='draining')
+    await wait_for_events(site, 'replica_draining', 1)
+    site.replicas['l1'].faults.update(lost='lost', crash='crash')
+    await site.ask_with_id('lost', '/post/2f')
+    await wait_for_events(site, 'answers_lost', 1)
+    await site.ask_with_id('crash', '/post/2f')
+    await wait_for_events(site, 'replica_crashed', 1)
+
+
 async def test_requests_beside_a_crashing_one_are_served_afterwards(tmp_path):
     """Each crash interrupts the same other requests."""
     rates = [LINK_BYTES_PER_S] * 2
