Observe replicas that leave before their answers count as complete

Cause: the end of a replica that leaves is no crash, so that nothing was observed of it; its answers were taken for complete all the same. Whether to suspect requests of a crash and whether an answer is whole are two questions.

Change: the end of an answer is checked whatever is known of the replica; the crash detector alone asks whether it leaves.

Before the change the two cases with is_leaving of test_answer_without_length_of_a_replica_that_ends_is_not_complete failed.

--- a/bramleybeam/gateway/_reply_observer.py
+++ b/bramleybeam/gateway/_reply_observer.py
@@ -6,7 +6,7 @@
 import structlog
 
 from bramleybeam import platform
-from bramleybeam.catalog import Replica, ReplicaState, Service
+from bramleybeam.catalog import Replica, Service
 from bramleybeam.gateway._cluster_state import ClusterState
 from bramleybeam.gateway._departures import Departure
 from bramleybeam.gateway._job import Job
@@ -51,9 +51,6 @@
 
     async def is_alive(self) -> bool:
         """Return whether the replica is known to live on after a connection."""
-        listed = self.cluster_state.directory.replicas.get(self.replica.name)
-        if listed is None or listed.state != ReplicaState.READY:
-            return True
         liveness = await self.liveness.check(self.replica)
         return liveness == Liveness.ALIVE
 
--- a/tests/test_crashing_replicas.py
+++ b/tests/test_crashing_replicas.py
@@ -115,8 +115,9 @@
             }
 
 
-# A crash follows within a second after a whole answer of the same kind.
-@pytest.mark.parametrize('is_leaving', [False])
+# A crash follows within a second after a whole answer of the same kind, or when
+# the replica has stated that it leaves.
+@pytest.mark.parametrize('is_leaving', [False, True])
 @pytest.mark.parametrize(
     ('name', 'path', 'headers', 'sound_fault'),
     [
@@ -128,7 +129,7 @@
 async def test_answer_without_length_of_a_replica_that_ends_is_not_complete(
     site, name, path, headers, sound_fault, is_leaving
 ):
-    """Guards against an old observation of the replica."""
+    """Guards against an old or a missing observation of the replica."""
     replica = site.replicas[name]
     site.write_entry(site.replicas[f'{name[0]}2'], state='draining')
     await wait_for_events(site, 'replica_draining', 1)
