Observe a service before an agent takes its cut response for complete

Seen, in a test: a response without a length, of which a crash of the service cut off the rest, was complete to the agent.

Cause: as for gateways, the system closes the connections of a process that is killed as the process does at the end of a response.

Change: agents connect to the service after such a response, as gateways do.

Before the change test_response_without_length_of_a_crashed_service_is_lost failed.

--- a/bramleybeam/agent/_upstream.py
+++ b/bramleybeam/agent/_upstream.py
@@ -26,10 +26,12 @@
     BrokenReplyError,
     Headers,
     InvalidReplyError,
+    Liveness,
     PeerConnection,
     ReplyHead,
     connect_peer,
     find_header,
+    observe_peer,
 )
 
 CONNECT_TIMEOUT_S: Final = 1.0
@@ -111,7 +113,9 @@
         with closing(connection):
             try:
                 _send_to_service(connection, self._url, dispatch)
-                async for event in _read_service_response(connection):
+                async for event in _read_service_response(
+                    connection, self._address
+                ):
                     yield event
             except (BrokenReplyError, TimeoutError) as error:
                 yield Lost(repr(error), crashed=False)
@@ -173,17 +177,20 @@
         status, _body = await self._call_admin('GET', '/health')
         return status == _OK
 
+    @property
+    def _address(self) -> str:
+        """Host and port of the upstream."""
+        is_https = self._url.scheme == 'https'
+        default_port = _HTTPS_PORT if is_https else _HTTP_PORT
+        return f'{self._url.hostname}:{self._url.port or default_port}'
+
     async def _connect(self) -> PeerConnection:
         """Open a connection to the upstream."""
-        port = self._url.port
-        tls = None
-        if self._url.scheme == 'https':
-            port = port or _HTTPS_PORT
-            tls = ssl.create_default_context()
+        is_https = self._url.scheme == 'https'
         return await connect_peer(
-            f'{self._url.hostname}:{port or _HTTP_PORT}',
+            self._address,
             CONNECT_TIMEOUT_S,
-            tls=tls,
+            tls=ssl.create_default_context() if is_https else None,
         )
 
     async def _call_admin(
@@ -276,8 +283,9 @@
 
 
 async def _read_service_response(
-    connection: PeerConnection,
+    connection: PeerConnection, address: str
 ) -> AsyncIterator[Event]:
+    """Yield the events of a response of the service at an address."""
     head = await _read_head(connection)
     content_type = find_header(head.headers, b'content-type') or b''
     yield Started(head.status, content_type.decode('latin-1'))
@@ -288,7 +296,19 @@
         if size_bytes > MAX_RESPONSE_BYTES:
             yield Lost('the response exceeds the size limit', crashed=False)
             return
-    yield Finished(size_bytes, 'stop')
+    if head.is_self_delimited or await _is_alive(address):
+        yield Finished(size_bytes, 'stop')
+    else:
+        yield Lost('the service was not seen alive afterwards', crashed=True)
+
+
+async def _is_alive(address: str) -> bool:
+    """Whether a service lives on after it closed a connection.
+
+    The end of a response without a length looks the same as that of the service.
+    """
+    observation = await observe_peer(address)
+    return observation.liveness == Liveness.ALIVE
 
 
 async def _read_chunk(connection: PeerConnection) -> bytes:
--- a/bramleybeam/agent/tests/test_upstream.py
+++ b/bramleybeam/agent/tests/test_upstream.py
@@ -1,4 +1,4 @@
-"""The client of an upstream that writes a reply twice, or a part of it."""
+"""The client of an upstream that repeats, breaks off or loses a reply."""
 
 import asyncio
 import socket
@@ -81,8 +81,11 @@
 RESET = struct.pack('ii', 1, 0)
 
 
-async def request_reply(reply, *, is_reset):
-    """Return the events of a request whose connection ends after a reply."""
+async def request_reply(reply, *, is_reset, is_gone=False):
+    """Return the events of a request whose connection ends after a reply.
+
+    ``is_gone`` is whether the port of the upstream closes with it.
+    """
 
     served = asyncio.Event()
 
@@ -94,6 +97,8 @@
         if is_reset:
             connection = writer.get_extra_info('socket')
             connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        if is_gone:
+            server.close()
         writer.transport.abort()
         served.set()
 
@@ -126,3 +131,9 @@
     events = await request_reply(reply, is_reset=is_reset)
     assert isinstance(events[-1], expected)
     assert not any(isinstance(event, NotRun) for event in events)
+
+
+async def test_response_without_length_of_a_crashed_service_is_lost():
+    """Guards against a part of a response that looks like all of it."""
+    events = await request_reply(CLOSED, is_reset=False, is_gone=True)
+    assert events[-1].crashed
