Do not answer a request with the rejection of bytes behind it

Seen, in a test: a caller that sent a proper request and malformed bytes in one packet got 400 for the request, which was dropped.

Cause: the parser raised the error of the second message and kept the first, which was complete, to itself.

Change: the parser returns the requests that are complete and states the error beside them. The connection answers the requests, then closes.

Before the change test_bad_request_does_not_take_the_response_of_one_before_it failed.

--- a/bramleybeam/relay/_caller_server.py
+++ b/bramleybeam/relay/_caller_server.py
@@ -14,10 +14,7 @@
 
 from bramleybeam.catalog import RequestLimits
 from bramleybeam.relay._messages import InboundRequest
-from bramleybeam.relay._request_parser import (
-    RequestParser,
-    UnreadableRequestError,
-)
+from bramleybeam.relay._request_parser import RequestParser
 from bramleybeam.relay._response_writer import ResponseWriter
 from bramleybeam.relay._restartable_timer import RestartableTimer
 
@@ -64,17 +61,15 @@
             return
         self._parser.limits = self._owner.limits
         was_mid_head = self._parser.is_mid_head
-        try:
-            requests = self._parser.feed(received)
-        except UnreadableRequestError as error:
-            self._reject(error.status, str(error))
-            return
-        self._queue.extend(requests)
+        self._queue.extend(self._parser.feed(received))
         self._update_reading()
         # A head that arrives in parts does not restart its timer.
         if not (was_mid_head and self._parser.is_mid_head):
             self._start_timer()
         self._start_next()
+        error = self._parser.error
+        if error is not None:
+            self._reject(error.status, error.reason)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the handler and drop queued requests."""
--- a/bramleybeam/relay/_request_parser.py
+++ b/bramleybeam/relay/_request_parser.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from http import HTTPStatus
 
+import attrs
 import httptools
 
 from bramleybeam.catalog import RequestLimits
@@ -16,16 +17,15 @@
 _UNFINISHED_ALLOWANCE = 2
 
 
-class UnreadableRequestError(Exception):
-    """The request is malformed or too long.
+@attrs.frozen
+class UnreadableRequest:
+    """A request is malformed or too long.
 
-    ``status`` is the HTTP status code of the response.
+    ``status`` is the HTTP status code of the response, ``reason`` is logged.
     """
 
-    def __init__(self, status: int, reason: str) -> None:
-        """Store the status code of the response and the reason to log."""
-        super().__init__(reason)
-        self.status = status
+    status: int
+    reason: str
 
 
 class RequestParser:
@@ -41,9 +41,14 @@
         self._clock = clock
         self._parser = httptools.HttpRequestParser(self)
         self._completed: list[InboundRequest] = []
-        self._error: UnreadableRequestError | None = None
+        self._error: UnreadableRequest | None = None
         self._reset()
 
+    @property
+    def error(self) -> UnreadableRequest | None:
+        """Why no further requests can be read, ``None`` if they can."""
+        return self._error
+
     @property
     def is_mid_request(self) -> bool:
         """Whether a request has been received in part."""
@@ -57,19 +62,18 @@
     def feed(self, received: bytes) -> list[InboundRequest]:
         """Parse bytes and return the requests that they complete.
 
-        Raises ``UnreadableRequestError`` for a malformed or too long request.
+        A malformed or too long request sets ``error`` and ends the input.
         """
         self._received += len(received)
         try:
             self._parser.feed_data(received)
-        except httptools.HttpParserUpgrade:
-            self._note_error(HTTPStatus.BAD_REQUEST, 'upgrade is not supported')
-        except httptools.HttpParserError as error:
+        except (
+            httptools.HttpParserUpgrade,
+            httptools.HttpParserError,
+        ) as error:
             self._note_error(HTTPStatus.BAD_REQUEST, repr(error))
         if self.is_mid_request and not self._completed:
             self._check_incomplete()
-        if self._error is not None:
-            raise self._error
         completed = self._completed
         self._completed = []
         return completed
@@ -106,7 +110,14 @@
             self._body += chunk
 
     def on_message_complete(self) -> None:
-        """Store the complete request."""
+        """Store the complete request unless an error came before its end."""
+        if self._parser.should_upgrade():
+            self._note_error(HTTPStatus.BAD_REQUEST, 'upgrade is not supported')
+        if self._error is None:
+            self._store_request()
+        self._reset()
+
+    def _store_request(self) -> None:
         self._completed.append(
             InboundRequest(
                 self._parser.get_method(),
@@ -117,7 +128,6 @@
                 self._parser.should_keep_alive(),
             ),
         )
-        self._reset()
 
     def _check_incomplete(self) -> None:
         """Note an error if an incomplete request has too much framing."""
@@ -152,6 +162,6 @@
         self._started_at = self._clock()
 
     def _note_error(self, status: int, reason: str) -> None:
-        """Store the first error; ``feed`` raises it."""
+        """Store the first error."""
         if self._error is None:
-            self._error = UnreadableRequestError(status, reason)
+            self._error = UnreadableRequest(status, reason)
