Guard against trailers that become headers

With a line that states that a request has not run, an order of a permit ran twice.

Cause: the parser of replies kept lines of a trailer section in its list of headers, which is emptied with the next head. That of requests added them to the headers of the request.

--- a/bramleybeam/relay/tests/test_relay.py
+++ b/bramleybeam/relay/tests/test_relay.py
@@ -172,6 +172,41 @@
     assert request.headers == ((b'Transfer-Encoding', b'chunked'),)
 
 
+@pytest.mark.parametrize(
+    'trailers',
+    [b'A: b\r\n', b'A: b\r\nC: d\r\n', b'Bramleybeam-Request-Id: r2\r\n'],
+)
+@pytest.mark.parametrize('is_together', [False, True])
+def test_trailer_is_no_header_of_the_next_request(trailers, is_together):
+    """Guards against a line that the next request on the connection gets."""
+    chunked = CHUNKED_REQUEST + LAST_CHUNK + trailers + b'\r\n'
+    following = b'GET /next HTTP/1.1\r\nHost: a\r\n\r\n'
+    parser = make_parser()
+    if is_together:
+        first, second = parser.feed(chunked + following)
+    else:
+        (first,) = parser.feed(chunked)
+        (second,) = parser.feed(following)
+    assert first.headers == ((b'Transfer-Encoding', b'chunked'),)
+    assert second.headers == ((b'Host', b'a'),)
+
+
+@pytest.mark.parametrize(
+    'trailers',
+    [b'A: b\r\n', b'A: b\r\nC: d\r\n', b'Bramleybeam-Not-Executed: 1\r\n'],
+)
+def test_trailer_is_no_header_of_a_reply(trailers):
+    """Guards against a line that the next answer on the connection gets."""
+    parser = ReplyParser()
+    assert parser.feed(CHUNKED_HEAD + LAST_CHUNK + trailers + b'\r\n') is None
+    assert parser.reply.is_complete
+    assert parser.reply.allows_reuse
+    assert parser.reply.head.headers == ((b'Transfer-Encoding', b'chunked'),)
+    parser.start_next()
+    parser.feed(b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n')
+    assert parser.reply.head.headers == ((b'Content-Length', b'0'),)
+
+
 async def test_bad_request_does_not_take_the_response_of_one_before_it():
     """Guards against a rejection that answers another request."""
 
--- a/tests/platform_replica.py
+++ b/tests/platform_replica.py
@@ -88,6 +88,8 @@
     - ``crash``: runs, then aborts all connections and closes the port
     - ``crash_unframed``: the same, after a part of an answer without a length,
       or after two events of a stream without one
+    - ``trailing_refusal``: the header that states that a request has not run
+      follows the last chunk of a whole body
     - ``unframed_stream``: a whole stream without a length, ended by a close
 
     A run for which ``crashes_on`` returns true crashes the replica likewise,
@@ -329,6 +331,10 @@
                 connection.respond(500, head, b'went wrong')
             case 'unmarked_503':
                 connection.respond(503, head[:1], b'went away')
+            case 'trailing_refusal':
+                connection.start(200, head)
+                await connection.write_chunk(self.plain_body(run))
+                connection._write(b'0\r\nBramleybeam-Not-Executed: 1\r\n\r\n')
             case 'unframed':
                 self._write_unframed(head, connection, self.plain_body(run))
             case _:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -190,6 +190,21 @@
     assert (await site.ask(path, **headers)).status == 200
 
 
+async def test_trailer_says_nothing_of_the_next_request(site):
+    """Guards against a line that made an order of a permit run twice."""
+    site.write_entry(site.replicas['l2'], state='draining')
+    async with asyncio.timeout(10):
+        while not site.gateway.events('replica_draining'):
+            await asyncio.sleep(0.02)
+    for number in range(4):
+        site.replicas['l1'].faults[f's{number}'] = 'trailing_refusal'
+        answer = await site.ask_with_id(f's{number}', '/post/2f')
+        assert (answer.status, answer.body) == (200, b'whole answer')
+        answer = await site.ask_with_id(f'r{number}', '/post/2f')
+        assert answer.status == 200
+        assert len(site.runs(f'r{number}')) == 1
+
+
 @pytest.mark.parametrize('fault', ['unsealed', *STRAY_REPLIES])
 async def test_request_is_repeated_elsewhere_after_a_stray_reply(site, fault):
     site.replicas['l1'].draw_fault = lambda: fault
