Remember stated departures while there is room

Cause: departures were forgotten 60 s after they were recorded, unless the replica was still listed. For a missing entry that is right; what a replica has stated of its start stays true.

--- a/bramleybeam/gateway/_departures.py
+++ b/bramleybeam/gateway/_departures.py
@@ -15,9 +15,12 @@
 
 # Time for which a departure is reported to neighbours after it was recorded.
 _REPORT_S: Final = 6.0
-# Time for which a departure is kept after its replica is no longer listed. By
-# then each gateway has read it from the store or has ended.
+# Time for which a missing entry is remembered. By then each gateway has read it
+# from the store or has ended.
 _RETENTION_S: Final = 60.0
+# Number of stated departures that are remembered. An entry can be missing for a
+# while and come back without the statement.
+_MAX_STATED: Final = 4096
 _log = structlog.get_logger('departures')
 
 
@@ -99,12 +102,17 @@
         """Drop old departures of replicas that are not in ``listed``.
 
         A gateway that is cut off from the store may list a replica long after
-        it has begun to leave.
+        it has begun to leave. What a replica has stated itself is dropped only
+        when there is too much of it, the oldest first.
         """
         now = self._clock()
+        excess = len(self._entries) - _MAX_STATED
         for name, entry in tuple(self._entries.items()):
-            if now - entry.recorded_at > _RETENTION_S and name not in listed:
+            if name in listed or now - entry.recorded_at <= _RETENTION_S:
+                continue
+            if entry.departure.is_gone or excess > 0:
                 self._entries.pop(name)
+                excess -= 1
 
     def list_recent(self) -> dict[str, Departure]:
         """Return the departures to report to neighbours."""
