Soak: send endless replies for streams too, and new faults

Cause: the stand-in drew the faults endless_body and endless_head for streams too, but did not apply them there. The check compares an answer with the bytes that the replica sent, and expected endless ones.

Change: the stand-in applies both faults to streams. The check is as it was. The soak also draws replies without the request's id or a seal, trailers with and without an end, and streams without a length.

--- a/tests/platform_replica.py
+++ b/tests/platform_replica.py
@@ -209,7 +209,7 @@
         if self.endless_reports:
             connection.start(status, ())
             await connection.write_chunk(body)
-            await _write_trailers_without_end(connection)
+            await _write_trailers('endless_trailers', connection)
         connection.respond(status, (), body)
 
     def _accept_late_order(self, order: dict, incarnation: int) -> None:
@@ -301,6 +301,8 @@
         id_field = b'other' if fault == 'other_id' else run.request_id.encode()
         head = ((REQUEST_ID, id_field), (SEAL, b'seal-1'), *self.extra_headers)
         await asyncio.sleep(self.pause_s)
+        if fault in {'endless_head', 'endless_body'}:
+            await _write_endless_reply(fault, head, connection)
         stray = STRAY_REPLIES.get(fault)
         if stray:
             _write_stray(stray, connection)
@@ -315,9 +317,16 @@
         if is_stream and fault not in {'lost', 'crash', 'hang'}:
             await self._stream(run, fault, head, connection)
             return
-        if fault.startswith('endless'):
-            await self._respond_without_end(run, fault, head, connection)
+        await self._respond_plain(run, fault, head, connection)
+        if fault == 'extra':
+            connection.respond(200, head, b'second answer')
+
+    async def _respond_plain(self, run, fault, head, connection) -> None:
         match fault:
+            case 'endless_trailers' | 'trailing_refusal':
+                connection.start(200, head)
+                await connection.write_chunk(self.plain_body(run))
+                await _write_trailers(fault, connection)
             case 'lost':
                 connection.abort_response()
             case 'crash':
@@ -331,27 +340,10 @@
                 connection.respond(500, head, b'went wrong')
             case 'unmarked_503':
                 connection.respond(503, head[:1], b'went away')
-            case 'trailing_refusal':
-                connection.start(200, head)
-                await connection.write_chunk(self.plain_body(run))
-                connection._write(b'0\r\nBramleybeam-Not-Executed: 1\r\n\r\n')
             case 'unframed':
                 self._write_unframed(head, connection, self.plain_body(run))
             case _:
                 connection.respond(200, head, self.plain_body(run))
-        if fault == 'extra':
-            connection.respond(200, head, b'second answer')
-
-    async def _respond_without_end(self, run, fault, head, connection) -> None:
-        """Write a plain answer with endless bytes until the peer disconnects."""
-        if fault == 'endless_head':
-            connection._write(b'HTTP/1.1 200 OK\r\nA: ')
-            await _write_without_end(connection, is_head=True)
-        connection.start(200, head)
-        if fault == 'endless_body':
-            await _write_without_end(connection)
-        await connection.write_chunk(self.plain_body(run))
-        await _write_trailers_without_end(connection)
 
     def is_run_sound(self, run: Run) -> bool:
         """Return whether a run got its whole answer without a fault."""
@@ -410,7 +402,7 @@
             await connection.write_chunk(self.make_events(run)[number])
             await asyncio.sleep(self.pause_s)
         if fault == 'endless_trailers':
-            await _write_trailers_without_end(connection)
+            await _write_trailers(fault, connection)
         connection.finish()
 
     def make_events(self, run: Run) -> list[bytes]:
@@ -448,19 +440,28 @@
     connection.respond(status, head, ERROR_TEXT)
 
 
-async def _write_without_end(connection, *, is_head: bool = False) -> None:
-    """Write bytes without an event boundary until the peer disconnects."""
-    if is_head:
+async def _write_endless_reply(fault, head, connection) -> None:
+    """Write a head or a body until the peer disconnects."""
+    if fault == 'endless_head':
+        connection._write(b'HTTP/1.1 200 OK\r\nA: ')
         await _repeat_without_end(connection, b'x' * 10_000)
+    connection.start(200, head)
+    await _write_without_end(connection)
+
+
+async def _write_without_end(connection) -> None:
+    """Write bytes without an event boundary until the peer disconnects."""
     while True:
         await connection.write_chunk(b'x' * 10_000)
         await asyncio.sleep(0)
 
 
-async def _write_trailers_without_end(connection) -> None:
-    """Write lines behind the last chunk until the peer disconnects."""
+async def _write_trailers(fault, connection) -> None:
+    """Write one line behind the last chunk, or many until a disconnect."""
     connection._write(b'0\r\n')
-    await _repeat_without_end(connection, b'x: y\r\n' * 2000)
+    if fault == 'endless_trailers':
+        await _repeat_without_end(connection, b'x: y\r\n' * 2000)
+    connection._write(b'Bramleybeam-Not-Executed: 1\r\n\r\n')
 
 
 async def _repeat_without_end(connection, encoded: bytes) -> None:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -6,7 +6,7 @@
 from collections.abc import Awaitable, Callable
 
 from tests.platform_fleet import Fleet
-from tests.platform_replica import ReplicaStandIn
+from tests.platform_replica import STRAY_REPLIES, ReplicaStandIn
 from tests.platform_site import make_route
 from tests.soak.record import (
     DRAIN_S,
@@ -43,6 +43,11 @@
     'endless_head',
     'endless_body',
     'endless_event',
+    'endless_trailers',
+    'trailing_refusal',
+    'unframed_stream',
+    'unsealed',
+    *STRAY_REPLIES,
 )
 
 
