Split outcomes of attempts and replies of upstreams from long modules

The outcomes of an attempt, which three other modules use, and the reading of an upstream's replies are modules of their own. Nothing else is changed.

--- a/bramleybeam/agent/_upstream.py
+++ b/bramleybeam/agent/_upstream.py
@@ -11,14 +11,10 @@
 import attrs
 from expression import Error, Ok, Result
 
-from bramleybeam.agent._events import (
-    Event,
-    EventParser,
-    Finished,
-    Lost,
-    NotRun,
-    Started,
-    Text,
+from bramleybeam.agent._events import Event, Lost, NotRun
+from bramleybeam.agent._upstream_replies import (
+    read_inference,
+    read_service_response,
 )
 from bramleybeam.links import Dispatch
 from bramleybeam.messages import ArtifactState, Order
@@ -26,32 +22,21 @@
     BrokenReplyError,
     Headers,
     InvalidReplyError,
-    Liveness,
     PeerConnection,
     ReplyHead,
     connect_peer,
-    find_header,
-    observe_peer,
 )
 
 CONNECT_TIMEOUT_S: Final = 1.0
 ADMIN_TIMEOUT_S: Final = 3.0
-# Longest time between two reads of a response before it counts as lost.
-STREAM_IDLE_TIMEOUT_S: Final = 15.0
-# Limit of the body of a service's response.
-MAX_RESPONSE_BYTES: Final = 900_000
 # Limit of the body of a reply to the agent's own calls.
 _MAX_ADMIN_BYTES: Final = 1 << 20
-# Length of the part of an engine's refusal that is logged and forwarded.
-_MAX_REFUSAL_BYTES: Final = 500
 _OK: Final = 200
 _HTTP_PORT: Final = 80
 _HTTPS_PORT: Final = 443
 _CONFLICT: Final = 409
 # Raised by a call that fails or whose response can't be decoded.
 _CALL_FAILURES: Final = (BrokenReplyError, OSError, TimeoutError, ValueError)
-# Statuses which mean that the upstream did not run the request.
-_NOT_RUN_STATUSES: Final = frozenset((400, 404, 413, 422, 429, 503))
 
 
 @attrs.frozen
@@ -96,7 +81,7 @@
                 self._send_json(
                     connection, 'POST', dispatch.path, body, (traceparent,)
                 )
-                async for event in _read_inference(connection, dispatch):
+                async for event in read_inference(connection, dispatch):
                     yield event
             except (InvalidReplyError, ValueError) as error:
                 yield Lost(repr(error), crashed=False)
@@ -113,7 +98,7 @@
         with closing(connection):
             try:
                 _send_to_service(connection, self._url, dispatch)
-                async for event in _read_service_response(
+                async for event in read_service_response(
                     connection, self._address
                 ):
                     yield event
@@ -238,35 +223,6 @@
         )
 
 
-async def _read_inference(
-    connection: PeerConnection,
-    dispatch: Dispatch,
-) -> AsyncIterator[Event]:
-    head = await _read_head(connection)
-    if head.status != _OK:
-        yield await _read_refusal(connection, head.status)
-        return
-    yield Started(head.status, _content_type_of(head))
-    parser = EventParser(dispatch.resume_from)
-    while received := await _read_chunk(connection):
-        for event in parser.feed(received):
-            yield event
-    if not parser.finished:
-        yield Lost(
-            'the engine closed the stream without a finish event', crashed=True
-        )
-
-
-async def _read_refusal(connection: PeerConnection, status: int) -> Event:
-    async with asyncio.timeout(STREAM_IDLE_TIMEOUT_S):
-        body, _is_complete = await connection.read_prefix(_MAX_REFUSAL_BYTES)
-    text = body[:_MAX_REFUSAL_BYTES].decode(errors='replace')
-    if status in _NOT_RUN_STATUSES:
-        busy = status in {404, 429, 503}
-        return NotRun(f'HTTP {status}: {text}', busy=busy)
-    return Lost(f'HTTP {status}: {text}', crashed=False)
-
-
 def _send_to_service(
     connection: PeerConnection, url: SplitResult, dispatch: Dispatch
 ) -> None:
@@ -280,49 +236,3 @@
     connection.send(
         f'{dispatch.method} {target} HTTP/1.1'.encode(), headers, dispatch.body
     )
-
-
-async def _read_service_response(
-    connection: PeerConnection, address: str
-) -> AsyncIterator[Event]:
-    """Yield the events of a response of the service at an address."""
-    head = await _read_head(connection)
-    content_type = find_header(head.headers, b'content-type') or b''
-    yield Started(head.status, content_type.decode('latin-1'))
-    size_bytes = 0
-    while received := await _read_chunk(connection):
-        yield Text(size_bytes, len(received), received)
-        size_bytes += len(received)
-        if size_bytes > MAX_RESPONSE_BYTES:
-            yield Lost('the response exceeds the size limit', crashed=False)
-            return
-    if head.is_self_delimited or await _is_alive(address):
-        yield Finished(size_bytes, 'stop')
-    else:
-        yield Lost('the service was not seen alive afterwards', crashed=True)
-
-
-async def _is_alive(address: str) -> bool:
-    """Whether a service lives on after it closed a connection.
-
-    The end of a response without a length looks the same as that of the service.
-    """
-    observation = await observe_peer(address)
-    return observation.liveness == Liveness.ALIVE
-
-
-async def _read_chunk(connection: PeerConnection) -> bytes:
-    async with asyncio.timeout(STREAM_IDLE_TIMEOUT_S):
-        return await connection.read_chunk()
-
-
-async def _read_head(connection: PeerConnection) -> ReplyHead:
-    async with asyncio.timeout(STREAM_IDLE_TIMEOUT_S):
-        return await connection.read_head()
-
-
-def _content_type_of(head: ReplyHead) -> str:
-    """Return the media type of a reply without its parameters."""
-    header_value = find_header(head.headers, b'content-type') or b''
-    media_type = header_value.partition(b';')[0]
-    return media_type.strip().decode('latin-1').lower()
--- a/bramleybeam/gateway/_answers.py
+++ b/bramleybeam/gateway/_answers.py
@@ -12,7 +12,7 @@
     RefusedByAgent,
 )
 from bramleybeam.errors import ErrorKind, Execution, Refusal, refuse
-from bramleybeam.gateway import _attempt as outcomes
+from bramleybeam.gateway import _outcomes as outcomes
 from bramleybeam.gateway._job import Job
 from bramleybeam.relay import CallerConnection
 
--- a/bramleybeam/gateway/_attempt.py
+++ b/bramleybeam/gateway/_attempt.py
@@ -1,14 +1,21 @@
-"""One attempt to send a request to a replica, and its outcome."""
+"""One attempt to send a request to a replica."""
 
 import asyncio
 from typing import Final, Protocol
 
-import attrs
 import structlog
 
 from bramleybeam import platform
 from bramleybeam.catalog import Replica, RequestKind, Service
 from bramleybeam.gateway._job import Job
+from bramleybeam.gateway._outcomes import (
+    Delivered,
+    FailedReply,
+    Lost,
+    NotArrived,
+    NotRun,
+    Outcome,
+)
 from bramleybeam.gateway._reply_match import (
     Answer,
     InvalidReply,
@@ -20,7 +27,6 @@
 from bramleybeam.relay import (
     BrokenReplyError,
     ConnectionPool,
-    Headers,
     InvalidReplyError,
     PeerConnection,
     ReplyHead,
@@ -42,61 +48,6 @@
 _log = structlog.get_logger('attempts')
 
 
-@attrs.frozen
-class Delivered:
-    """The complete answer was sent to the caller."""
-
-    status: int
-
-
-@attrs.frozen
-class NotArrived:
-    """The request never left this process.
-
-    ``is_unreachable`` is whether the replica could not be reached; otherwise
-    something was found that forbids it before the request was sent.
-    """
-
-    reason: str
-    is_unreachable: bool = True
-
-
-@attrs.frozen
-class NotRun:
-    """The replica reported that it did not run the request.
-
-    ``is_missing`` is whether it doesn't hold the model, or is not the replica
-    that the request was meant for.
-    """
-
-    status: int
-    is_missing: bool
-
-
-@attrs.frozen
-class Lost:
-    """The request may have run; its answer was lost or is not usable.
-
-    ``is_broken_off`` is whether the connection ended. It did not if a replica
-    that is alive sent something else than the answer.
-    """
-
-    reason: str
-    is_broken_off: bool = False
-
-
-@attrs.frozen
-class FailedReply:
-    """The replica ran the request and answered with a failure."""
-
-    status: int
-    headers: Headers
-    body: bytes
-
-
-Outcome = Delivered | NotArrived | NotRun | Lost | FailedReply
-
-
 class AttemptObserver(Protocol):
     """What an attempt asks and reports while it runs."""
 
--- a/bramleybeam/gateway/_forward.py
+++ b/bramleybeam/gateway/_forward.py
@@ -16,7 +16,7 @@
     decide_retry,
 )
 from bramleybeam.errors import ErrorKind, Execution, Refusal
-from bramleybeam.gateway import _attempt as outcomes
+from bramleybeam.gateway import _outcomes as outcomes
 from bramleybeam.gateway._admission import Admitter
 from bramleybeam.gateway._answers import (
     answer_refusal,
@@ -25,6 +25,7 @@
     forward_failure,
     refuse_unfinished,
 )
+from bramleybeam.gateway._attempt import Attempt
 from bramleybeam.gateway._choose import Chooser
 from bramleybeam.gateway._cluster_state import ClusterState
 from bramleybeam.gateway._crash_detector import CrashDetector
@@ -191,7 +192,7 @@
             observer = ReplyObserver(
                 self._cluster_state, replica, in_flight, job, self._liveness
             )
-            attempt = outcomes.Attempt(job, replica, self._pool, observer)
+            attempt = Attempt(job, replica, self._pool, observer)
             outcome = await attempt.run(time_left)
         self._chooser.changed.notify()
         return outcome
--- a/bramleybeam/gateway/_outcome_recorder.py
+++ b/bramleybeam/gateway/_outcome_recorder.py
@@ -3,7 +3,7 @@
 from http import HTTPStatus
 
 from bramleybeam.catalog import Replica
-from bramleybeam.gateway import _attempt as outcomes
+from bramleybeam.gateway import _outcomes as outcomes
 from bramleybeam.gateway._choose import Chooser
 from bramleybeam.gateway._cluster_state import ClusterState
 from bramleybeam.gateway._crash_detector import CrashDetector
--- a/bramleybeam/gateway/tests/test_attempt.py
+++ b/bramleybeam/gateway/tests/test_attempt.py
@@ -15,8 +15,9 @@
     RouteTarget,
     Service,
 )
-from bramleybeam.gateway._attempt import Attempt, Delivered, NotRun
+from bramleybeam.gateway._attempt import Attempt
 from bramleybeam.gateway._job import Job
+from bramleybeam.gateway._outcomes import Delivered, NotRun
 from bramleybeam.platform import RequestFacts
 from bramleybeam.relay import InboundRequest, PeerConnection
 
