--- a/bramleybeam/gateway/_attempt.py
+++ b/bramleybeam/gateway/_attempt.py
@@ -55,7 +55,7 @@
         """Return why the request may not be sent, ``None`` if it may."""
 
     async def is_alive(self) -> bool:
-        """Return whether the replica is known to live on after a connection."""
+        """Return whether the replica is alive after its connection ended."""
 
     def max_idle_connections(self, service: Service) -> int:
         """Return how many idle connections to the replica may be kept."""
--- a/bramleybeam/gateway/_reply_observer.py
+++ b/bramleybeam/gateway/_reply_observer.py
@@ -50,7 +50,7 @@
         return None
 
     async def is_alive(self) -> bool:
-        """Return whether the replica is known to live on after a connection."""
+        """Return whether the replica is alive after its connection ended."""
         liveness = await self.liveness.check(self.replica)
         return liveness == Liveness.ALIVE
 
