Decode workspaces, their keys and quotas

The configuration's list of workspaces was not read, so that any key was served. A malformed entry keeps the configuration in force, and the log line names the field without its content: the text of an undecodable configuration is no longer logged, because it may hold keys. The settings give the bounds of revocation and quotas and the memory limit. Nothing uses them yet.

--- a/bramleybeam/catalog/__init__.py
+++ b/bramleybeam/catalog/__init__.py
@@ -11,14 +11,23 @@
     RoutingConfiguration,
     Service,
 )
-from bramleybeam.catalog._host import HostSettings, TimeBounds
+from bramleybeam.catalog._host import HostSettings, QuotaBounds, TimeBounds
 from bramleybeam.catalog._replicas import Holdings, Replica, ReplicaState
+from bramleybeam.catalog._workspaces import (
+    Quota,
+    QuotaUnit,
+    Workspace,
+    WorkspaceDirectory,
+)
 
 __all__ = [
     'EngineSpec',
     'Holdings',
     'HostSettings',
     'ModelSpec',
+    'Quota',
+    'QuotaBounds',
+    'QuotaUnit',
     'Replica',
     'ReplicaState',
     'RequestKind',
@@ -28,5 +37,7 @@
     'RoutingConfiguration',
     'Service',
     'TimeBounds',
+    'Workspace',
+    'WorkspaceDirectory',
     'check_address',
 ]
--- a/bramleybeam/catalog/_configuration.py
+++ b/bramleybeam/catalog/_configuration.py
@@ -5,6 +5,8 @@
 
 import attrs
 
+from bramleybeam.catalog._workspaces import Workspace, WorkspaceDirectory
+
 
 @unique
 class RequestKind(StrEnum):
@@ -32,6 +34,7 @@
     stream, to its first event. ``longest_gap_s`` is the longest pause between
     the events of a stream that still counts as on time. Priority 0 is the
     most urgent. ``attempts`` limits how many replicas may run one request.
+    ``is_public`` is whether callers need no key.
     """
 
     name: str
@@ -45,6 +48,7 @@
     attempts: int = 1
     is_resumable: bool = False
     longest_gap_s: float = 0
+    is_public: bool = False
 
     @property
     def may_repeat(self) -> bool:
@@ -121,12 +125,18 @@
 
 @attrs.frozen
 class RoutingConfiguration:
-    """One complete version of the operator's routes, services and limits."""
+    """One complete version of the operator's routes, services and limits.
+
+    ``workspaces`` is ``None`` if callers need no keys.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: Mapping[str, Service]
     limits: RequestLimits = RequestLimits()
+    workspaces: WorkspaceDirectory | None = attrs.field(
+        default=None, eq=False, repr=False
+    )
     _by_host: dict[str, dict[str, Route]] = attrs.field(
         init=False, factory=dict, eq=False, repr=False
     )
@@ -136,6 +146,15 @@
         for route in self.routes:
             self._by_host.setdefault(route.host, {})[route.prefix] = route
 
+    @property
+    def requires_keys(self) -> bool:
+        """Whether callers need a key, except on public routes."""
+        return self.workspaces is not None
+
+    def find_workspace(self, key: bytes) -> Workspace | None:
+        """Return the workspace that a key opens, ``None`` if it opens none."""
+        return self.workspaces.find(key) if self.workspaces else None
+
     def match(self, host: str, path: str) -> Route | None:
         """Return the host's route with the longest prefix of ``path``."""
         by_prefix = self._by_host.get(host)
--- a/bramleybeam/platform/_entries.py
+++ b/bramleybeam/platform/_entries.py
@@ -25,6 +25,7 @@
     Service,
     check_address,
 )
+from bramleybeam.platform._workspaces import decode_workspaces
 
 CONFIGURATION_KEY: Final = 'op/config'
 REPLICA_PREFIX: Final = 'servers/'
@@ -78,7 +79,10 @@
     try:
         return decode(json.loads(text))
     except _DECODING_ERRORS as error:
-        _log.warning('entry_unreadable', key=key, error=repr(error)[:200])
+        # Some errors hold the bytes that could not be decoded; their text
+        # doesn't. The bytes may contain callers' keys.
+        reason = f'{type(error).__name__}: {error}'[:200]
+        _log.warning('entry_unreadable', key=key, error=reason)
     return None
 
 
@@ -91,6 +95,7 @@
             for service in raw['services']
         },
         limits=_decode_limits(raw['limits']),
+        workspaces=decode_workspaces(raw),
     )
 
 
@@ -107,6 +112,7 @@
         attempts=raw.get('attempts', 1),
         is_resumable=raw.get('resumable', False) is True,
         longest_gap_s=raw.get('gap-aim-ms', 0) / _MS_PER_S,
+        is_public=raw.get('no-auth', False) is True,
     )
 
 
--- a/bramleybeam/platform/_settings.py
+++ b/bramleybeam/platform/_settings.py
@@ -12,7 +12,7 @@
 
 from expression import Error, Ok, Result
 
-from bramleybeam.catalog import HostSettings, TimeBounds
+from bramleybeam.catalog import HostSettings, QuotaBounds, TimeBounds
 from bramleybeam.checks import Problem
 
 SETTINGS_VARIABLE: Final = 'BRAMLEYBEAM_NODE_FILE'
@@ -80,6 +80,27 @@
     raise ValueError(f'{raw} is not above 0')
 
 
+def _not_negative(raw: Any) -> float:
+    """Return a number of at least 0; raises ``ValueError`` for any other."""
+    number = float(raw)
+    if number >= 0 and math.isfinite(number):
+        return number
+    raise ValueError(f'{raw} is below 0')
+
+
+def _read_if_present(
+    raw: dict[str, Any],
+    path: str,
+    convert: Callable[[Any], _Field],
+    default: _Field,
+) -> _Field:
+    """Return a field of a table, converted, or ``default`` if it is missing."""
+    table, _, field = path.partition('.')
+    if field not in raw.get(table, {}):
+        return default
+    return _read(raw, path, convert)
+
+
 def _seconds(raw: Any) -> float:
     """Return milliseconds in seconds; they must be above 0."""
     return _positive(raw) / 1000
@@ -108,9 +129,34 @@
         max_descriptors=_read(raw, 'limits.max-fds', int),
         link_bytes_per_s=_link_bytes_per_s(limits),
         metrics_listen=os.environ.get(METRICS_VARIABLE, ''),
+        memory_mb=_read_if_present(raw, 'limits.memory-mb', _not_negative, 0.0),
+        quota_bounds=_decode_quota_bounds(raw),
+    )
+
+
+def _decode_quota_bounds(raw: dict[str, Any]) -> QuotaBounds:
+    """Return how far quotas may be exceeded; defaults where a field is missing."""
+    default = QuotaBounds()
+    return QuotaBounds(
+        _read_if_present(
+            raw, 'bounds.quota-window-s', _positive, default.window_s
+        ),
+        _read_if_present(
+            raw, 'bounds.quota-over', _not_negative, default.excess_share
+        ),
+        _read_if_present(
+            raw, 'bounds.quota-slack', _not_negative, default.allowance
+        ),
     )
 
 
+def _revocation_s(raw: dict[str, Any]) -> float | None:
+    """Return the time in which a key must stop to be served, if limited."""
+    if raw['bounds'].get('strict-revoke', False) is not True:
+        return None
+    return _read(raw, 'bounds.revoke-ms', _seconds)
+
+
 def _link_bytes_per_s(limits: dict[str, Any]) -> float:
     """Return the rate of the network link in bytes/s, or 0 if unknown."""
     if 'link-mbps' not in limits:
@@ -133,4 +179,5 @@
         order_pause_s=_read(raw, 'bounds.lease-ms', _seconds),
         order_window_s=_read(raw, 'bounds.ceiling-window-s', _positive),
         retry_window_s=_read(raw, 'bounds.retry-window-s', _positive),
+        revocation_s=_revocation_s(raw),
     )
