Let a workspace's priority replace the route's

A request has the workspace that its key opens, and its priority: that of the workspace if there is one, else the route's. The priority that an engine gets follows it. No request has a workspace yet, so nothing changes.

Tests of gateway pass; linters and type checker are clean.

--- a/bramleybeam/gateway/_attempt.py
+++ b/bramleybeam/gateway/_attempt.py
@@ -277,4 +277,4 @@
     if job.service.engine is None:
         return None
     is_tolerant = is_latency_tolerant(job.route)
-    return min(_LOWEST_PRIORITY, 2 * job.route.priority + 2 * is_tolerant)
+    return min(_LOWEST_PRIORITY, 2 * job.priority + 2 * is_tolerant)
--- a/bramleybeam/gateway/_job.py
+++ b/bramleybeam/gateway/_job.py
@@ -7,7 +7,7 @@
 import attrs
 import xxhash
 
-from bramleybeam.catalog import Route, Service
+from bramleybeam.catalog import Route, Service, Workspace
 from bramleybeam.decisions import QueuedRequest
 from bramleybeam.errors import Refusal
 from bramleybeam.limits import max_queue_wait
@@ -58,7 +58,8 @@
     ``longest_gap_s`` the longest time between two of them.
     ``excluded_replicas`` are the names of those on which an attempt failed.
     ``queue_exit`` is the reason why it was refused while it waited. ``is_trial``
-    is set for one attempt of a request that otherwise would be quarantined. ``blocks``
+    is set for one attempt of a request that otherwise would be quarantined.
+    ``workspace`` is the workspace that the caller's key opens. ``blocks``
     are hashes of the prompt's parts, for the estimate of the tokens that a
     replica has cached.
     """
@@ -80,6 +81,7 @@
     excluded_replicas: set[str] = attrs.field(factory=set)
     queue_exit: QueueExitReason | None = None
     is_trial: bool = False
+    workspace: Workspace | None = None
     blocks: tuple[int, ...] = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -132,6 +134,16 @@
             for kind, part in zip(kinds, shared_parts, strict=False)
         )
 
+    @property
+    def priority(self) -> int:
+        """Rank of the request, 0 is the most urgent.
+
+        The priority of the workspace, if it has one, replaces the route's.
+        """
+        if self.workspace is None or self.workspace.priority is None:
+            return self.route.priority
+        return self.workspace.priority
+
     @property
     def target(self) -> Target:
         """The requested model and adapter; empty for plain services."""
