--- a/bramleybeam/errors/_kinds.py
+++ b/bramleybeam/errors/_kinds.py
@@ -32,6 +32,7 @@
     INVALID_REQUEST = 'invalid_request'
     REQUEST_TOO_LARGE = 'request_too_large'
     UNAUTHENTICATED = 'unauthenticated'
+    KEYS_OUTDATED = 'keys_outdated'
     UNKNOWN_MODEL = 'unknown_model'
     UNKNOWN_CLASS = 'unknown_class'
     UNKNOWN_SERVICE = 'unknown_service'
@@ -77,6 +78,11 @@
             'The key is missing or not known.',
             'Send a valid key as "Authorization: Bearer KEY".',
         ),
+        ErrorKind.KEYS_OUTDATED: KindDescription(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            'Whether the key is still valid cannot be checked at the moment.',
+            'Repeat after the time in Retry-After.',
+        ),
         ErrorKind.UNKNOWN_MODEL: KindDescription(
             HTTPStatus.NOT_FOUND,
             'No model or adapter of this name is configured.',
