Remove keys and the caller's own workspace from what replicas get

A caller could set the header Bramleybeam-Tenant, which only this system may set. It is removed in every deployment now, and added from SendTerms. Where SendTerms says so, all Authorization headers are removed.

--- a/bramleybeam/platform/_requests.py
+++ b/bramleybeam/platform/_requests.py
@@ -24,6 +24,8 @@
 _TOKENS: Final = b'bramleybeam-token-counts'
 _PROMPT_PARTS: Final = b'bramleybeam-prompt-prefix'
 _LAST_EVENT: Final = b'Last-Event-Id'
+_WORKSPACE: Final = b'Bramleybeam-Tenant'
+_AUTHORIZATION: Final = b'authorization'
 _SEAL: Final = b'bramleybeam-response-seal'
 _NOT_EXECUTED: Final = b'bramleybeam-not-executed'
 _LENGTH_HINT: Final = b'bramleybeam-length-hint'
@@ -45,6 +47,7 @@
         _DEADLINE.lower(),
         _EXPECT_INSTANCE.lower(),
         _PRIORITY.lower(),
+        _WORKSPACE.lower(),
         b'bramleybeam-expect-version',
         b'bramleybeam-hold',
         b'bramleybeam-pin-duration',
@@ -74,7 +77,8 @@
     the request. ``model`` is empty for a service without models, ``adapter``
     for a request to the base model. ``output_tokens`` is the expected length
     of the output. ``last_event`` is the id of the last event that the caller
-    received, if it resumes a stream, else empty.
+    received, if it resumes a stream, else empty. ``credentials`` is the value of
+    the first ``Authorization`` header; it is never logged.
     """
 
     request_id: str
@@ -85,6 +89,7 @@
     output_tokens: int = 0
     parts: tuple[PromptPart, ...] = ()
     last_event: str = ''
+    credentials: bytes = attrs.field(default=b'', repr=False)
 
 
 @attrs.frozen
@@ -94,12 +99,16 @@
     ``time_left_s`` limits the replica's work, in seconds. ``engine_priority``
     runs from 0, the most urgent, to 9; ``None`` sends no priority. A stream is
     resumed after the event with id ``after_event``, unless that is empty.
+    ``workspace`` is the name of the caller's workspace, empty for none.
+    ``hides_keys`` is whether keys in the caller's headers are removed.
     """
 
     replica: Replica
     time_left_s: float
     engine_priority: int | None = None
     after_event: str = ''
+    workspace: str = ''
+    hides_keys: bool = False
 
 
 def describe_request(request: InboundRequest) -> RequestFacts | None:
@@ -121,6 +130,7 @@
         output_tokens=hint or _number(counts[2]),
         parts=_decode_parts(_text(headers, _PROMPT_PARTS)),
         last_event=_text(headers, _LAST_EVENT.lower()),
+        credentials=find_header(headers, _AUTHORIZATION) or b'',
     )
 
 
@@ -140,6 +150,10 @@
     if terms.after_event:
         dropped = dropped | {_LAST_EVENT.lower()}
         added.append((_LAST_EVENT, terms.after_event.encode()))
+    if terms.workspace:
+        added.append((_WORKSPACE, terms.workspace.encode()))
+    if terms.hides_keys:
+        dropped = dropped | {_AUTHORIZATION}
     passed = (
         pair
         for pair in end_to_end_headers(request.headers)
