Check callers' keys in the gateway

Requests were served with any key. A gateway finds the workspace of a request at admission, checks it again while the request waits and right before each send, and sends its name to the replica in place of the key. With strict revocation it serves keys only while their age is below the limit. The age comes from the send time of calls to the store and from the neighbours in the tree, and calls are made often enough to keep it below half of the limit. The fingerprint of a request holds the name of the workspace instead of the key. Without workspaces in the configuration and without strict revocation nothing changes, and nothing is added to messages.

--- a/bramleybeam/gateway/_admission.py
+++ b/bramleybeam/gateway/_admission.py
@@ -36,6 +36,7 @@
         self._ends_at = math.inf
         self.durations = AnswerDurations()
         self._directory = cluster_state.directory
+        self._access = cluster_state.access
         self._demand = cluster_state.demand
         self._retries = retries
         self._rng = rng
@@ -66,12 +67,16 @@
             raise RequestRefusedError(
                 refuse(ErrorKind.INVALID_REQUEST, 'The request id is missing.'),
             )
+        workspace = self._access.admit(configuration, route, facts)
         service = configuration.services.get(self._pick_service(route))
         if service is None:
             raise RequestRefusedError(
                 refuse(ErrorKind.NO_READY_UPSTREAM, retry_after=_RETRY_AFTER_S),
             )
         job = self._make_job(request, facts, route, service, connection)
+        job.workspace = workspace
+        job.hides_keys = configuration.requires_keys
+        job.checked_version = configuration.version
         self._check_end(job)
         self._count(job)
         return job
--- a/bramleybeam/gateway/_answers.py
+++ b/bramleybeam/gateway/_answers.py
@@ -18,6 +18,8 @@
 
 # Retry-After of a request that was not run.
 _RETRY_AFTER_S: Final = 0.5
+# HTTP requires this header in an answer with status 401.
+_CHALLENGE: Final = (b'WWW-Authenticate', b'Bearer')
 
 
 def forward_failure(job: Job, failed: outcomes.FailedReply) -> None:
@@ -99,4 +101,6 @@
     """Answer a caller with a refusal of this gateway."""
     body = f'{refusal.message} {refusal.remedy}\n'.encode()
     headers = platform.refusal_headers(request_id, refusal.retry_after)
+    if refusal.kind == ErrorKind.UNAUTHENTICATED:
+        headers = (*headers, _CHALLENGE)
     connection.respond(refusal.status, headers, body)
--- a/bramleybeam/gateway/_attempt.py
+++ b/bramleybeam/gateway/_attempt.py
@@ -130,6 +130,8 @@
             time_left_s,
             engine_priority_of(job),
             job.last_event,
+            job.workspace_name,
+            job.hides_keys,
         )
         try:
             peer_connection.send(
--- a/bramleybeam/gateway/_choose.py
+++ b/bramleybeam/gateway/_choose.py
@@ -70,6 +70,7 @@
         self._loads = cluster_state.loads
         self._failures = cluster_state.failures
         self._suspects = cluster_state.suspects
+        self._access = cluster_state.access
         self._finder = HolderFinder(cluster_state)
         self._demand = cluster_state.demand
         self._zone = zone
@@ -171,7 +172,8 @@
         refusal = (
             refuse_for_shutdown(job)
             if self._is_stopping
-            else self._suspects.find_refusal(job)
+            else self._access.find_refusal(job)
+            or self._suspects.find_refusal(job)
             or find_wait_refusal(job, state, self._directory)
         )
         if refusal is not None:
--- a/bramleybeam/gateway/_cluster_state.py
+++ b/bramleybeam/gateway/_cluster_state.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from bramleybeam.gateway._access import KeyChecker
 from bramleybeam.gateway._demand import DemandTable
 from bramleybeam.gateway._directory import Directory
 from bramleybeam.gateway._failures import FailureTable
@@ -13,6 +14,7 @@
 from bramleybeam.gateway._loads import LoadTable
 from bramleybeam.gateway._suspects import CrashSuspects
 from bramleybeam.limits import PauseTable
+from bramleybeam.workspaces import KeyAge
 
 
 @attrs.frozen
@@ -23,7 +25,7 @@
     requests in flight, ``demand`` the request rates by model, ``pauses``
     the replicas that have asked for a pause, ``suspects`` the requests that may
     crash replicas, and ``failures`` the shares of the requests that fail at each
-    replica.
+    replica. ``access`` checks callers' keys.
     """
 
     directory: Directory
@@ -32,19 +34,25 @@
     pauses: PauseTable
     suspects: CrashSuspects
     failures: FailureTable = attrs.field(factory=FailureTable)
+    access: KeyChecker = attrs.field(init=False)
+
+    @access.default
+    def _make_access(self) -> KeyChecker:
+        return KeyChecker(self.directory)
 
 
 def make_cluster_state(
     clock: Callable[[], float],
     rng: random.Random | None = None,
     pace: FollowerPace = DEFAULT_PACE,
+    keys: KeyAge | None = None,
 ) -> ClusterState:
     """Return empty tables.
 
     ``clock`` returns seconds, ``rng`` draws pauses, and ``pace`` is how often
-    the changes in the store are read.
+    the changes in the store are read. ``keys`` is the age of callers' keys.
     """
-    directory = Directory(clock, pace)
+    directory = Directory(clock, pace, keys)
     suspects = CrashSuspects(clock)
     directory.stored_suspects.on_read.append(
         partial(suspects.learn, source='store')
--- a/bramleybeam/gateway/_daemon.py
+++ b/bramleybeam/gateway/_daemon.py
@@ -18,7 +18,6 @@
 from bramleybeam.gateway._exchange import PeerExchange
 from bramleybeam.gateway._follower import StoreFollower
 from bramleybeam.gateway._follower_pace import (
-    NEAR_BATCH_DELAY_S,
     PLANNER_BATCH_DELAY_S,
     make_pace,
 )
@@ -39,6 +38,7 @@
 from bramleybeam.keyvalue import LeaseKeeper
 from bramleybeam.relay import CallerServer, ConnectionPool
 from bramleybeam.timers import Coalescer, TaskSet, TimerService
+from bramleybeam.workspaces import KeyAge, max_key_age_s
 
 # Periods of the timers, in seconds: the exchange with neighbours, the planning
 # rounds, the closing of idle connections to replicas and the lease.
@@ -77,7 +77,11 @@
             settings.store_address, on_call=self._note_store_call
         )
         pace = make_pace(settings.bounds)
-        cluster_state = make_cluster_state(time.monotonic, rng, pace)
+        keys = KeyAge(
+            platform.boot_clock, max_key_age_s(settings.bounds.revocation_s)
+        )
+        cluster_state = make_cluster_state(time.monotonic, rng, pace, keys)
+        self._access = cluster_state.access
         self._directory = cluster_state.directory
         self._metrics = GatewayMetrics(cluster_state, self._is_planner)
         self._timers = TimerService(rng)
@@ -238,6 +242,9 @@
         """Apply changed settings to the parts that use them."""
         self._settings = settings
         self._directory.freshness.pace = make_pace(settings.bounds)
+        self._directory.keys.max_age_s = max_key_age_s(
+            settings.bounds.revocation_s
+        )
         self._forwarder.apply_settings(settings)
         self._planner.apply_settings(settings)
 
@@ -288,14 +295,15 @@
 
     def _batch_delay_s(self) -> float:
         """Return the wait in seconds between two calls to the store."""
+        pace = self._directory.freshness.pace
         if self._is_planner():
             return PLANNER_BATCH_DELAY_S
         if self._exchange.is_deputy:
-            return NEAR_BATCH_DELAY_S
-        pace = self._directory.freshness.pace
+            return pace.near_delay_s
         if self._exchange.has_responding_parent:
             return pace.relayed_delay_s
         return pace.batch_delay_s
 
     async def _tick(self) -> None:
+        self._access.note_age()
         self._exchange.tick()
--- a/bramleybeam/gateway/_directory.py
+++ b/bramleybeam/gateway/_directory.py
@@ -30,6 +30,7 @@
 )
 from bramleybeam.gateway._tree import ObservedPlanner, Peer, decode_peer
 from bramleybeam.keyvalue import Changes, Item, Listing, Removal
+from bramleybeam.workspaces import KeyAge
 
 GATEWAY_PREFIX: Final = 'bramleybeam/'
 PEER_PREFIX: Final = 'bramleybeam/peers/'
@@ -46,7 +47,8 @@
 class Directory:
     """The view of one gateway; ``clock`` returns monotonic seconds.
 
-    ``pace`` is how often it reads the changes in the store.
+    ``pace`` is how often it reads the changes in the store. ``keys`` is the age
+    of callers' keys, which is not limited by default.
     ``planner`` is the planner's key as last read from the store, and
     ``newest_planner`` the newest one that this or another gateway has read.
     ``has_listing`` is set once the store was read completely. The callbacks in
@@ -57,6 +59,7 @@
         self,
         clock: Callable[[], float],
         pace: FollowerPace = DEFAULT_PACE,
+        keys: KeyAge | None = None,
     ) -> None:
         """Create a directory for which the store was never read."""
         self.configuration: RoutingConfiguration | None = None
@@ -71,6 +74,7 @@
         self.departures = DepartureTable(clock)
         self.freshness = StoreFreshness(clock, pace)
         self.stored_suspects = StoredSuspects()
+        self.keys = keys or KeyAge(clock)
         self._clock = clock
         self._lapsed: dict[str, float] = {}
         self._lost_peers: dict[str, float] = {}
@@ -129,7 +133,7 @@
         return planned or ReplicaPlacement(replica.holdings)
 
     def describe_state(self) -> dict[str, float | None]:
-        """Return the log fields for the version and age (s) of the data."""
+        """Return the log fields for the version and ages (s) of the data."""
         configuration = self.configuration
         version = configuration.version if configuration else None
         planner_age_s = round(self.placement.age_s, 3)
@@ -139,6 +143,7 @@
             'planner_age_s': planner_age_s
             if planner_age_s < math.inf
             else None,
+            **self.keys.describe(),
         }
 
     def note_store(self, *, answers: bool) -> None:
@@ -227,6 +232,7 @@
             return
         self.configuration = received
         self.freshness.note_version(received.version)
+        self.keys.version = received.version
         _log.info(
             'configuration_in_force',
             version=received.version,
--- a/bramleybeam/gateway/_exchange.py
+++ b/bramleybeam/gateway/_exchange.py
@@ -325,7 +325,10 @@
         child.version = delta.version
         child.pacer.last_sent_at = now
         parent_update = ParentUpdate(
-            child.pacer.period_s, delta, observe_store(self._directory)
+            child.pacer.period_s,
+            delta,
+            observe_store(self._directory),
+            keys=self._directory.keys.make_report(child.pacer.address),
         )
         self._send_immediately(child.pacer, parent_update, now)
 
--- a/bramleybeam/gateway/_follower.py
+++ b/bramleybeam/gateway/_follower.py
@@ -10,13 +10,13 @@
 from expression import Result
 
 from bramleybeam.gateway._directory import Directory
-from bramleybeam.gateway._follower_pace import WATCH_TIMEOUT_S
 from bramleybeam.keyvalue import (
     Changes,
     HistoryLost,
     ListingStore,
     Unavailable,
 )
+from bramleybeam.workspaces import KeyRead
 
 # Longest wait in seconds after a failure.
 _RETRY_S: Final = 0.2
@@ -63,10 +63,12 @@
     async def _read_all(self) -> int | None:
         """Read all keys; return the revision, or ``None`` after a failure."""
         asked_at = self._directory.now()
+        read = self._begin_read()
         match await self._store.list_items(''):
             case Result(tag='ok', ok=listing):
                 self._directory.note_store(answers=True)
                 self._directory.replace(listing)
+                self._directory.keys.note_read(read, listing.revision)
                 self._directory.freshness.note_sync(listing.revision, asked_at)
                 return listing.revision
             case Result(error=error):
@@ -82,11 +84,14 @@
         """
         while True:
             asked_at = self._directory.now()
-            reply = await self._watch_with_repeat(revision)
+            read = self._begin_read()
+            wait_s = self._watch_timeout_s()
+            reply = await self._watch_with_repeat(revision, wait_s)
             match reply:
                 case Result(tag='ok', ok=Changes() as changes):
                     revision = max(revision, changes.revision)
-                    self._apply_changes(changes, asked_at)
+                    self._apply_changes(changes, asked_at, wait_s)
+                    self._directory.keys.note_read(read, changes.revision)
                     await self._wait_for_batch()
                 case Result(error=HistoryLost()):
                     _log.info('history_lost', revision=revision)
@@ -95,11 +100,27 @@
                     self._directory.note_store(answers=False)
                     return
 
-    def _apply_changes(self, changes: Changes, asked_at: float) -> None:
+    def _begin_read(self) -> KeyRead:
+        """Return the record of a call that is about to be sent.
+
+        It also covers a repeated call, which is sent later.
+        """
+        freshness = self._directory.freshness
+        return self._directory.keys.begin_read(
+            freshness.newest_version, freshness.revision
+        )
+
+    def _watch_timeout_s(self) -> float:
+        pace = self._directory.freshness.pace
+        return pace.watch_timeout_s(self._batch_delay())
+
+    def _apply_changes(
+        self, changes: Changes, asked_at: float, wait_s: float
+    ) -> None:
         self._directory.note_store(answers=True)
         self._directory.apply(changes)
         # Without changes the store has answered at the end of the wait.
-        waited_s = 0 if changes.events else WATCH_TIMEOUT_S
+        waited_s = 0 if changes.events else wait_s
         self._directory.freshness.note_sync(
             changes.revision, asked_at + waited_s
         )
@@ -125,28 +146,30 @@
             async with asyncio.timeout(timeout_s):
                 await self._lagging_event.wait()
 
-    async def _watch_with_repeat(self, revision: int) -> Reply:
+    async def _watch_with_repeat(self, revision: int, wait_s: float) -> Reply:
         """Watch for changes, with a second call if this gateway lags behind.
 
         A peer that reports a newer revision shows that the first call may have
         lost its connection.
         """
         self._lagging_event.clear()
-        first = asyncio.create_task(self._watch(revision))
-        repeated = asyncio.create_task(self._watch_when_lagging(revision))
+        first = asyncio.create_task(self._watch(revision, wait_s))
+        repeated = asyncio.create_task(
+            self._watch_when_lagging(revision, wait_s)
+        )
         try:
             return await _first_reply(first, repeated)
         finally:
             first.cancel()
             repeated.cancel()
 
-    async def _watch_when_lagging(self, revision: int) -> Reply:
+    async def _watch_when_lagging(self, revision: int, wait_s: float) -> Reply:
         await self._lagging_event.wait()
         _log.info('watch_repeated', revision=revision)
-        return await self._watch(revision)
+        return await self._watch(revision, wait_s)
 
-    async def _watch(self, revision: int) -> Reply:
-        return await self._store.follow('', revision, WATCH_TIMEOUT_S)
+    async def _watch(self, revision: int, wait_s: float) -> Reply:
+        return await self._store.follow('', revision, wait_s)
 
 
 async def _first_reply(
--- a/bramleybeam/gateway/_forward.py
+++ b/bramleybeam/gateway/_forward.py
@@ -135,6 +135,7 @@
         while True:
             now = self._directory.now()
             gateways = len(self._directory.peers)
+            self._check_access(job)
             self._check_quarantine(job)
             if job.sends and not self._retries.take(
                 job.service.name, now, gateways
@@ -150,6 +151,9 @@
                 self._note_answered(job, replica, outcome)
                 return
             self._log_attempt('attempt_failed', job, replica, outcome)
+            if isinstance(outcome, outcomes.NotArrived):
+                # The key may be the reason; retries would hide that.
+                self._check_access(job)
             if not await self._handle_failure(job, outcome):
                 return
 
@@ -161,6 +165,12 @@
         self._metrics.note_answered(job, outcome.status, now)
         self._admitter.durations.note(job.route.name, now - job.received_at)
 
+    def _check_access(self, job: Job) -> None:
+        """Raise the refusal of a request whose key was removed."""
+        refusal = self._cluster_state.access.find_refusal(job)
+        if refusal is not None:
+            raise RequestRefusedError(refusal)
+
     def _check_quarantine(self, job: Job) -> None:
         """Raise the refusal of a request that crashes replicas."""
         refusal = self._cluster_state.suspects.find_refusal(job)
@@ -252,6 +262,7 @@
             sends=job.sends,
             model=job.facts.model,
             adapter=job.facts.adapter,
+            workspace=job.workspace_name,
             wait_end=job.queue_exit,
             age_s=round(self._directory.now() - job.received_at, 3),
             **self._directory.describe_state(),
--- a/bramleybeam/gateway/_job.py
+++ b/bramleybeam/gateway/_job.py
@@ -59,8 +59,9 @@
     ``excluded_replicas`` are the names of those on which an attempt failed.
     ``queue_exit`` is the reason why it was refused while it waited. ``is_trial``
     is set for one attempt of a request that otherwise would be quarantined.
-    ``workspace`` is the workspace that the caller's key opens. ``blocks``
-    are hashes of the prompt's parts, for the estimate of the tokens that a
+    ``workspace`` is the workspace that the caller's key opens, ``hides_keys``
+    whether the configuration requires keys, and ``checked_version`` the version
+    of the configuration that the key was checked against. ``blocks`` are hashes of the prompt's parts, for the estimate of the tokens that a
     replica has cached.
     """
 
@@ -82,6 +83,8 @@
     queue_exit: QueueExitReason | None = None
     is_trial: bool = False
     workspace: Workspace | None = None
+    hides_keys: bool = False
+    checked_version: int | None = None
     blocks: tuple[int, ...] = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -107,10 +110,14 @@
     def fingerprint(self) -> str:
         """Hash of what repeats of a request share: target, caller and body.
 
-        Each repeat has another request id.
+        Each repeat has another request id. The caller's key is not part of it,
+        because neighbours and the store learn the fingerprint.
         """
         request = self.request
-        caller = find_header(request.headers, b'authorization') or b''
+        if self.hides_keys:
+            caller = self.workspace_name.encode()
+        else:
+            caller = find_header(request.headers, b'authorization') or b''
         first_line = b'%s %s' % (request.method, request.target)
         described = (first_line, request.host.encode(), caller, request.body)
         return xxhash.xxh64_hexdigest(b'\n'.join(described))
@@ -144,6 +151,11 @@
             return self.route.priority
         return self.workspace.priority
 
+    @property
+    def workspace_name(self) -> str:
+        """Name of the workspace; empty if there is none."""
+        return self.workspace.name if self.workspace else ''
+
     @property
     def target(self) -> Target:
         """The requested model and adapter; empty for plain services."""
--- a/bramleybeam/gateway/_metrics.py
+++ b/bramleybeam/gateway/_metrics.py
@@ -5,6 +5,7 @@
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
+from bramleybeam.catalog import RoutingConfiguration
 from bramleybeam.gateway._cluster_state import ClusterState
 from bramleybeam.gateway._job import Job
 
@@ -16,6 +17,10 @@
 )  # fmt: skip
 
 
+# Age that stands for none, since gauges have no infinite value.
+_MAX_AGE_S: Final = 1e9
+
+
 class GatewayMetrics:
     """The metrics of one gateway.
 
@@ -92,7 +97,7 @@
         configuration = directory.configuration
         return {
             'store_age_s': directory.freshness.age_s or 0,
-            'planner_age_s': min(directory.placement.age_s, 1e9),
+            'planner_age_s': min(directory.placement.age_s, _MAX_AGE_S),
             'is_planner': self._is_planner(),
             'is_ready': directory.is_ready and not directory.is_lagging,
             'configuration_version': (
@@ -103,5 +108,14 @@
             'replicas_paused': len(requested),
             'longest_pause_s': max(requested.values(), default=0),
             'gateways': len(directory.peers),
+            'workspaces': _count_workspaces(configuration),
+            'keys_current': directory.keys.is_current,
+            'key_age_s': min(directory.keys.age_s, _MAX_AGE_S),
             'suspects_quarantined': self._suspects.count_quarantined(),
         }
+
+
+def _count_workspaces(configuration: RoutingConfiguration | None) -> int:
+    if configuration is None or configuration.workspaces is None:
+        return 0
+    return len(configuration.workspaces.by_name)
--- a/bramleybeam/gateway/_neighbour_tables.py
+++ b/bramleybeam/gateway/_neighbour_tables.py
@@ -37,6 +37,7 @@
         self._failures.forget(address)
         self._demand.forget(address)
         self._suspects.forget(address)
+        self._directory.keys.forget(address)
 
     def merge_report(
         self,
@@ -56,6 +57,7 @@
         self._pauses.learn(report.pauses, now)
         self.learn_suspects(report.suspects, child)
         self._note_store_state(report.store)
+        self._directory.keys.learn(report.keys, child)
         return self._demand.update_remote(child, report.demand, expires_at)
 
     def merge_update(
@@ -70,6 +72,7 @@
         self._pauses.learn(update.pauses, now)
         self.learn_suspects(update.suspects, parent)
         self._note_store_state(update.store)
+        self._directory.keys.learn(update.keys, parent)
         if update.loads is not None:
             self._loads.update_remote(parent, update.loads, expires_at)
             self._failures.update_remote(parent, update.outcomes, expires_at)
@@ -102,6 +105,7 @@
             self._pauses.list_requested(now),
             self._failures.report_for(parent, now),
             self._suspects.report_for(parent),
+            directory.keys.make_report(parent),
         )
 
     def make_update(
@@ -127,6 +131,7 @@
             self._pauses.list_requested(now),
             self._failures.report_for(pacer.address, now),
             self._suspects.report_for(pacer.address),
+            self._directory.keys.make_report(pacer.address),
         )
 
     def learn_suspects(self, report: SuspectReport, sender: str) -> None:
--- a/bramleybeam/gateway/_peer_codec.py
+++ b/bramleybeam/gateway/_peer_codec.py
@@ -159,6 +159,7 @@
         'pauses': parts.encode_pauses(report.pauses),
         'outcomes': parts.encode_outcomes(report.outcomes),
         'suspects': parts.encode_suspects(report.suspects),
+        **parts.encode_keys(report.keys),
     }
 
 
@@ -183,6 +184,7 @@
         parts.decode_pauses(fields.get('pauses', {})),
         parts.decode_outcomes(fields.get('outcomes', {})),
         parts.decode_suspects(fields.get('suspects', {})),
+        parts.decode_keys(fields),
     )
 
 
@@ -198,6 +200,7 @@
             name: parts.encode_placement(placement)
             for name, placement in delta.rows.items()
         },
+        **parts.encode_keys(update.keys),
     }
     if delta.version.epoch:
         fields['age'] = round(delta.age_s, 3)
@@ -238,6 +241,7 @@
         parts.decode_pauses(fields.get('pauses', {})),
         parts.decode_outcomes(fields.get('outcomes', {})),
         parts.decode_suspects(fields.get('suspects', {})),
+        parts.decode_keys(fields),
     )
 
 
--- a/bramleybeam/gateway/_peer_codec_parts.py
+++ b/bramleybeam/gateway/_peer_codec_parts.py
@@ -8,6 +8,8 @@
 from collections.abc import Mapping
 from typing import Any
 
+import attrs
+
 from bramleybeam.catalog import Holdings
 from bramleybeam.gateway._departures import Departure
 from bramleybeam.gateway._failures import OutcomeCounts
@@ -18,6 +20,7 @@
 from bramleybeam.gateway._tree import ObservedPlanner
 from bramleybeam.limits import Incarnation
 from bramleybeam.orders import Target
+from bramleybeam.workspaces import KeyReport, StampEcho
 
 
 def encode_store_state(observed: ObservedStoreState) -> list[Any]:
@@ -30,6 +33,22 @@
     return ObservedStoreState(int(revision), planner, version)
 
 
+def encode_keys(report: KeyReport | None) -> dict[str, list[int]]:
+    """Return the field of a message; none if nothing is told of keys."""
+    if report is None:
+        return {}
+    echo = attrs.astuple(report.echo) if report.echo else ()
+    return {'keys': [report.stamp, report.version, *echo]}
+
+
+def decode_keys(fields: dict[str, Any]) -> KeyReport | None:
+    row = fields.get('keys')
+    if row is None:
+        return None
+    stamp, version, *echo = map(int, row)
+    return KeyReport(stamp, version, StampEcho(*echo) if echo else None)
+
+
 def decode_version(row: list[Any]) -> PlacementVersion:
     return PlacementVersion(int(row[0]), int(row[1]))
 
--- a/bramleybeam/gateway/_peer_messages.py
+++ b/bramleybeam/gateway/_peer_messages.py
@@ -13,6 +13,7 @@
 from bramleybeam.gateway._tree import ObservedPlanner
 from bramleybeam.limits import Incarnation
 from bramleybeam.orders import Demand
+from bramleybeam.workspaces import KeyReport
 
 
 @attrs.frozen
@@ -39,7 +40,8 @@
     subtree backs off from, ``departures`` the replicas that are leaving.
     ``pauses`` are the seconds that are left of the pauses that replicas have
     asked of the subtree, ``outcomes`` the counts of replicas with failures,
-    ``suspects`` the requests that may crash replicas.
+    ``suspects`` the requests that may crash replicas. ``keys`` is what is told
+    of callers' keys, where their age is limited.
     """
 
     period_s: float
@@ -53,6 +55,7 @@
     pauses: Mapping[Incarnation, float] = attrs.field(factory=dict)
     outcomes: Mapping[str, OutcomeCounts] = attrs.field(factory=dict)
     suspects: SuspectReport = SuspectReport()
+    keys: KeyReport | None = None
 
 
 @attrs.frozen
@@ -65,7 +68,8 @@
     by replica; ``None`` if the sender is not the planner. ``pauses`` are the
     seconds that are left of the pauses that replicas have asked for,
     ``outcomes`` the counts of replicas with failures, ``suspects`` the requests
-    that may crash replicas.
+    that may crash replicas. ``keys`` is what is told of callers' keys, where
+    their age is limited.
     """
 
     period_s: float
@@ -77,6 +81,7 @@
     pauses: Mapping[Incarnation, float] = attrs.field(factory=dict)
     outcomes: Mapping[str, OutcomeCounts] = attrs.field(factory=dict)
     suspects: SuspectReport = SuspectReport()
+    keys: KeyReport | None = None
 
 
 @attrs.frozen
--- a/bramleybeam/gateway/_reply_observer.py
+++ b/bramleybeam/gateway/_reply_observer.py
@@ -37,14 +37,17 @@
     def find_obstacle(self) -> str | None:
         """Return why the request may not be sent, ``None`` if it may.
 
-        Since the replica was chosen, it may have begun to leave, and the request
-        may have been found to crash replicas.
+        Since the replica was chosen, it may have begun to leave, the caller's key
+        may have been removed, and the request may have been found to crash
+        replicas.
         """
         directory = self.cluster_state.directory
         if not directory.departures.accepts_requests(
             self.replica, is_fresh=directory.freshness.is_fresh
         ):
             return 'the replica is leaving'
+        if self.cluster_state.access.find_refusal(self.job):
+            return 'the key is not valid any more'
         if self.cluster_state.suspects.find_refusal(self.job):
             return 'the request is quarantined'
         return None
