--- a/bramleybeam/gateway/tests/test_follower.py
+++ b/bramleybeam/gateway/tests/test_follower.py
@@ -12,6 +12,7 @@
 from bramleybeam.gateway._follower import StoreFollower
 from bramleybeam.gateway._follower_pace import (
     NEAR_BATCH_DELAY_S,
+    PLANNER_BATCH_DELAY_S,
     WATCH_TIMEOUT_S,
     FollowerPace,
     make_pace,
@@ -19,6 +20,7 @@
 from bramleybeam.gateway._status import Traffic
 from bramleybeam.keyvalue import Changes, Item, Listing, Unavailable
 from bramleybeam.simulation import run_in_virtual_time
+from bramleybeam.workspaces import KeyAge, max_key_age_s
 
 
 def near_delay_s():
@@ -268,3 +270,117 @@
     freshness = run_in_virtual_time(follow())
     assert freshness.revision == 19
     assert freshness.age_s < 2
+
+
+@attrs.define
+class QuietStore:
+    """Has no changes; each answer takes ``latency_s`` beside the wait.
+
+    From ``silent_from`` on, in seconds of the loop's clock, one call is not
+    answered for 1.5 s.
+    """
+
+    latency_s: float
+    silent_from: float = 1e9
+    waits: list = attrs.field(factory=list)
+
+    async def list_items(self, prefix):
+        await asyncio.sleep(self.latency_s)
+        return Ok(Listing((), 1))
+
+    async def follow(self, prefix, after, wait):
+        self.waits.append(wait)
+        if asyncio.get_running_loop().time() >= self.silent_from:
+            self.silent_from = 1e9
+            await asyncio.sleep(1.5 + wait)
+            return Error(Unavailable('no answer'))
+        await asyncio.sleep(wait + self.latency_s)
+        return Ok(Changes((), 1))
+
+
+def find_delays(bounds):
+    """Return the waits between two calls of all kinds of gateway."""
+    pace = make_pace(bounds)
+    return (
+        PLANNER_BATCH_DELAY_S,
+        pace.near_delay_s,
+        pace.batch_delay_s,
+        pace.relayed_delay_s,
+    )
+
+
+async def measure_key_ages(store, bounds, delay_s):
+    """Follow a store for 30 s and return the age of the keys over time."""
+    loop = asyncio.get_running_loop()
+    keys = KeyAge(loop.time, max_key_age_s(bounds.revocation_s))
+    directory = Directory(loop.time, make_pace(bounds), keys)
+    follower = StoreFollower(
+        store, directory, random.Random(1), lambda: delay_s
+    )
+    task = asyncio.create_task(follower.run())
+    await asyncio.sleep(1)
+    ages_s = []
+    for _ in range(600):
+        await asyncio.sleep(0.05)
+        ages_s.append(keys.age_s)
+    task.cancel()
+    return ages_s
+
+
+@pytest.mark.parametrize('kind', range(4))
+@pytest.mark.parametrize(
+    ('revocation_s', 'bound_s'), [(5, 2), (5, 4), (3, 2), (20, 4)]
+)
+def test_keys_stay_below_half_of_their_limit(kind, revocation_s, bound_s):
+    """Guards against keys that are refused while the store is sound."""
+    bounds = TimeBounds(
+        drain_s=bound_s, configuration_s=bound_s, revocation_s=revocation_s
+    )
+    delay_s = find_delays(bounds)[kind]
+    ages_s = run_in_virtual_time(
+        measure_key_ages(QuietStore(0.05), bounds, delay_s)
+    )
+    assert max(ages_s) < max_key_age_s(revocation_s) / 2
+
+
+@pytest.mark.parametrize('kind', range(4))
+def test_one_lost_call_does_not_make_keys_outdated(kind):
+    bounds = TimeBounds(revocation_s=5)
+    delay_s = find_delays(bounds)[kind]
+    ages_s = run_in_virtual_time(
+        measure_key_ages(QuietStore(0.05, 5), bounds, delay_s)
+    )
+    assert max(ages_s) < max_key_age_s(5)
+
+
+@pytest.mark.parametrize('bound_s', [2, 4])
+def test_pace_is_unchanged_without_limit_on_keys(bound_s):
+    """Guards against more calls to the store in other deployments."""
+    pace = make_pace(TimeBounds(drain_s=bound_s, configuration_s=bound_s))
+    assert pace.batch_delay_s == pytest.approx(0.4 * bound_s)
+    assert pace.relayed_delay_s == pytest.approx(0.6 * bound_s)
+    assert pace.near_delay_s == NEAR_BATCH_DELAY_S
+    for delay_s in (PLANNER_BATCH_DELAY_S, pace.relayed_delay_s):
+        assert pace.watch_timeout_s(delay_s) == WATCH_TIMEOUT_S
+
+
+@pytest.mark.parametrize('is_repeated', [False, True])
+def test_age_of_keys_counts_from_the_send_of_the_first_call(is_repeated):
+    """A watch that waited, or was repeated, shows no more than at its send."""
+
+    async def follow():
+        loop = asyncio.get_running_loop()
+        keys = KeyAge(loop.time, max_key_age_s(5))
+        directory = Directory(loop.time, keys=keys)
+        first = (3600 if is_repeated else 2, Ok(Changes((), 1)))
+        store = ScriptedStore([first, (0.01, Ok(Changes((EVENT,), 2)))])
+        follower = StoreFollower(store, directory, random.Random(1), lambda: 60)
+        task = asyncio.create_task(follower.run())
+        await asyncio.sleep(1.5)
+        if is_repeated:
+            directory.freshness.request_read()
+        await asyncio.sleep(1.5)
+        task.cancel()
+        return keys.age_s
+
+    assert run_in_virtual_time(follow()) == pytest.approx(3, abs=0.001)
--- a/bramleybeam/platform/tests/test_requests.py
+++ b/bramleybeam/platform/tests/test_requests.py
@@ -142,3 +142,41 @@
     assert facts.is_overloaded
     assert not facts.is_leaving
     assert facts.retry_after_s is None
+
+
+@pytest.mark.parametrize(
+    ('workspace', 'sent_names'), [('', []), ('hule930', [b'hule930'])]
+)
+@pytest.mark.parametrize(
+    ('hides_keys', 'sent_keys'),
+    [(False, [b'Bearer k-1', b'Bearer k-2']), (True, [])],
+)
+def test_keys_and_foreign_workspaces_do_not_reach_replicas(
+    workspace, sent_names, hides_keys, sent_keys
+):
+    """Guards against callers that name a workspace, or a replica with a key."""
+    request = make_request(
+        b'Host: desk',
+        b'AUTHORIZATION: Bearer k-1',
+        b'Bramleybeam-Tenant: other',
+        b'bramleybeam-tenant: another',
+        b'authorization: Bearer k-2',
+    )
+    terms = SendTerms(REPLICA, 0.25, workspace=workspace, hides_keys=hides_keys)
+    sent = outgoing_headers(request, terms)
+    names = [value for name, value in sent if b'tenant' in name.lower()]
+    keys = [value for name, value in sent if b'auth' in name.lower()]
+    assert (names, keys) == (sent_names, sent_keys)
+
+
+def test_first_credentials_count_and_are_not_printed():
+    """Guards against keys in log lines that contain the facts."""
+    facts = describe_request(
+        make_request(
+            b'Bramleybeam-Request-Id: q',
+            b'Authorization: Bearer k-1',
+            b'Authorization: Bearer k-2',
+        )
+    )
+    assert facts.credentials == b'Bearer k-1'
+    assert 'k-1' not in repr(facts)
--- a/bramleybeam/workspaces/tests/test_key_age_machine.py
+++ b/bramleybeam/workspaces/tests/test_key_age_machine.py
@@ -35,11 +35,14 @@
 
 REVOCATION_S = 5
 WATCH_BLINDNESS_S = 1
-GATEWAYS = st.integers(0, 2)
+GATEWAY_COUNT = 3
+GATEWAYS = st.integers(0, GATEWAY_COUNT - 1)
 # Delays in seconds, most of which are short beside the limit.
 DELAYS = st.sampled_from((0, 0, 0.1, 0.5, 1, 2, 3.7, 4.9))
 # Times in seconds that pass after a rule. Faults need some of them to show.
 PAUSES = st.sampled_from((0, 0, 0.3, 1, 4.9))
+# Ages in seconds of the state that a call to the store shows.
+BLIND_TIMES = st.sampled_from((0, 0.5, WATCH_BLINDNESS_S))
 STEP_S = 0.1
 ROUTE = Route(
     'post', 'd', '/', RequestKind.IDEMPOTENT, (RouteTarget('s', 1),), 3, 1
@@ -85,7 +88,13 @@
         self.events = []
         self.event_count = 0
 
-    @initialize(offsets=st.lists(st.floats(0, 1e6), min_size=3, max_size=3))
+    @initialize(
+        offsets=st.lists(
+            st.floats(0, 1e6),
+            min_size=GATEWAY_COUNT,
+            max_size=GATEWAY_COUNT,
+        )
+    )
     def start(self, offsets):
         for offset_s in offsets:
             gateway = Gateway(offset_s)
@@ -153,7 +162,7 @@
     @rule(
         at=GATEWAYS,
         there_s=DELAYS,
-        blind_s=st.sampled_from((0, 0.5, WATCH_BLINDNESS_S)),
+        blind_s=BLIND_TIMES,
         back_s=DELAYS,
         then_s=PAUSES,
     )
@@ -218,6 +227,14 @@
         self.deliver(there, there_s, take)
         self.wait(then_s)
 
+    @rule(reader=GATEWAYS, blind_s=BLIND_TIMES, back_s=DELAYS, then_s=PAUSES)
+    def operate(self, reader, blind_s, back_s, then_s):
+        """One gateway reads the store, and the others report to it."""
+        self.call_store(reader, 0, blind_s, 0, 0)
+        for other in range(GATEWAY_COUNT):
+            self.exchange(other, reader, 0, 0, back_s, 0, 0)
+        self.wait(then_s)
+
     @rule()
     def lose_all_messages(self):
         self.events.clear()
