Limit the age of keys only where there are keys

With strict revocation but no list of workspaces, a gateway would read the store more often and send longer messages for nothing. Both depend on the configuration in force now.

--- a/bramleybeam/gateway/_daemon.py
+++ b/bramleybeam/gateway/_daemon.py
@@ -76,13 +76,13 @@
         self._store = platform.PlatformStore(
             settings.store_address, on_call=self._note_store_call
         )
-        pace = make_pace(settings.bounds)
         keys = KeyAge(
             platform.boot_clock, max_key_age_s(settings.bounds.revocation_s)
         )
-        cluster_state = make_cluster_state(time.monotonic, rng, pace, keys)
+        cluster_state = make_cluster_state(time.monotonic, rng, keys=keys)
         self._access = cluster_state.access
         self._directory = cluster_state.directory
+        self._apply_pace()
         self._metrics = GatewayMetrics(cluster_state, self._is_planner)
         self._timers = TimerService(rng)
         self._tasks = TaskSet()
@@ -241,10 +241,10 @@
     def _apply_settings(self, settings: HostSettings) -> None:
         """Apply changed settings to the parts that use them."""
         self._settings = settings
-        self._directory.freshness.pace = make_pace(settings.bounds)
         self._directory.keys.max_age_s = max_key_age_s(
             settings.bounds.revocation_s
         )
+        self._apply_pace()
         self._forwarder.apply_settings(settings)
         self._planner.apply_settings(settings)
 
@@ -252,6 +252,14 @@
         configuration = self._directory.configuration
         if configuration is not None:
             self._callers.limits = configuration.limits
+            self._apply_pace()
+
+    def _apply_pace(self) -> None:
+        """Set how often the store is read; keys may need it more often."""
+        bounds = self._settings.bounds
+        if not self._directory.keys.is_limited:
+            bounds = attrs.evolve(bounds, revocation_s=None)
+        self._directory.freshness.pace = make_pace(bounds)
 
     def _receive(self, message: PeerMessage, sender: str) -> None:
         self._exchange.receive(message, sender)
--- a/bramleybeam/gateway/_directory.py
+++ b/bramleybeam/gateway/_directory.py
@@ -233,6 +233,7 @@
         self.configuration = received
         self.freshness.note_version(received.version)
         self.keys.version = received.version
+        self.keys.has_keys = received.requires_keys
         _log.info(
             'configuration_in_force',
             version=received.version,
--- a/bramleybeam/workspaces/_key_age.py
+++ b/bramleybeam/workspaces/_key_age.py
@@ -87,8 +87,9 @@
 
     ``clock`` returns seconds and includes suspension of the host. Without
     ``max_age_s`` the age is not limited and nothing is told to neighbours.
-    ``source`` is ``store`` or the address of the neighbour that showed last that
-    the keys are current.
+    ``has_keys`` is whether the configuration in force requires keys. ``source`` is
+    ``store`` or the address of the neighbour that showed last that the keys are
+    current.
     """
 
     def __init__(
@@ -97,6 +98,7 @@
         """Create the state of a gateway that has no configuration."""
         self.max_age_s = max_age_s
         self.version = 0
+        self.has_keys = True
         self.source = ''
         self._clock = clock
         self._started_at = clock()
@@ -106,8 +108,8 @@
 
     @property
     def is_limited(self) -> bool:
-        """Whether old keys are refused."""
-        return self.max_age_s is not None
+        """Whether there are keys, and old ones are refused."""
+        return self.has_keys and self.max_age_s is not None
 
     @property
     def age_s(self) -> float:
--- a/bramleybeam/workspaces/tests/test_key_age.py
+++ b/bramleybeam/workspaces/tests/test_key_age.py
@@ -155,9 +155,17 @@
     assert not child.is_current
 
 
-def test_unlimited_age_adds_nothing(clocks):
-    """Deployments without strict revocation send and log what they did."""
-    age = KeyAge(clocks[0])
+@pytest.mark.parametrize(
+    ('limit_s', 'has_keys'), [(None, True), (None, False), (LIMIT_S, False)]
+)
+def test_unlimited_age_adds_nothing(clocks, limit_s, has_keys):
+    """Guards against longer messages and log lines in other deployments.
+
+    They have no strict revocation, or no keys.
+    """
+    age = KeyAge(clocks[0], limit_s)
+    age.has_keys = has_keys
+    age.note_read(age.begin_read(0, 0), 0)
     age.learn(KeyReport(1, 1), 'child')
     assert age.is_current
     assert age.make_report('child') is None
