Test removed keys between retries, in a pipeline and before a send

The tests with a process wait for log lines, which are written after the answer: two cases failed in one run on a busy machine.

--- a/bramleybeam/gateway/tests/test_access.py
+++ b/bramleybeam/gateway/tests/test_access.py
@@ -7,6 +7,9 @@
 from structlog.testing import capture_logs
 
 from bramleybeam.catalog import (
+    Holdings,
+    Replica,
+    ReplicaState,
     RequestKind,
     Route,
     RouteTarget,
@@ -19,6 +22,7 @@
 from bramleybeam.gateway import Chooser, make_cluster_state
 from bramleybeam.gateway._admission import Admitter
 from bramleybeam.gateway._job import RequestRefusedError
+from bramleybeam.gateway._reply_observer import ReplyObserver
 from bramleybeam.keyvalue import Listing
 from bramleybeam.limits import RetryBudgets
 from bramleybeam.platform import describe_request
@@ -28,6 +32,9 @@
 
 LIMIT_S = 3.75
 KEYS = {'hule930': (b'k-1', b'k-2'), 'pona': (b'k-3',)}
+REPLICA = Replica(
+    'i-1', 'ledger', '10.0.0.1:80', 'a', ReplicaState.READY, 4, 5, Holdings(0)
+)
 SERVICES = {'ledger': Service('ledger', '/health', 9)}
 
 
@@ -228,6 +235,15 @@
     assert find_refusal(jobs[1]).kind == ErrorKind.UNAUTHENTICATED
 
 
+def test_removed_key_is_an_obstacle_right_before_the_send(gateway):
+    """Guards against a key that is removed while a connection is opened."""
+    job = gateway.admit(b'Bearer k-1')
+    observer = ReplyObserver(gateway.cluster_state, REPLICA, None, job, None)
+    assert observer.find_obstacle() is None
+    gateway.apply(make_configuration(2, keys={}))
+    assert observer.find_obstacle() == 'the key is not valid any more'
+
+
 def test_fingerprint_does_not_depend_on_the_key(gateway):
     """Guards against a trace of the key in what neighbours learn.
 
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -68,6 +68,15 @@
         await site.wait_ready()
 
 
+async def wait_for_line(site, event):
+    """Return the only log line of an event, which is written after a while."""
+    async with asyncio.timeout(5):
+        while not site.gateway.events(event):
+            await asyncio.sleep(0.01)
+    (line,) = site.gateway.events(event)
+    return line
+
+
 @pytest.mark.parametrize('path', PATHS)
 async def test_replica_gets_the_workspace_and_no_key(site, path):
     """Guards against a key at a replica, and a workspace of the caller."""
@@ -121,7 +130,7 @@
     assert workspaces == [workspace][: status == 200]
     if status == 401:
         assert answer.headers['www-authenticate'] == 'Bearer'
-        (line,) = site.gateway.events('access_refused')
+        line = await wait_for_line(site, 'access_refused')
         assert line['kind'] == 'unauthenticated'
         assert line['key_age_s'] < REVOCATION_S
 
@@ -137,6 +146,54 @@
         assert (await site.ask('/look/2f', **authorize(key))).status == 200
 
 
+async def test_key_that_is_removed_between_retries_is_refused(site):
+    """Guards against an attempt with a key that was valid at admission."""
+    for replica in site.replicas.values():
+        replica.draw_fault = lambda: 'refuse'
+    asked = asyncio.create_task(
+        site.ask_with_id('r1', '/look/2f', **authorize(OTHER_KEY))
+    )
+    async with asyncio.timeout(2):
+        while not site.gateway.events('attempt_failed'):
+            await asyncio.sleep(0.01)
+    assert not asked.done()
+    site.store.put('op/config', make_keyed_configuration(2, KEY))
+    assert (await asked).status == 401
+    assert not site.runs('r1')
+    line = await wait_for_line(site, 'refused')
+    assert line['workspace'] == f'w-{OTHER_KEY}'
+    assert line['key_age_s'] < REVOCATION_S
+
+
+async def test_pipelined_request_is_judged_by_its_own_configuration(site):
+    """The second request is read before the key is removed."""
+    for replica in site.replicas.values():
+        replica.pause_s = 0.8
+    headers = (
+        f'Host: desk.example\r\nAuthorization: Bearer {OTHER_KEY}\r\n'
+        'Content-Length: 0\r\n'
+    )
+    host, _, port = site.gateway.callers_address.rpartition(':')
+    reader, writer = await asyncio.open_connection(host, int(port))
+    for number in (1, 2):
+        writer.write(
+            f'POST /look/2f HTTP/1.1\r\n{headers}'
+            f'Bramleybeam-Request-Id: p{number}\r\n\r\n'.encode()
+        )
+    async with asyncio.timeout(2):
+        while not site.runs('p1'):
+            await asyncio.sleep(0.01)
+    site.store.put('op/config', make_keyed_configuration(2, KEY))
+    received = b''
+    async with asyncio.timeout(5):
+        while received.count(b'HTTP/1.1 ') < 2:
+            received += await reader.read(1 << 16)
+    writer.close()
+    statuses = [part[:3] for part in received.split(b'HTTP/1.1 ')[1:]]
+    assert statuses == [b'200', b'401']
+    assert not site.runs('p2')
+
+
 async def test_keys_are_refused_while_the_store_is_lost(site):
     """A removal that the gateway can't hear of counts in time."""
     site.store.mode = 'unresponsive'
@@ -153,12 +210,12 @@
     assert answer.headers['retry-after'] == '0.20'
     assert (await site.ask('/look/2f', **authorize('wrong'))).status == 503
     assert (await site.ask('/open/2f', **authorize(KEY))).status == 200
-    assert site.gateway.events('keys_outdated')
+    await wait_for_line(site, 'keys_outdated')
     site.store.mode = 'up'
     async with asyncio.timeout(10):
         while (await site.ask('/look/2f', **authorize(KEY))).status != 200:
             await asyncio.sleep(0.05)
-    (line,) = site.gateway.events('keys_current')
+    line = await wait_for_line(site, 'keys_current')
     assert (line['version'], line['source']) == (1, 'store')
 
 
