Charge requests to the quotas of their workspaces

Its reservation is spent at the first send, checked before each one, and given back if the replica proves that it did not run it. Gateways ask the planner's gateway directly, in two new messages; without quotas nothing is sent. A used-up quota is answered with 429 and the time that the coordinator named, a missing answer with 503 quota_unavailable.

--- a/bramleybeam/errors/_kinds.py
+++ b/bramleybeam/errors/_kinds.py
@@ -39,6 +39,7 @@
     NO_READY_UPSTREAM = 'no_ready_upstream'
     TARGET_UNREACHABLE = 'target_unreachable'
     CALLER_LIMIT = 'caller_limit'
+    QUOTA_UNAVAILABLE = 'quota_unavailable'
     UPSTREAM_REFUSED = 'upstream_refused'
     UPSTREAM_LOST = 'upstream_lost'
     DEADLINE_EXCEEDED = 'deadline_exceeded'
@@ -112,6 +113,11 @@
             'The caller has used its share of the capacity.',
             'Repeat after the time in Retry-After.',
         ),
+        ErrorKind.QUOTA_UNAVAILABLE: KindDescription(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            'Nobody can say at the moment whether the quota is used up.',
+            'Repeat after the time in Retry-After.',
+        ),
         ErrorKind.UPSTREAM_REFUSED: KindDescription(
             HTTPStatus.BAD_GATEWAY,
             'The upstream refused the request.',
--- a/bramleybeam/gateway/_attempt.py
+++ b/bramleybeam/gateway/_attempt.py
@@ -143,10 +143,14 @@
         job.sends += 1
         job.runs += 1
         job.sent_at = _now()
+        if job.charge is not None:
+            job.charge.note_sent()
         head, facts = await self._read_matching_head(peer_connection)
         self._observer.note_reply(facts)
         if facts.never_ran:
             job.runs -= 1
+            if job.charge is not None and not job.runs:
+                job.charge.note_not_run()
             return NotRun(facts.status, facts.is_misdirected)
         return await self._forward_answer(peer_connection, head)
 
--- a/bramleybeam/gateway/_daemon.py
+++ b/bramleybeam/gateway/_daemon.py
@@ -31,6 +31,7 @@
 from bramleybeam.gateway._peers import PeerPort
 from bramleybeam.gateway._planner import Planner
 from bramleybeam.gateway._planner_lease import PlannerLease
+from bramleybeam.gateway._quotas import QuotaKeeper
 from bramleybeam.gateway._reply_observer import note_leaving
 from bramleybeam.gateway._settings_reload import SettingsReloader
 from bramleybeam.gateway._status import StatusReporter, Traffic
@@ -52,6 +53,9 @@
 _REGISTRATION_TTL_S: Final = 10.0
 _REGISTRATION_RENEW_S: Final = 3.0
 _STATUS_S: Final = 1.0
+# Period at which balances of quotas are checked; requests that wait for one are
+# reported at once.
+_QUOTAS_S: Final = 0.1
 # Period at which the planner compares its suspects with those in the store.
 _SUSPECTS_S: Final = 0.5
 # Period at which the settings file is read, because it may change without a signal.
@@ -86,18 +90,24 @@
         self._chooser = Chooser(
             cluster_state, settings.zone, rng, pool.has_idle
         )
-        self._forwarder = Forwarder(
-            settings, cluster_state, self._chooser, pool, rng, self._metrics
-        )
         order_history = OrderHistory(
             settings.bounds.order_pause_s, platform.boot_clock
         )
+        lease = PlannerLease(
+            settings, self._store, self._directory, order_history, rng
+        )
+        self._quotas = QuotaKeeper(
+            settings, self._directory, lease, self._send_to_peer
+        )
+        self._metrics.read_quotas = self._quotas.read_totals
+        self._forwarder = Forwarder(
+            settings, cluster_state, self._chooser, pool, rng, self._metrics
+        )
+        self._forwarder.charge = self._quotas.charge
         self._planner = Planner(
             settings.name,
             cluster_state,
-            PlannerLease(
-                settings, self._store, self._directory, order_history, rng
-            ),
+            lease,
             platform.ReplicaOrders(partial(note_leaving, cluster_state)),
             order_history,
             self._announce_orders,
@@ -173,6 +183,7 @@
         self._timers.subscribe(
             'listing', _REGISTRATION_RENEW_S, registration.keep
         )
+        self._quotas.entry_revision = lambda: registration.epoch
         self._subscribe_timers()
         _log.info(
             'started',
@@ -207,6 +218,7 @@
     async def _stop_parts(self) -> None:
         """Stop what runs beside the requests."""
         self._forwarder.close()
+        self._quotas.close()
         await self._endpoints.close()
         await self._timers.close()
         await self._tasks.close()
@@ -221,6 +233,7 @@
         subscribe('plan', _PLAN_S, self._plan)
         subscribe('settings', _SETTINGS_S, self._reloader.reload)
         subscribe('suspects', _SUSPECTS_S, self._suspect_keeper.keep)
+        subscribe('quotas', _QUOTAS_S, self._quotas.keep)
         subscribe('status', _STATUS_S, self._status.report)
 
     def _accepts_requests(self) -> bool:
@@ -247,7 +260,11 @@
             self._callers.limits = configuration.limits
 
     def _receive(self, message: PeerMessage, sender: str) -> None:
-        self._exchange.receive(message, sender)
+        if not self._quotas.receive(message, sender):
+            self._exchange.receive(message, sender)
+
+    def _send_to_peer(self, address: str, datagram: bytes) -> None:
+        self._peers.send(address, datagram)
 
     def _replan_or_send_pending(self) -> None:
         """Replan now if this is the planner, otherwise send pending demand."""
--- a/bramleybeam/gateway/_forward.py
+++ b/bramleybeam/gateway/_forward.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 import random
+from collections.abc import Awaitable, Callable
 from typing import Final
 
 import structlog
@@ -60,7 +61,12 @@
         rng: random.Random,
         metrics: GatewayMetrics,
     ) -> None:
-        """Store the parts of the pipeline."""
+        """Store the parts of the pipeline.
+
+        ``charge`` is called before each attempt, and raises the refusal of a
+        request whose workspace has used its quota.
+        """
+        self.charge: Callable[[Job], Awaitable[None]] = _charge_nothing
         self._metrics = metrics
         self._cluster_state = cluster_state
         self._directory = cluster_state.directory
@@ -104,6 +110,9 @@
         except asyncio.CancelledError:
             _log.info('caller_left', request=request_id, sends=job.sends)
             raise
+        finally:
+            if job.charge is not None:
+                job.charge.release()
 
     def apply_settings(self, settings: HostSettings) -> None:
         """Apply changed settings from the next request on."""
@@ -136,6 +145,7 @@
             now = self._directory.now()
             gateways = len(self._directory.peers)
             self._check_quarantine(job)
+            await self.charge(job)
             if job.sends and not self._retries.take(
                 job.service.name, now, gateways
             ):
@@ -260,3 +270,7 @@
             job.connection.abort_response()
             return
         answer_refusal(job.facts.request_id, job.connection, refusal)
+
+
+async def _charge_nothing(_job: Job) -> None:
+    """Charge a request in a deployment without quotas."""
--- a/bramleybeam/gateway/_job.py
+++ b/bramleybeam/gateway/_job.py
@@ -13,6 +13,7 @@
 from bramleybeam.limits import max_queue_wait
 from bramleybeam.orders import Target
 from bramleybeam.platform import RequestFacts
+from bramleybeam.quotas import Charge
 from bramleybeam.relay import CallerConnection, InboundRequest, find_header
 
 
@@ -59,7 +60,8 @@
     ``excluded_replicas`` are the names of those on which an attempt failed.
     ``queue_exit`` is the reason why it was refused while it waited. ``is_trial``
     is set for one attempt of a request that otherwise would be quarantined.
-    ``workspace`` is the workspace that the caller's key opens. ``blocks``
+    ``workspace`` is the workspace that the caller's key opens, ``charge`` what
+    the request was charged of its quota. ``blocks``
     are hashes of the prompt's parts, for the estimate of the tokens that a
     replica has cached.
     """
@@ -82,6 +84,7 @@
     queue_exit: QueueExitReason | None = None
     is_trial: bool = False
     workspace: Workspace | None = None
+    charge: Charge | None = None
     blocks: tuple[int, ...] = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
--- a/bramleybeam/gateway/_metrics.py
+++ b/bramleybeam/gateway/_metrics.py
@@ -30,6 +30,7 @@
         self._pauses = cluster_state.pauses
         self._suspects = cluster_state.suspects
         self._is_planner = is_planner
+        self.read_quotas: Callable[[], dict[str, dict[str, float]]] = dict
         registry = Registry()
         self._registry = registry
         self._requests = Counter(
@@ -59,6 +60,12 @@
             registry=registry,
         )
 
+        self._quotas = Gauge(
+            'bramleybeam_gateway_quota',
+            'Amounts of quotas by workspace and by what became of them.',
+            registry=registry,
+        )
+
     def note_answered(self, job: Job, status: int, now: float) -> None:
         """Count an answer of a replica that was delivered at ``now``."""
         route = {'route': job.route.name}
@@ -83,6 +90,10 @@
         """Return all metrics in the Prometheus text format."""
         for name, number in self._read_state().items():
             self._state.set({'name': name}, float(number))
+        for workspace, amounts in self.read_quotas().items():
+            for kind, amount in amounts.items():
+                labels = {'workspace': workspace, 'amount': kind}
+                self._quotas.set(labels, float(amount))
         content, _headers = render(self._registry, ['text/plain'])
         return bytes(content)
 
--- a/bramleybeam/gateway/_peer_codec.py
+++ b/bramleybeam/gateway/_peer_codec.py
@@ -14,6 +14,11 @@
 from bramleybeam.gateway import _peer_codec_parts as parts
 from bramleybeam.gateway._loads import RemoteLoads
 from bramleybeam.gateway._packed_loads import pack_loads, unpack_loads
+from bramleybeam.gateway._peer_codec_quotas import (
+    QUOTA_TOPICS,
+    decode_quota_message,
+    encode_quota_message,
+)
 from bramleybeam.gateway._peer_messages import (
     DepartureUpdate,
     ObservedStoreState,
@@ -25,6 +30,7 @@
     ResyncRequest,
     SubtreeReport,
     SuspectUpdate,
+    TreeMessage,
 )
 from bramleybeam.gateway._pending_demand import PendingDemand
 from bramleybeam.gateway._placement import PlacementDelta
@@ -36,6 +42,7 @@
     encode_frame,
 )
 from bramleybeam.orders import Demand, ModelDemand
+from bramleybeam.quotas import QuotaGrant, QuotaRequest
 
 # Maximum size of a body after decompression.
 _MAX_BODY_BYTES: Final = 1 << 18
@@ -57,7 +64,11 @@
 
 def encode_peer_message(message: PeerMessage) -> bytes:
     """Return the datagram of a message."""
-    topic, fields = _encode_body(message)
+    topic, fields = (
+        encode_quota_message(message)
+        if isinstance(message, QuotaRequest | QuotaGrant)
+        else _encode_body(message)
+    )
     text = json.dumps(fields, separators=(',', ':')).encode()
     return encode_frame(Notice(topic, zlib.compress(text)))
 
@@ -75,7 +86,7 @@
         raise UnreadablePeerMessageError(repr(error)) from error
 
 
-def _encode_body(message: PeerMessage) -> tuple[str, Mapping[str, Any]]:
+def _encode_body(message: TreeMessage) -> tuple[str, Mapping[str, Any]]:
     """Return the topic and the body of a message, before JSON encoding."""
     match message:
         case SubtreeReport():
@@ -101,7 +112,11 @@
 def _decode_frames(frames: Sequence[Frame]) -> PeerMessage:
     if len(frames) != 1 or not isinstance(frames[0], Notice):
         raise ValueError('datagram is not a single Notice frame')
-    return _decode_body(frames[0].topic, _decompress_json(frames[0].body))
+    topic = frames[0].topic
+    fields = _decompress_json(frames[0].body)
+    if topic in QUOTA_TOPICS:
+        return decode_quota_message(topic, fields)
+    return _decode_body(topic, fields)
 
 
 def _decompress_json(body: bytes) -> Any:
--- a/bramleybeam/gateway/_peer_messages.py
+++ b/bramleybeam/gateway/_peer_messages.py
@@ -13,6 +13,7 @@
 from bramleybeam.gateway._tree import ObservedPlanner
 from bramleybeam.limits import Incarnation
 from bramleybeam.orders import Demand
+from bramleybeam.quotas import QuotaGrant, QuotaRequest
 
 
 @attrs.frozen
@@ -120,7 +121,7 @@
     """The answer to a probe."""
 
 
-PeerMessage = (
+TreeMessage = (
     SubtreeReport
     | ParentUpdate
     | PendingDemand
@@ -131,3 +132,4 @@
     | Probe
     | ProbeAnswer
 )
+PeerMessage = TreeMessage | QuotaRequest | QuotaGrant
--- a/bramleybeam/gateway/_planner_lease.py
+++ b/bramleybeam/gateway/_planner_lease.py
@@ -69,6 +69,18 @@
         self._refused_at_revision = -1
         self._active_from = 0.0
         self._renewed_at = float('-inf')
+        # Times of the election, and at which the last renewal was sent that the
+        # store has confirmed.
+        self.elected_at = float('-inf')
+        self.confirmed_at = float('-inf')
+
+    @property
+    def held_epoch(self) -> int:
+        """The epoch of the lease until it is known to be lost, else 0.
+
+        Unlike ``epoch`` it stays while the store doesn't answer.
+        """
+        return 0 if self._is_closed else self._held_epoch
 
     @property
     def epoch(self) -> int:
@@ -162,6 +174,8 @@
             self.give_up()
             return
         is_cut_off = renewal == Renewal.UNKNOWN
+        if not is_cut_off and self._keeper.epoch == self._held_epoch:
+            self.confirmed_at = now
         if is_cut_off != self._is_cut_off:
             _log.info(
                 'planner_cut_off', epoch=self._held_epoch, value=is_cut_off
@@ -178,6 +192,7 @@
         await asyncio.sleep(delay_s)
         if self._is_closed or not self._seems_free():
             return False
+        asked_at = platform.boot_clock()
         if await self._keeper.renew() == Renewal.LOST:
             freshness = self._directory.freshness
             self._refused_at_revision = freshness.revision
@@ -185,6 +200,7 @@
         epoch = self._keeper.epoch
         if epoch is None:
             return False
+        self.confirmed_at = asked_at
         self._activate(epoch)
         return True
 
@@ -201,6 +217,7 @@
         self._was_key_listed = False
         self._is_cut_off = False
         self._renewed_at = platform.boot_clock()
+        self.elected_at = self._renewed_at
         pause_s = 0.0
         if not self._order_history.is_complete:
             pause_s = self._settings.bounds.order_pause_s
--- a/bramleybeam/gateway/_reply_observer.py
+++ b/bramleybeam/gateway/_reply_observer.py
@@ -37,8 +37,9 @@
     def find_obstacle(self) -> str | None:
         """Return why the request may not be sent, ``None`` if it may.
 
-        Since the replica was chosen, it may have begun to leave, and the request
-        may have been found to crash replicas.
+        Since the replica was chosen, it may have begun to leave, the request may
+        have been found to crash replicas, and the reservation of its quota may
+        have expired.
         """
         directory = self.cluster_state.directory
         if not directory.departures.accepts_requests(
@@ -47,6 +48,9 @@
             return 'the replica is leaving'
         if self.cluster_state.suspects.find_refusal(self.job):
             return 'the request is quarantined'
+        charge = self.job.charge
+        if charge is not None and not charge.is_valid:
+            return 'the reservation of its quota has expired'
         return None
 
     async def is_alive(self) -> bool:
--- a/bramleybeam/platform/_requests.py
+++ b/bramleybeam/platform/_requests.py
@@ -73,7 +73,8 @@
     ``deadline_s`` is how long the caller waits, counted from the arrival of
     the request. ``model`` is empty for a service without models, ``adapter``
     for a request to the base model. ``output_tokens`` is the expected length
-    of the output. ``last_event`` is the id of the last event that the caller
+    of the output. ``counted_tokens`` is the sum of the stated numbers of prompt
+    tokens and of output tokens, 0 if none are stated. ``last_event`` is the id of the last event that the caller
     received, if it resumes a stream, else empty.
     """
 
@@ -85,6 +86,7 @@
     output_tokens: int = 0
     parts: tuple[PromptPart, ...] = ()
     last_event: str = ''
+    counted_tokens: int = 0
 
 
 @attrs.frozen
@@ -121,6 +123,7 @@
         output_tokens=hint or _number(counts[2]),
         parts=_decode_parts(_text(headers, _PROMPT_PARTS)),
         last_event=_text(headers, _LAST_EVENT.lower()),
+        counted_tokens=_number(counts[0]) + _number(counts[2]),
     )
 
 
--- a/bramleybeam/quotas/_coordinator.py
+++ b/bramleybeam/quotas/_coordinator.py
@@ -87,11 +87,6 @@
             name: bucket.outstanding for name, bucket in self._buckets.items()
         }
 
-    def find_level(self, workspace: str) -> float:
-        """Return what the bucket of a workspace holds."""
-        bucket = self._buckets.get(workspace)
-        return bucket.level if bucket is not None else 0
-
     def set_quotas(
         self, quotas: Mapping[str, Quota], version: int, now: float
     ) -> None:
