--- a/bramleybeam/quotas/tests/quota_world.py
+++ b/bramleybeam/quotas/tests/quota_world.py
@@ -304,6 +304,7 @@
         self.delay_s = 0.005
         self.cut = set()
         self.runs = []
+        self.refusals = []
         self.send_share = 0.7
         self.worst_potential = -math.inf
         self.coordinators = 0
@@ -341,6 +342,7 @@
                 if not gateway.is_frozen:
                     gateway.tick()
                     self.work(gateway)
+            self.answer_refused()
             self.deliver()
             self.note_versions()
             self.worst_potential = max(
@@ -408,16 +410,29 @@
             gateway.jobs.remove(job)
             return
         job.charge.note_sent()
-        run = (self.now, job.cost)
         if self.rng.random() < 0.2:
-            # The replica proves at once that it did not run the request.
+            # The replica will prove that it did not run the request.
+            delay_s = self.rng.choice((0, 0, 0.05, 0.2, 1))
+            self.refusals.append((self.now + delay_s, gateway, job))
+        else:
+            self.runs.append((self.now, job.cost))
+        gateway.jobs.remove(job)
+
+    def answer_refused(self):
+        """Let replicas prove that they did not run some requests.
+
+        These are sent again, or given up.
+        """
+        for refusal in tuple(self.refusals):
+            due_at, gateway, job = refusal
+            if self.now < due_at or gateway.is_frozen:
+                continue
+            self.refusals.remove(refusal)
             job.charge.note_not_run()
             if self.rng.random() < 0.5:
+                gateway.jobs.append(job)
+            else:
                 job.charge.release()
-                gateway.jobs.remove(job)
-            return
-        self.runs.append(run)
-        gateway.jobs.remove(job)
 
     def kill(self, name):
         """Replace a gateway by a new process at the same address."""
