Merge the quotas of workspaces

The entry of a gateway in the store is made by a module of its own. The age of keys grows while the newest configuration can't be decoded, because that one may have removed keys.

--- a/bramleybeam/gateway/_daemon.py
+++ b/bramleybeam/gateway/_daemon.py
@@ -14,7 +14,6 @@
 from bramleybeam.catalog import HostSettings
 from bramleybeam.gateway._choose import Chooser
 from bramleybeam.gateway._cluster_state import make_cluster_state
-from bramleybeam.gateway._directory import GATEWAY_PREFIX, PEER_PREFIX
 from bramleybeam.gateway._exchange import PeerExchange
 from bramleybeam.gateway._follower import StoreFollower
 from bramleybeam.gateway._follower_pace import (
@@ -30,12 +29,13 @@
 from bramleybeam.gateway._peers import PeerPort
 from bramleybeam.gateway._planner import Planner
 from bramleybeam.gateway._planner_lease import PlannerLease
+from bramleybeam.gateway._quotas import QuotaKeeper
+from bramleybeam.gateway._registration import RENEW_S, make_registration
 from bramleybeam.gateway._reply_observer import note_leaving
 from bramleybeam.gateway._settings_reload import SettingsReloader
 from bramleybeam.gateway._status import StatusReporter, Traffic
 from bramleybeam.gateway._suspect_keeper import SuspectKeeper
-from bramleybeam.gateway._tree import Peer, encode_peer
-from bramleybeam.keyvalue import LeaseKeeper
+from bramleybeam.gateway._tree import Peer
 from bramleybeam.relay import CallerServer, ConnectionPool
 from bramleybeam.timers import Coalescer, TaskSet, TimerService
 from bramleybeam.workspaces import KeyAge, max_key_age_s
@@ -48,10 +48,10 @@
 _LEASE_CHECK_S: Final = 0.1
 # Period at which the planner publishes its placement without changes.
 _PUBLISH_S: Final = 0.25
-# Lifetime of this gateway's entry in the store, and how often it is renewed.
-_REGISTRATION_TTL_S: Final = 10.0
-_REGISTRATION_RENEW_S: Final = 3.0
 _STATUS_S: Final = 1.0
+# Period at which balances of quotas are checked; requests that wait for one are
+# reported at once.
+_QUOTAS_S: Final = 0.1
 # Period at which the planner compares its suspects with those in the store.
 _SUSPECTS_S: Final = 0.5
 # Period at which the settings file is read, because it may change without a signal.
@@ -90,18 +90,27 @@
         self._chooser = Chooser(
             cluster_state, settings.zone, rng, pool.has_idle
         )
-        self._forwarder = Forwarder(
-            settings, cluster_state, self._chooser, pool, rng, self._metrics
-        )
         order_history = OrderHistory(
             settings.bounds.order_pause_s, platform.boot_clock
         )
+        lease = PlannerLease(
+            settings, self._store, self._directory, order_history, rng
+        )
+        self._quotas = QuotaKeeper(
+            settings,
+            self._directory,
+            lease,
+            lambda address, datagram: self._peers.send(address, datagram),
+        )
+        self._metrics.read_quotas = self._quotas.read_totals
+        self._forwarder = Forwarder(
+            settings, cluster_state, self._chooser, pool, rng, self._metrics
+        )
+        self._forwarder.charge = self._quotas.charge
         self._planner = Planner(
             settings.name,
             cluster_state,
-            PlannerLease(
-                settings, self._store, self._directory, order_history, rng
-            ),
+            lease,
             platform.ReplicaOrders(partial(note_leaving, cluster_state)),
             order_history,
             self._announce_orders,
@@ -163,20 +172,12 @@
         await self._callers.start()
         await self._peers.start()
         self._tasks.spawn(self._follower.run())
-        key = PEER_PREFIX.removeprefix(GATEWAY_PREFIX) + self._peers.address
         registered_peer = attrs.evolve(
             self._local_peer, address=self._peers.address
         )
-        registration = LeaseKeeper(
-            self._store,
-            key,
-            encode_peer(registered_peer),
-            platform.boot_clock,
-            _REGISTRATION_TTL_S,
-        )
-        self._timers.subscribe(
-            'listing', _REGISTRATION_RENEW_S, registration.keep
-        )
+        registration = make_registration(self._store, registered_peer)
+        self._timers.subscribe('listing', RENEW_S, registration.keep)
+        self._quotas.entry_revision = lambda: registration.epoch
         self._subscribe_timers()
         _log.info(
             'started',
@@ -211,6 +212,7 @@
     async def _stop_parts(self) -> None:
         """Stop what runs beside the requests."""
         self._forwarder.close()
+        self._quotas.close()
         await self._endpoints.close()
         await self._timers.close()
         await self._tasks.close()
@@ -225,6 +227,7 @@
         subscribe('plan', _PLAN_S, self._plan)
         subscribe('settings', _SETTINGS_S, self._reloader.reload)
         subscribe('suspects', _SUSPECTS_S, self._suspect_keeper.keep)
+        subscribe('quotas', _QUOTAS_S, self._quotas.keep)
         subscribe('status', _STATUS_S, self._status.report)
 
     def _accepts_requests(self) -> bool:
@@ -262,7 +265,8 @@
         self._directory.freshness.pace = make_pace(bounds)
 
     def _receive(self, message: PeerMessage, sender: str) -> None:
-        self._exchange.receive(message, sender)
+        if not self._quotas.receive(message, sender):
+            self._exchange.receive(message, sender)
 
     def _replan_or_send_pending(self) -> None:
         """Replan now if this is the planner, otherwise send pending demand."""
--- a/bramleybeam/gateway/_directory.py
+++ b/bramleybeam/gateway/_directory.py
@@ -225,6 +225,7 @@
 
     def _update_configuration(self, content: bytes) -> None:
         received = platform.decode_configuration(content)
+        self.keys.is_readable = received is not None
         if received is None:
             return
         current = self.configuration
--- a/bramleybeam/gateway/_job.py
+++ b/bramleybeam/gateway/_job.py
@@ -13,6 +13,7 @@
 from bramleybeam.limits import max_queue_wait
 from bramleybeam.orders import Target
 from bramleybeam.platform import RequestFacts
+from bramleybeam.quotas import Charge
 from bramleybeam.relay import CallerConnection, InboundRequest, find_header
 
 
@@ -60,8 +61,10 @@
     ``queue_exit`` is the reason why it was refused while it waited. ``is_trial``
     is set for one attempt of a request that otherwise would be quarantined.
     ``workspace`` is the workspace that the caller's key opens, ``hides_keys``
-    whether the configuration requires keys, and ``checked_version`` the version
-    of the configuration that the key was checked against. ``blocks`` are hashes of the prompt's parts, for the estimate of the tokens that a
+    whether the configuration requires keys, ``checked_version`` the version of
+    the configuration that the key was checked against, and ``charge`` what the
+    request was charged of its quota. ``blocks`` are hashes of the prompt's
+    parts, for the estimate of the tokens that a
     replica has cached.
     """
 
@@ -85,6 +88,7 @@
     workspace: Workspace | None = None
     hides_keys: bool = False
     checked_version: int | None = None
+    charge: Charge | None = None
     blocks: tuple[int, ...] = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
--- a/bramleybeam/gateway/_peer_messages.py
+++ b/bramleybeam/gateway/_peer_messages.py
@@ -13,6 +13,7 @@
 from bramleybeam.gateway._tree import ObservedPlanner
 from bramleybeam.limits import Incarnation
 from bramleybeam.orders import Demand
+from bramleybeam.quotas import QuotaGrant, QuotaRequest
 from bramleybeam.workspaces import KeyReport
 
 
@@ -125,7 +126,7 @@
     """The answer to a probe."""
 
 
-PeerMessage = (
+TreeMessage = (
     SubtreeReport
     | ParentUpdate
     | PendingDemand
@@ -136,3 +137,4 @@
     | Probe
     | ProbeAnswer
 )
+PeerMessage = TreeMessage | QuotaRequest | QuotaGrant
--- a/bramleybeam/platform/_requests.py
+++ b/bramleybeam/platform/_requests.py
@@ -76,9 +76,11 @@
     ``deadline_s`` is how long the caller waits, counted from the arrival of
     the request. ``model`` is empty for a service without models, ``adapter``
     for a request to the base model. ``output_tokens`` is the expected length
-    of the output. ``last_event`` is the id of the last event that the caller
-    received, if it resumes a stream, else empty. ``credentials`` is the value of
-    the first ``Authorization`` header; it is never logged.
+    of the output. ``counted_tokens`` is the sum of the stated numbers of prompt
+    tokens and of output tokens, 0 if none are stated. ``last_event`` is the id of
+    the last event that the caller received, if it resumes a stream, else empty.
+    ``credentials`` is the value of the first ``Authorization`` header; it is
+    never logged.
     """
 
     request_id: str
@@ -90,6 +92,7 @@
     parts: tuple[PromptPart, ...] = ()
     last_event: str = ''
     credentials: bytes = attrs.field(default=b'', repr=False)
+    counted_tokens: int = 0
 
 
 @attrs.frozen
@@ -131,6 +134,7 @@
         parts=_decode_parts(_text(headers, _PROMPT_PARTS)),
         last_event=_text(headers, _LAST_EVENT.lower()),
         credentials=find_header(headers, _AUTHORIZATION) or b'',
+        counted_tokens=_number(counts[0]) + _number(counts[2]),
     )
 
 
--- a/bramleybeam/workspaces/_key_age.py
+++ b/bramleybeam/workspaces/_key_age.py
@@ -87,9 +87,10 @@
 
     ``clock`` returns seconds and includes suspension of the host. Without
     ``max_age_s`` the age is not limited and nothing is told to neighbours.
-    ``has_keys`` is whether the configuration in force requires keys. ``source`` is
-    ``store`` or the address of the neighbour that showed last that the keys are
-    current.
+    ``has_keys`` is whether the configuration in force requires keys, and
+    ``is_readable`` whether the newest one could be decoded: one that could not
+    may have removed keys. ``source`` is ``store`` or the address of the neighbour
+    that showed last that the keys are current.
     """
 
     def __init__(
@@ -99,6 +100,7 @@
         self.max_age_s = max_age_s
         self.version = 0
         self.has_keys = True
+        self.is_readable = True
         self.source = ''
         self._clock = clock
         self._started_at = clock()
@@ -141,7 +143,7 @@
         is_stale = (
             revision < read.revision or self.version < read.newest_version
         )
-        if not is_stale:
+        if self.is_readable and not is_stale:
             self._raise(read.sent_at, 'store')
 
     def make_report(self, neighbour: str) -> KeyReport | None:
--- a/bramleybeam/workspaces/tests/test_key_age.py
+++ b/bramleybeam/workspaces/tests/test_key_age.py
@@ -177,3 +177,14 @@
     parent.learn(child.make_report('parent'), 'child')
     parent.forget('child')
     assert parent.make_report('child').echo is None
+
+
+def test_keys_age_while_the_newest_configuration_is_unreadable(clocks):
+    """The version that can't be decoded may have removed keys."""
+    age = KeyAge(clocks[0], LIMIT_S)
+    age.is_readable = False
+    age.note_read(age.begin_read(0, 0), 5)
+    assert not age.is_current
+    age.is_readable = True
+    age.note_read(age.begin_read(0, 5), 5)
+    assert age.is_current
