--- a/bramleybeam/decisions/_routing.py
+++ b/bramleybeam/decisions/_routing.py
@@ -31,7 +31,8 @@
     2 elsewhere. ``cached_share`` is the estimated share of the prompt in the
     prefix cache, and ``share`` the share of the limit that the work class may
     use. ``step_s`` is the duration of an engine step, ``first_token_s`` the
-    time to the first token, and ``service_s`` the duration of a whole request.
+    time to the first token, of which ``ahead_s`` are work that was there before,
+    and ``service_s`` the duration of a whole request.
     ``reported`` is the number in flight according to the last report alone,
     ``failure_share`` the share of recent requests that failed there.
     ``is_connected`` is whether an open connection to it can be used.
@@ -45,6 +46,7 @@
     cached_share: float = 0
     step_s: float = 0
     first_token_s: float = 0
+    ahead_s: float = 0
     service_s: float = 0
     reported: int = 0
     share: float = 1
--- a/bramleybeam/gateway/_choose.py
+++ b/bramleybeam/gateway/_choose.py
@@ -4,6 +4,7 @@
 (model and adapter). The request with the least slack is served first.
 """
 
+import asyncio
 import random
 from collections import defaultdict
 from collections.abc import Callable, Iterator
@@ -11,6 +12,7 @@
 from typing import Final, Self
 
 from bramleybeam.catalog import EngineSpec, Replica
+from bramleybeam.costs import can_wait, would_stall_streams
 from bramleybeam.decisions import (
     Candidate,
     PrefixHistory,
@@ -29,11 +31,17 @@
     find_wait_refusal,
     refuse_for_shutdown,
 )
+from bramleybeam.gateway._work import WorkTracker
 from bramleybeam.limits import Incarnation
-from bramleybeam.orders import PREFILL_TOKENS_PER_S, Target
+from bramleybeam.orders import Target
 
 # Time that each request in a batch adds to the next token of all of them.
 _STEP_PER_REQUEST_S: Final = 0.0004
+# The same for the replicas of plain services, besides the estimated work.
+_PLAIN_STEP_S: Final = 0.002
+# Time in seconds after which a request that waits for a replica to work off its
+# prompts looks for one again.
+_PACING_S: Final = 0.03
 # Requests sent to a replica of a plain service for each of its slots. Those in
 # excess of its slots wait in the replica's queue.
 _PLAIN_QUEUE_PER_SLOT: Final = 2
@@ -62,7 +70,8 @@
 
         ``changed`` is notified when a waiting request may find a replica.
         ``is_connected`` returns whether an open connection to a replica can be
-        used; without it connections are not considered.
+        used; without it connections are not considered. ``work`` tells what is
+        sent to the replicas.
         """
         self.changed = ChangeNotifier()
         self._is_stopping = False
@@ -76,6 +85,8 @@
         self._is_connected = is_connected or _always_connected
         self._rng = rng
         self._prefixes = PrefixHistory()
+        self.work = WorkTracker(cluster_state, self._count_uncached_tokens)
+        self._pacing_timer: asyncio.TimerHandle | None = None
         self._queues: dict[Target, list[QueuedRequest]] = defaultdict(list)
         self._directory.on_change.append(self.changed.notify)
         self._loads.on_remote.append(self.changed.notify)
@@ -106,16 +117,21 @@
 
     def _make_in_flight(self, job: Job, replica: Replica) -> InFlightRequest:
         facts = job.facts
-        uncached_tokens = max(
-            0, facts.prompt_tokens - self._count_cached_tokens(job, replica)
-        )
-        self._prefixes.note(replica.name, job.blocks, self._directory.now())
+        now = self._directory.now()
+        uncached_tokens = self._count_uncached_tokens(job, replica)
+        self.work.note_sent(job, replica, now)
+        self._prefixes.note(replica.name, job.blocks, now)
         return InFlightRequest(
             job.target,
             uncached_tokens,
             facts.prompt_tokens + facts.output_tokens,
         )
 
+    def _count_uncached_tokens(self, job: Job, replica: Replica) -> int:
+        """Return how many prompt tokens a replica presumably has to process."""
+        cached_tokens = self._count_cached_tokens(job, replica)
+        return max(0, job.facts.prompt_tokens - cached_tokens)
+
     def _count_cached_tokens(self, job: Job, replica: Replica) -> int:
         """Return how many prompt tokens a replica has presumably cached."""
         cached_parts = self._prefixes.count_leading(replica.name, job.blocks)
@@ -183,6 +199,8 @@
             self._make_candidate(job, replica, now)
             for replica in self._finder.list_open(job, holders)
         ]
+        if job.service.engine is not None and job.route.longest_gap_s:
+            candidates = self._pace(job, candidates, now)
         # With many gateways, the loads that each of them knows are old. If all
         # of them compared all candidates, they would choose the same one.
         gateways = len(self._directory.peers)
@@ -190,6 +208,44 @@
         sampled = _CROWD_SAMPLE if is_crowded else len(candidates)
         return choose_upstream(candidates, self._rng, sampled=sampled)
 
+    def _pace(
+        self, job: Job, candidates: list[Candidate], now: float
+    ) -> list[Candidate]:
+        """Return the candidates whose streams the prompt would not stall.
+
+        All candidates if the request can't wait for one of them, else none.
+        """
+        undisturbed = [
+            candidate
+            for candidate in candidates
+            if not would_stall_streams(
+                candidate.ahead_s,
+                candidate.first_token_s - candidate.ahead_s,
+                job.route.longest_gap_s,
+                candidate.in_flight,
+            )
+        ]
+        if undisturbed or not candidates:
+            return undisturbed
+        left_s = job.received_at + job.route.objective_s - now
+        first_s = min(candidate.first_token_s for candidate in candidates)
+        if not can_wait(first_s, left_s):
+            return candidates
+        self._notify_later()
+        return []
+
+    def _notify_later(self) -> None:
+        """Let the waiting requests look for a replica again soon."""
+        if self._pacing_timer is None:
+            loop = asyncio.get_running_loop()
+            self._pacing_timer = loop.call_later(
+                _PACING_S, self._notify_after_pacing
+            )
+
+    def _notify_after_pacing(self) -> None:
+        self._pacing_timer = None
+        self.changed.notify()
+
     def _make_candidate(
         self,
         job: Job,
@@ -199,6 +255,7 @@
         load = self._loads.total(replica.name, now)
         engine = job.service.engine
         is_same_zone = replica.zone == self._zone
+        work = self.work.estimate(job, replica, now)
         if engine is None:
             return Candidate(
                 replica.name,
@@ -207,9 +264,10 @@
                 zone_distance=int(not is_same_zone),
                 failure_share=self._failures.share(replica.name, now),
                 is_connected=self._is_connected(replica.incarnation),
+                step_s=_PLAIN_STEP_S,
+                first_token_s=work.ahead_s + work.work_s,
+                ahead_s=work.ahead_s,
             )
-        uncached_tokens = load.prefill_tokens + job.facts.prompt_tokens
-        uncached_tokens -= self._count_cached_tokens(job, replica)
         return Candidate(
             replica.name,
             load.requests,
@@ -218,7 +276,8 @@
             failure_share=self._failures.share(replica.name, now),
             is_connected=self._is_connected(replica.incarnation),
             step_s=_STEP_PER_REQUEST_S,
-            first_token_s=uncached_tokens / PREFILL_TOKENS_PER_S,
+            first_token_s=work.ahead_s + work.work_s,
+            ahead_s=work.ahead_s,
         )
 
 
--- a/bramleybeam/gateway/_cluster_state.py
+++ b/bramleybeam/gateway/_cluster_state.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from bramleybeam.costs import CostModel, WorkBacklogs
 from bramleybeam.gateway._demand import DemandTable
 from bramleybeam.gateway._directory import Directory
 from bramleybeam.gateway._failures import FailureTable
@@ -23,7 +24,8 @@
     requests in flight, ``demand`` the request rates by model, ``pauses``
     the replicas that have asked for a pause, ``suspects`` the requests that may
     crash replicas, and ``failures`` the shares of the requests that fail at each
-    replica.
+    replica. ``costs`` is what requests cost the replicas, and ``backlogs`` the
+    work that these have left.
     """
 
     directory: Directory
@@ -32,6 +34,8 @@
     pauses: PauseTable
     suspects: CrashSuspects
     failures: FailureTable = attrs.field(factory=FailureTable)
+    costs: CostModel = attrs.field(factory=CostModel)
+    backlogs: WorkBacklogs = attrs.field(factory=WorkBacklogs)
 
 
 def make_cluster_state(
--- a/bramleybeam/gateway/_daemon.py
+++ b/bramleybeam/gateway/_daemon.py
@@ -12,6 +12,7 @@
 
 from bramleybeam import platform
 from bramleybeam.catalog import HostSettings
+from bramleybeam.costs import WorkNotice
 from bramleybeam.gateway._choose import Chooser
 from bramleybeam.gateway._cluster_state import make_cluster_state
 from bramleybeam.gateway._directory import GATEWAY_PREFIX, PEER_PREFIX
@@ -36,6 +37,7 @@
 from bramleybeam.gateway._status import StatusReporter, Traffic
 from bramleybeam.gateway._suspect_keeper import SuspectKeeper
 from bramleybeam.gateway._tree import Peer, encode_peer
+from bramleybeam.gateway._work_notices import WorkNotifier
 from bramleybeam.keyvalue import LeaseKeeper
 from bramleybeam.relay import CallerServer, ConnectionPool
 from bramleybeam.timers import Coalescer, TaskSet, TimerService
@@ -79,6 +81,7 @@
         pace = make_pace(settings.bounds)
         cluster_state = make_cluster_state(time.monotonic, rng, pace)
         self._directory = cluster_state.directory
+        self._backlogs = cluster_state.backlogs
         self._metrics = GatewayMetrics(cluster_state, self._is_planner)
         self._timers = TimerService(rng)
         self._tasks = TaskSet()
@@ -128,6 +131,14 @@
             self._coalescer.trigger,
             self._is_planner,
         )
+        work_notifier = WorkNotifier(
+            self._directory,
+            lambda: self._peers.address,
+            self._peers.send,
+            self._count_neighbours,
+            rng,
+        )
+        self._chooser.work.on_sent.append(work_notifier.notify)
         self._status = StatusReporter(
             self._directory, self._traffic, self._timers.take_lateness
         )
@@ -247,7 +258,14 @@
             self._callers.limits = configuration.limits
 
     def _receive(self, message: PeerMessage, sender: str) -> None:
-        self._exchange.receive(message, sender)
+        if isinstance(message, WorkNotice):
+            self._backlogs.add(message, self._directory.now())
+        else:
+            self._exchange.receive(message, sender)
+
+    def _count_neighbours(self) -> int:
+        """Return the number of gateways with which this one exchanges tables."""
+        return len(self._exchange.children) + bool(self._exchange.parent)
 
     def _replan_or_send_pending(self) -> None:
         """Replan now if this is the planner, otherwise send pending demand."""
--- a/bramleybeam/gateway/_job.py
+++ b/bramleybeam/gateway/_job.py
@@ -8,6 +8,7 @@
 import xxhash
 
 from bramleybeam.catalog import Route, Service, Workspace
+from bramleybeam.costs import RequestWork
 from bramleybeam.decisions import QueuedRequest
 from bramleybeam.errors import Refusal
 from bramleybeam.limits import max_queue_wait
@@ -59,7 +60,9 @@
     ``excluded_replicas`` are the names of those on which an attempt failed.
     ``queue_exit`` is the reason why it was refused while it waited. ``is_trial``
     is set for one attempt of a request that otherwise would be quarantined.
-    ``workspace`` is the workspace that the caller's key opens. ``blocks``
+    ``workspace`` is the workspace that the caller's key opens. ``work`` is what it
+    was estimated to cost when it was last sent, until that was compared with what
+    it took. ``blocks``
     are hashes of the prompt's parts, for the estimate of the tokens that a
     replica has cached.
     """
@@ -82,6 +85,7 @@
     queue_exit: QueueExitReason | None = None
     is_trial: bool = False
     workspace: Workspace | None = None
+    work: RequestWork | None = None
     blocks: tuple[int, ...] = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
--- a/bramleybeam/gateway/_loads.py
+++ b/bramleybeam/gateway/_loads.py
@@ -1,11 +1,13 @@
 """Requests in flight at each replica, local and reported by neighbours."""
 
+import math
 from collections import Counter
 from collections.abc import Callable, Iterator, Mapping
 from contextlib import contextmanager
 
 import attrs
 
+from bramleybeam.costs import DEFAULT_PROMPT_RATE
 from bramleybeam.gateway._packed_loads import PackedLoad, replica_code
 from bramleybeam.orders import Target
 
@@ -71,10 +73,22 @@
 
 @attrs.frozen
 class _RemoteEntry:
-    """What a neighbour reported, valid until ``expires_at`` in seconds."""
+    """What a neighbour reported at ``reported_at``, valid until ``expires_at``.
+
+    Both are in seconds.
+    """
 
     expires_at: float
     loads: RemoteLoads
+    reported_at: float
+
+    def unprocessed_tokens(self, code: int, now: float) -> int:
+        """Return the prompt tokens that a replica has presumably left."""
+        load = self.loads.totals.get(code)
+        if load is None or now >= self.expires_at:
+            return 0
+        age_s = max(0.0, now - self.reported_at)
+        return max(0, load.prefill_tokens - int(age_s * DEFAULT_PROMPT_RATE))
 
 
 class LoadTable:
@@ -111,13 +125,19 @@
         in_flight.prefill_tokens = 0
 
     def update_remote(
-        self, neighbour: str, loads: RemoteLoads, expires_at: float
+        self,
+        neighbour: str,
+        loads: RemoteLoads,
+        expires_at: float,
+        reported_at: float = math.inf,
     ) -> None:
         """Replace a neighbour's report, which is valid until ``expires_at``.
 
-        ``expires_at`` is in seconds of the clock.
+        ``reported_at`` is when it was received, infinite if its age does not
+        matter. Both are in seconds of the clock.
         """
-        self._remote[neighbour] = _RemoteEntry(expires_at, loads)
+        entry = _RemoteEntry(expires_at, loads, reported_at)
+        self._remote[neighbour] = entry
         for callback in self.on_remote:
             callback()
 
@@ -169,6 +189,18 @@
             total.memory_tokens,
         )
 
+    def unprocessed_tokens(self, replica: str, now: float) -> int:
+        """Return the prompt tokens of all gateways that a replica has left.
+
+        Those that neighbours have reported are presumably processed since.
+        """
+        local = self._local.get(replica, _LocalLoad())
+        code = replica_code(replica)
+        return local.prefill_tokens + sum(
+            entry.unprocessed_tokens(code, now)
+            for entry in self._remote.values()
+        )
+
     def _pack_local(self) -> RemoteLoads:
         return RemoteLoads(
             {
--- a/bramleybeam/gateway/_neighbour_pacer.py
+++ b/bramleybeam/gateway/_neighbour_pacer.py
@@ -12,6 +12,10 @@
 # together. Half of it, less a margin, is for what it sends, in equal parts for its
 # neighbours: a parent, up to 3 children in its zone and 2 heads of other zones.
 _SENT_BYTES_PER_S: Final = 11_000.0
+# Bytes a second for all messages together, of which those that neighbours leave
+# over are for notices of work, and the least for these.
+_ALL_SENT_BYTES_PER_S: Final = 13_000.0
+_MIN_NOTICE_BYTES_PER_S: Final = 2_000.0
 # Most bytes a second for one neighbour, which may have many others.
 _MAX_NEIGHBOUR_BYTES_PER_S: Final = 4_000.0
 # Share of these bytes for complete tables, sent to a parent and to a child; the
@@ -38,6 +42,12 @@
     )
 
 
+def notice_rate(neighbours: int) -> float:
+    """Return the bytes a second for notices of work to all gateways."""
+    left_over = _ALL_SENT_BYTES_PER_S - neighbours * neighbour_rate(neighbours)
+    return max(_MIN_NOTICE_BYTES_PER_S, left_over)
+
+
 def _make_budget(pacer: 'NeighbourPacer') -> ByteBudget:
     rate = pacer.bytes_per_s * (1 - pacer.tables_share)
     return ByteBudget(rate, rate, _CREDIT_BYTES)
--- a/bramleybeam/gateway/_neighbour_tables.py
+++ b/bramleybeam/gateway/_neighbour_tables.py
@@ -49,7 +49,7 @@
 
         Returns whether the numbers of waiting requests have changed.
         """
-        self._loads.update_remote(child, report.loads, expires_at)
+        self._loads.update_remote(child, report.loads, expires_at, now)
         self._failures.update_remote(child, report.outcomes, expires_at)
         self._directory.reachability.update_remote(report.unreachable)
         self.learn_departures(report.departures)
@@ -71,7 +71,7 @@
         self.learn_suspects(update.suspects, parent)
         self._note_store_state(update.store)
         if update.loads is not None:
-            self._loads.update_remote(parent, update.loads, expires_at)
+            self._loads.update_remote(parent, update.loads, expires_at, now)
             self._failures.update_remote(parent, update.outcomes, expires_at)
         if _lists_more(update.delta.rows, self._directory):
             self._directory.freshness.request_read()
--- a/bramleybeam/gateway/_outcome_recorder.py
+++ b/bramleybeam/gateway/_outcome_recorder.py
@@ -8,6 +8,7 @@
 from bramleybeam.gateway._cluster_state import ClusterState
 from bramleybeam.gateway._crash_detector import CrashDetector
 from bramleybeam.gateway._job import Job
+from bramleybeam.gateway._work import learn_from_answer
 
 
 class OutcomeRecorder:
@@ -22,6 +23,7 @@
         """Store the tables and the chooser that learns of missing targets."""
         self._directory = cluster_state.directory
         self._demand = cluster_state.demand
+        self._costs = cluster_state.costs
         self._failures = cluster_state.failures
         self._suspects = cluster_state.suspects
         self._crashes = crashes
@@ -58,6 +60,7 @@
     ) -> None:
         if HTTPStatus.OK <= outcome.status < HTTPStatus.MULTIPLE_CHOICES:
             self._suspects.note_sound(job)
+        learn_from_answer(self._costs, job, self._directory.now())
         self._note_run(replica, has_failed=False)
         self._directory.reachability.note_reachable(replica.name)
         self._demand.pending.note_served(job.target, self._directory.now())
--- a/bramleybeam/gateway/_peer_codec.py
+++ b/bramleybeam/gateway/_peer_codec.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from bramleybeam.costs import WorkNotice
 from bramleybeam.gateway import _peer_codec_parts as parts
 from bramleybeam.gateway._loads import RemoteLoads
 from bramleybeam.gateway._packed_loads import pack_loads, unpack_loads
@@ -51,12 +52,18 @@
 )
 
 
+# Topic of a notice of work, whose short body is neither JSON nor compressed.
+_WORK_TOPIC: Final = 'work'
+
+
 class UnreadablePeerMessageError(Exception):
     """A datagram that can't be decoded; the message holds the reason."""
 
 
 def encode_peer_message(message: PeerMessage) -> bytes:
     """Return the datagram of a message."""
+    if isinstance(message, WorkNotice):
+        return encode_frame(Notice(_WORK_TOPIC, message.encode()))
     topic, fields = _encode_body(message)
     text = json.dumps(fields, separators=(',', ':')).encode()
     return encode_frame(Notice(topic, zlib.compress(text)))
@@ -96,12 +103,16 @@
             return 'probe', {}
         case ProbeAnswer():
             return 'probe-answer', {}
+    raise TypeError(f'no topic for {type(message).__name__}')
 
 
 def _decode_frames(frames: Sequence[Frame]) -> PeerMessage:
     if len(frames) != 1 or not isinstance(frames[0], Notice):
         raise ValueError('datagram is not a single Notice frame')
-    return _decode_body(frames[0].topic, _decompress_json(frames[0].body))
+    notice = frames[0]
+    if notice.topic == _WORK_TOPIC:
+        return WorkNotice.decode(notice.body)
+    return _decode_body(notice.topic, _decompress_json(notice.body))
 
 
 def _decompress_json(body: bytes) -> Any:
--- a/bramleybeam/gateway/_peer_messages.py
+++ b/bramleybeam/gateway/_peer_messages.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from bramleybeam.costs import WorkNotice
 from bramleybeam.gateway._departures import Departure
 from bramleybeam.gateway._failures import OutcomeCounts
 from bramleybeam.gateway._loads import RemoteLoads
@@ -130,4 +131,5 @@
     | ResyncRequest
     | Probe
     | ProbeAnswer
+    | WorkNotice
 )
--- a/bramleybeam/gateway/_reply_observer.py
+++ b/bramleybeam/gateway/_reply_observer.py
@@ -12,12 +12,14 @@
 from bramleybeam.gateway._job import Job
 from bramleybeam.gateway._loads import InFlightRequest
 from bramleybeam.gateway._replica_liveness import ReplicaLiveness
+from bramleybeam.gateway._work import learn_from_answer
 from bramleybeam.relay import Liveness
 
 # Share of the connections that a replica accepts which all gateways together may
 # keep idle, and the largest number of one gateway.
 _IDLE_SHARE: Final = 0.5
 _MAX_IDLE: Final = 8
+
 _log = structlog.get_logger('replies')
 
 
@@ -72,6 +74,8 @@
 
     def note_event(self) -> None:
         """Record that the answer has begun; repeats have no effect."""
+        now = self.cluster_state.directory.now()
+        learn_from_answer(self.cluster_state.costs, self.job, now)
         self.cluster_state.loads.note_prefill_done(
             self.replica.name, self.in_flight
         )
