Route by the work that replicas have left

Gateways compared reports of loads that were old, chose the same replica at the same moment, and its prompts held up all streams in its batch.

The work of a request is estimated from learned rates.

--- a/bramleybeam/gateway/_cluster_state.py
+++ b/bramleybeam/gateway/_cluster_state.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from bramleybeam.costs import CostModel, WorkBacklogs
 from bramleybeam.gateway._access import KeyChecker
 from bramleybeam.gateway._demand import DemandTable
 from bramleybeam.gateway._directory import Directory
@@ -25,7 +26,8 @@
     requests in flight, ``demand`` the request rates by model, ``pauses``
     the replicas that have asked for a pause, ``suspects`` the requests that may
     crash replicas, and ``failures`` the shares of the requests that fail at each
-    replica. ``access`` checks callers' keys.
+    replica. ``costs`` is what requests cost the replicas, and ``backlogs`` the
+    work that these have left. ``access`` checks callers' keys.
     """
 
     directory: Directory
@@ -34,6 +36,8 @@
     pauses: PauseTable
     suspects: CrashSuspects
     failures: FailureTable = attrs.field(factory=FailureTable)
+    costs: CostModel = attrs.field(factory=CostModel)
+    backlogs: WorkBacklogs = attrs.field(factory=WorkBacklogs)
     access: KeyChecker = attrs.field(init=False)
 
     @access.default
--- a/bramleybeam/gateway/_daemon.py
+++ b/bramleybeam/gateway/_daemon.py
@@ -4,7 +4,6 @@
 import random
 import time
 from collections.abc import Mapping
-from functools import partial
 from typing import Final
 
 import attrs
@@ -36,6 +35,7 @@
 from bramleybeam.gateway._status import StatusReporter, Traffic
 from bramleybeam.gateway._suspect_keeper import SuspectKeeper
 from bramleybeam.gateway._tree import Peer
+from bramleybeam.gateway._work_notices import WorkNotifier
 from bramleybeam.relay import CallerServer, ConnectionPool
 from bramleybeam.timers import Coalescer, TaskSet, TimerService
 from bramleybeam.workspaces import KeyAge, max_key_age_s
@@ -111,7 +111,9 @@
             settings.name,
             cluster_state,
             lease,
-            platform.ReplicaOrders(partial(note_leaving, cluster_state)),
+            platform.ReplicaOrders(
+                lambda replica: note_leaving(cluster_state, replica)
+            ),
             order_history,
             self._announce_orders,
         )
@@ -141,6 +143,10 @@
             self._coalescer.trigger,
             self._is_planner,
         )
+        self._work_notifier = WorkNotifier(
+            cluster_state, self._peers, self._exchange, rng
+        )
+        self._chooser.work.on_sent.append(self._work_notifier.notify)
         self._status = StatusReporter(
             self._directory, self._traffic, self._timers.take_lateness
         )
@@ -265,6 +271,8 @@
         self._directory.freshness.pace = make_pace(bounds)
 
     def _receive(self, message: PeerMessage, sender: str) -> None:
+        if self._work_notifier.receive(message):
+            return
         if not self._quotas.receive(message, sender):
             self._exchange.receive(message, sender)
 
--- a/bramleybeam/gateway/_job.py
+++ b/bramleybeam/gateway/_job.py
@@ -8,6 +8,7 @@
 import xxhash
 
 from bramleybeam.catalog import Route, Service, Workspace
+from bramleybeam.costs import RequestWork
 from bramleybeam.decisions import QueuedRequest
 from bramleybeam.errors import Refusal
 from bramleybeam.limits import max_queue_wait
@@ -63,8 +64,9 @@
     ``workspace`` is the workspace that the caller's key opens, ``hides_keys``
     whether the configuration requires keys, ``checked_version`` the version of
     the configuration that the key was checked against, and ``charge`` what the
-    request was charged of its quota. ``blocks`` are hashes of the prompt's
-    parts, for the estimate of the tokens that a
+    request was charged of its quota. ``work`` is what it was estimated to cost
+    when it was last sent, until that was compared with what it took. ``blocks``
+    are hashes of the prompt's parts, for the estimate of the tokens that a
     replica has cached.
     """
 
@@ -89,6 +91,7 @@
     hides_keys: bool = False
     checked_version: int | None = None
     charge: Charge | None = None
+    work: RequestWork | None = None
     blocks: tuple[int, ...] = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
--- a/bramleybeam/gateway/_neighbour_tables.py
+++ b/bramleybeam/gateway/_neighbour_tables.py
@@ -50,7 +50,7 @@
 
         Returns whether the numbers of waiting requests have changed.
         """
-        self._loads.update_remote(child, report.loads, expires_at)
+        self._loads.update_remote(child, report.loads, expires_at, now)
         self._failures.update_remote(child, report.outcomes, expires_at)
         self._directory.reachability.update_remote(report.unreachable)
         self.learn_departures(report.departures)
@@ -74,7 +74,7 @@
         self._note_store_state(update.store)
         self._directory.keys.learn(update.keys, parent)
         if update.loads is not None:
-            self._loads.update_remote(parent, update.loads, expires_at)
+            self._loads.update_remote(parent, update.loads, expires_at, now)
             self._failures.update_remote(parent, update.outcomes, expires_at)
         if _lists_more(update.delta.rows, self._directory):
             self._directory.freshness.request_read()
--- a/bramleybeam/gateway/_peer_codec.py
+++ b/bramleybeam/gateway/_peer_codec.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from bramleybeam.costs import WorkNotice
 from bramleybeam.gateway import _peer_codec_parts as parts
 from bramleybeam.gateway._loads import RemoteLoads
 from bramleybeam.gateway._packed_loads import pack_loads, unpack_loads
@@ -58,12 +59,18 @@
 )
 
 
+# Topic of a notice of work, whose short body is neither JSON nor compressed.
+_WORK_TOPIC: Final = 'work'
+
+
 class UnreadablePeerMessageError(Exception):
     """A datagram that can't be decoded; the message holds the reason."""
 
 
 def encode_peer_message(message: PeerMessage) -> bytes:
     """Return the datagram of a message."""
+    if isinstance(message, WorkNotice):
+        return encode_frame(Notice(_WORK_TOPIC, message.encode()))
     topic, fields = (
         encode_quota_message(message)
         if isinstance(message, QuotaRequest | QuotaGrant)
@@ -107,16 +114,19 @@
             return 'probe', {}
         case ProbeAnswer():
             return 'probe-answer', {}
+    raise TypeError(f'no topic for {type(message).__name__}')
 
 
 def _decode_frames(frames: Sequence[Frame]) -> PeerMessage:
     if len(frames) != 1 or not isinstance(frames[0], Notice):
         raise ValueError('datagram is not a single Notice frame')
-    topic = frames[0].topic
-    fields = _decompress_json(frames[0].body)
-    if topic in QUOTA_TOPICS:
-        return decode_quota_message(topic, fields)
-    return _decode_body(topic, fields)
+    notice = frames[0]
+    if notice.topic == _WORK_TOPIC:
+        return WorkNotice.decode(notice.body)
+    fields = _decompress_json(notice.body)
+    if notice.topic in QUOTA_TOPICS:
+        return decode_quota_message(notice.topic, fields)
+    return _decode_body(notice.topic, fields)
 
 
 def _decompress_json(body: bytes) -> Any:
--- a/bramleybeam/gateway/_peer_messages.py
+++ b/bramleybeam/gateway/_peer_messages.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from bramleybeam.costs import WorkNotice
 from bramleybeam.gateway._departures import Departure
 from bramleybeam.gateway._failures import OutcomeCounts
 from bramleybeam.gateway._loads import RemoteLoads
@@ -136,5 +137,6 @@
     | ResyncRequest
     | Probe
     | ProbeAnswer
+    | WorkNotice
 )
 PeerMessage = TreeMessage | QuotaRequest | QuotaGrant
