Test a gateway that lost only the store, with two processes

Its neighbour keeps its keys current; when a key is removed, both keys get 503 after the time of revocation.

--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -10,6 +10,7 @@
 from tests.platform_gateway import start_gateway
 from tests.platform_replica import ReplicaStandIn
 from tests.platform_site import SETTINGS, Site, make_configuration, make_route
+from tests.proxy import FaultProxy
 
 KEY = 'key-of-hule'
 OTHER_KEY = 'key-of-pona'
@@ -243,3 +244,46 @@
         answer = await site.ask_with_id('r1', '/look/2f', **headers)
         assert answer.status == 503
     assert not site.runs('r1')
+
+
+async def start_second_gateway(site, store_address):
+    """Start another gateway, and wait until each has heard of the other."""
+    settings = site.folder / 'second.toml'
+    text = SETTINGS.format(store=store_address) + STRICT
+    settings.write_text(text.replace('front-1', 'front-2'))
+    second = await start_gateway(settings)
+    await second.wait_ready()
+    async with asyncio.timeout(10):
+        while not any(
+            gateway.events('parent_chosen')
+            for gateway in (site.gateway, second)
+        ):
+            await asyncio.sleep(0.05)
+    return second
+
+
+async def test_neighbour_keeps_keys_current_until_one_is_removed(site):
+    """A gateway that lost only the store goes on, but not with an old key."""
+    proxy = await FaultProxy(site.store.address).start()
+    second = await start_second_gateway(site, proxy.address)
+    try:
+        await asyncio.sleep(1)
+        proxy.refuses_connections = True
+        proxy.cut()
+        for number in range(40):
+            answer = await second.ask_with_id(
+                f'a{number}', '/look/2f', **authorize(OTHER_KEY)
+            )
+            assert answer.status == 200
+            await asyncio.sleep(0.1)
+        site.store.put('op/config', make_keyed_configuration(2, KEY))
+        await asyncio.sleep(REVOCATION_S)
+        for number, key in enumerate((KEY, OTHER_KEY)):
+            answer = await second.ask_with_id(
+                f'b{number}', '/look/2f', **authorize(key)
+            )
+            assert answer.status == 503
+        assert (await site.ask('/look/2f', **authorize(KEY))).status == 200
+    finally:
+        await second.kill()
+        await proxy.close()
