--- a/bramleybeam/gateway/tests/test_access.py
+++ b/bramleybeam/gateway/tests/test_access.py
@@ -22,6 +22,7 @@
 from bramleybeam.gateway import Chooser, make_cluster_state
 from bramleybeam.gateway._admission import Admitter
 from bramleybeam.gateway._job import RequestRefusedError
+from bramleybeam.gateway._metrics import GatewayMetrics
 from bramleybeam.gateway._reply_observer import ReplyObserver
 from bramleybeam.keyvalue import Listing
 from bramleybeam.limits import RetryBudgets
@@ -274,6 +275,19 @@
     assert all(line['version'] == 1 for line in lines)
 
 
+@pytest.mark.parametrize(('age_s', 'is_current'), [(2, 1), (4, 0)])
+def test_metrics_show_the_age_of_keys(gateway, clock, age_s, is_current):
+    clock.now += age_s
+    text = GatewayMetrics(gateway.cluster_state, bool).render().decode()
+    for name, number in (
+        ('key_age_s', age_s),
+        ('keys_current', is_current),
+        ('workspaces', 2),
+    ):
+        assert f'state{{name="{name}"}} {float(number)}' in text
+    assert 'hule930' not in text
+
+
 def test_waiting_request_is_refused_when_its_key_is_removed():
     """Guards against a request that runs because it was queued before."""
 
