Grant requests that wait out of the permitted debt, and drop ended demand

What was used is now reported soon, the end of a wait at once, half of the burst is kept for requests that wait, and those may leave the bucket in debt.

Tests of quotas: 331 passed.

--- a/bramleybeam/quotas/_account.py
+++ b/bramleybeam/quotas/_account.py
@@ -83,6 +83,13 @@
         self.is_confirmed = False
         self.waiters: deque[Waiter] = deque()
         self._answered = 0
+        # What the coordinator believes to be held here. What was used of it is
+        # reported soon, since the bucket doesn't fill while too much seems held.
+        self._recorded = 0
+        self._reported = 0
+        # What was reported to wait; the end of it is reported at once, since the
+        # coordinator keeps a part of the bucket for it.
+        self._waiting = 0
         self._expires_at = -math.inf
         self._reserved: dict[Reservation, None] = {}
         self._sent: deque[Reservation] = deque()
@@ -189,9 +196,14 @@
             return True
         if not self.is_known and now >= self._retry_at:
             return True
+        if self._waiting and not self.waiters:
+            return True
         since_s = now - self.reported_at
         if self.held and since_s >= max(_REPORT_S, interval_s):
             return True
+        used = self._recorded - self.held
+        if used >= self._demand.unit_cost and since_s >= 2 * interval_s:
+            return True
         is_low = 2 * self.balance < self._demand.target(now)
         return is_low and since_s >= interval_s
 
@@ -203,7 +215,9 @@
     def is_idle(self, now: float) -> bool:
         """Whether nothing is held, wanted, or waited for."""
         self.refresh(now)
-        return not (self.held or self.waiters or self._demand.target(now))
+        wanted = self.waiters or self._demand.target(now)
+        is_used = self._recorded and now < self._expires_at
+        return not (self.held or wanted or is_used)
 
     def make_row(self, now: float) -> DemandRow:
         """Return the row for a request; what is not needed is given up."""
@@ -216,11 +230,13 @@
             self.balance -= returned
             self.totals.returned += returned
         spare = max(0, self.balance - queued)
+        self._reported = self.held
+        self._waiting = max(0, queued - self.balance)
         first = self.waiters[0].cost if self.waiters else 0
         return DemandRow(
             self.held,
             spare,
-            max(0, queued - self.balance),
+            self._waiting,
             max(0, first - self.balance),
             max(0, target - spare),
             self._demand.unit_cost,
@@ -234,6 +250,8 @@
         """Add what was granted in answer to the row sent at ``sent_at``."""
         self.refresh(now)
         self._answered = sequence
+        self._recorded = self._reported + max(0, row.amount)
+        self._waiting = max(0, self._waiting - max(0, row.amount))
         self._expires_at = sent_at + LEASE_S
         self.reported_at = sent_at
         if row.amount > 0:
--- a/bramleybeam/quotas/_bucket.py
+++ b/bramleybeam/quotas/_bucket.py
@@ -9,7 +9,7 @@
 from bramleybeam.quotas._messages import DemandRow, GrantRow
 
 # Time in seconds for which unmet demand of a gateway counts after its report.
-_FRESH_S: Final = 0.6
+_FRESH_S: Final = 0.35
 # Bounds of the time that is named to gateways with unmet demand, in seconds.
 _MIN_WAIT_S: Final = 0.05
 _MAX_WAIT_S: Final = 60.0
@@ -18,6 +18,9 @@
 _WAIT_PER_GATEWAY_S: Final = 0.008
 # Time in seconds after which a gateway asks again that gave up a part.
 _MAX_RETRY_S: Final = 0.2
+# Share of the burst that is kept for requests that wait, and not granted as
+# reserves.
+_KEPT_SHARE: Final = 0.5
 _ROUNDING: Final = 1e-6
 
 
@@ -125,6 +128,11 @@
         record.unmet_since = min(record.unmet_since, now)
         return GrantRow(amount, self._estimate_wait(record, amount, now))
 
+    @property
+    def _available(self) -> float:
+        """What may be granted now; the bucket may be left in debt."""
+        return max(0.0, self.level + self.limits.debt)
+
     def _add(self, amount: float) -> None:
         """Fill the bucket, as far as the limits permit.
 
@@ -162,7 +170,7 @@
         unmet = self._list_unmet(now)
         oldest = min(unmet, key=lambda other: other.unmet_since)
         is_turn = oldest.unmet_since >= record.unmet_since
-        available = max(0.0, self.level)
+        available = self._available
         if not is_turn:
             available = max(0.0, available - oldest.row.first)
         share = divide_fairly(
@@ -179,15 +187,13 @@
     def _grant_first(self, row: DemandRow) -> int:
         """Return what is granted for the first request that waits.
 
-        One that is larger than the burst is granted when the bucket is full, and
-        leaves it in debt. An even larger one is granted in parts.
+        One that is larger than all that a full bucket can grant at once is
+        granted in parts.
         """
-        if row.first <= self.level:
+        if row.first <= self._available:
             return row.first
         if self.level < self.limits.burst - _ROUNDING:
             return 0
-        if row.first - self.level <= self.limits.debt:
-            return row.first
         return math.floor(max(0, self.level))
 
     def _grant_reserve(self, record: _Record, now: float, granted: int) -> int:
@@ -203,7 +209,8 @@
             for other in self._list_unmet(now)
             if other is not record
         )
-        available = self.level - granted - unmet
+        kept = _KEPT_SHARE * self.limits.burst
+        available = self.level - granted - unmet - kept
         room = self.limits.reserves - self.outstanding - granted
         if not row.reserve or min(available, room) < 1:
             return 0
@@ -230,8 +237,8 @@
         left = record.row.first
         if amount >= record.row.first:
             left = record.row.waiting - amount
-        needed = min(left, max(self.limits.burst, 1))
-        missing = ahead + needed - self.level
+        most = max(1, self.limits.burst + self.limits.debt)
+        missing = ahead + min(left, most) - self._available
         wait_s = missing / self.limits.rate_per_s
         shortest_s = max(_MIN_WAIT_S, len(unmet) * _WAIT_PER_GATEWAY_S)
         return min(_MAX_WAIT_S, max(shortest_s, wait_s))
--- a/bramleybeam/quotas/_limits.py
+++ b/bramleybeam/quotas/_limits.py
@@ -23,7 +23,7 @@
 # Part of it that the bucket may be in debt after a request larger than the burst.
 _DEBT_SHARE: Final = 1 / 3
 # Part of the outstanding amount up to which reserves are granted.
-_RESERVE_SHARE: Final = 0.6
+_RESERVE_SHARE: Final = 0.9
 
 
 @attrs.frozen
