Let requests beyond a quota return one after the other

Under twice the rate, three gateways answered every refusal with a Retry-After of 0.05 to 0.08 s, after which most were refused again. The times are now spread at the rate at which the gateway was granted amounts lately, over up to 30 s.

--- a/bramleybeam/gateway/_quotas.py
+++ b/bramleybeam/gateway/_quotas.py
@@ -106,7 +106,7 @@
             job.charge = await self._wait(workspace.name, cost, job)
         self._pump_soon()
         if job.charge is None:
-            raise self._refusal(job, cost, self._explain(workspace.name))
+            raise self._refusal(job, cost, self._explain(workspace.name, cost))
 
     async def keep(self) -> None:
         """Do the periodic work: follow the lease, and report balances."""
@@ -185,10 +185,10 @@
             raise
         return self._client.end_wait(name, waiter)
 
-    def _explain(self, name: str) -> Refusal:
+    def _explain(self, name: str, cost: int) -> Refusal:
         """Return the refusal of a request that found no balance."""
         account = self._client.find_account(name)
-        wait_s = account.find_wait_s(platform.boot_clock())
+        wait_s = account.plan_return_s(cost, platform.boot_clock())
         if wait_s is None:
             return refuse(
                 ErrorKind.QUOTA_UNAVAILABLE, retry_after=_RETRY_AFTER_S
--- a/bramleybeam/gateway/tests/test_quotas.py
+++ b/bramleybeam/gateway/tests/test_quotas.py
@@ -204,6 +204,27 @@
     site.close()
 
 
+# Guards against callers that are all told to return at the same time, when only
+# one of them can be served.
+async def test_refused_requests_return_one_after_the_other(boot_clock):
+    site = Site(boot_clock, ['a', 'b'])
+    await site.elect()
+    refusals = await asyncio.gather(
+        *(find_refusal(site.keepers[1], make_job()) for _ in range(12))
+    )
+    waits_s = sorted(
+        refusal.retry_after for refusal in refusals if refusal is not None
+    )
+    assert len(waits_s) >= 5
+    steps = [
+        later - earlier
+        for earlier, later in zip(waits_s, waits_s[1:], strict=False)
+    ]
+    assert min(steps) > 0.05
+    assert waits_s[-1] < 30
+    site.close()
+
+
 # Guards against a refusal that claims that the quota is used up, though nobody
 # has said so.
 async def test_without_a_coordinator_it_is_unavailable(boot_clock):
--- a/bramleybeam/quotas/_account.py
+++ b/bramleybeam/quotas/_account.py
@@ -21,6 +21,10 @@
 # that a quota is used up counts.
 _MAX_RETRY_S: Final = 0.2
 _STATEMENT_S: Final = 1.0
+# Least share of a quota's rate that a gateway counts on, and the longest time in
+# seconds after which a refused request is told to return.
+_LEAST_SHARE: Final = 0.05
+_MAX_RETURN_S: Final = 30.0
 
 
 @enum.unique
@@ -97,6 +101,8 @@
         self._retry_at = -math.inf
         self._used_up_until = -math.inf
         self._used_up_at = -math.inf
+        self._grants = DemandAverage()
+        self._returns_until = -math.inf
 
     @property
     def held(self) -> int:
@@ -257,6 +263,7 @@
         if row.amount > 0:
             self.granted_at = now
             self.totals.granted += row.amount
+            self._grants.note(row.amount, now)
         self.balance = max(0, self.balance + row.amount)
         self._note_wait(row.wait_s, now)
         self.refresh(now)
@@ -268,14 +275,20 @@
         self.reported_at = now
         self._used_up_at = -math.inf
 
-    def find_wait_s(self, now: float) -> float | None:
-        """Return the seconds until a used-up quota can be used again.
+    def plan_return_s(self, cost: int, now: float) -> float | None:
+        """Return after how many seconds a refused request should come back.
 
-        ``None`` if the coordinator has not said lately that it is used up.
+        The requests that were refused return one after the other, as fast as
+        this gateway was granted amounts lately. ``None`` if the coordinator has
+        not said lately that the quota is used up.
         """
         if now - self._used_up_at > _STATEMENT_S:
             return None
-        return max(0.0, self._used_up_until - now)
+        least = self.limits.rate_per_s * _LEAST_SHARE
+        begins_at = max(now, self._used_up_until, self._returns_until)
+        returns_at = begins_at + cost / max(least, self._grants.rate(now))
+        self._returns_until = min(returns_at, now + _MAX_RETURN_S)
+        return max(0.0, begins_at - now)
 
     def _note_wait(self, wait_s: float | None, now: float) -> None:
         """Record when unmet demand can be met, ``None`` if there is none."""
--- a/bramleybeam/quotas/_demand.py
+++ b/bramleybeam/quotas/_demand.py
@@ -29,7 +29,7 @@
 
     def note(self, cost: int, now: float) -> None:
         """Count a request."""
-        self._rate = self._average(now) + cost / _AVERAGE_S
+        self._rate = self.rate(now) + cost / _AVERAGE_S
         self._noted_at = now
         weight = _COST_WEIGHT if self._cost else 1
         self._cost += weight * (cost - self._cost)
@@ -38,9 +38,10 @@
         """Return the balance that is wanted for requests to come."""
         if now - self._noted_at > _IDLE_S:
             return 0
-        expected = self._average(now) * _RESERVE_S
+        expected = self.rate(now) * _RESERVE_S
         return math.ceil(max(expected, self._cost))
 
-    def _average(self, now: float) -> float:
+    def rate(self, now: float) -> float:
+        """Return the average demand a second."""
         age_s = max(0.0, now - self._noted_at)
         return self._rate * math.exp(-age_s / _AVERAGE_S)
