--- a/bramleybeam/gateway/tests/test_quotas.py
+++ b/bramleybeam/gateway/tests/test_quotas.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import zlib
 
 import attrs
 import pytest
@@ -22,6 +23,8 @@
     WorkspaceDirectory,
 )
 from bramleybeam.errors import ErrorKind
+from bramleybeam.gateway._attempt import Attempt
+from bramleybeam.gateway._cluster_state import make_cluster_state
 from bramleybeam.gateway._directory import Directory
 from bramleybeam.gateway._job import Job, RequestRefusedError
 from bramleybeam.gateway._peer_codec import (
@@ -31,10 +34,20 @@
 )
 from bramleybeam.gateway._peer_messages import Probe
 from bramleybeam.gateway._quotas import QuotaKeeper
+from bramleybeam.gateway._reply_observer import ReplyObserver
 from bramleybeam.gateway._tree import ObservedPlanner, Peer
+from bramleybeam.gateway.tests.test_attempt import (
+    ANSWER,
+    REFUSAL,
+    REPLICA,
+    Caller,
+    Observer,
+    ScriptedTransport,
+    SingleConnection,
+)
 from bramleybeam.links import Notice, encode_frame
 from bramleybeam.quotas import DemandRow, GrantRow, QuotaGrant, QuotaRequest
-from bramleybeam.relay import InboundRequest
+from bramleybeam.relay import InboundRequest, PeerConnection
 
 ROUTE = Route(
     'post', 'd', '/p/', RequestKind.IDEMPOTENT, (RouteTarget('s', 1),), 9, 1
@@ -309,8 +322,6 @@
 @pytest.mark.parametrize('topic', ['quota-grant', 'quota-request', 'unknown'])
 @pytest.mark.parametrize('body', [b'', b'{}', b'[]', b'{"epoch": "x"}', b'3'])
 def test_unreadable_messages_are_reported_as_such(topic, body):
-    import zlib
-
     datagram = encode_frame(Notice(topic, zlib.compress(body)))
     with pytest.raises(UnreadablePeerMessageError):
         decode_peer_message(datagram)
@@ -332,3 +343,74 @@
 async def test_other_messages_are_left_to_the_tree(boot_clock):
     site = Site(boot_clock, ['a'])
     assert not site.keepers[0].receive(Probe(), 'a:1')
+
+
+@attrs.define
+class ChargeRecord:
+    """Records what an attempt reports of a request's charge."""
+
+    is_valid: bool = True
+    events: list = attrs.field(factory=list)
+
+    def note_sent(self):
+        self.events.append('sent')
+
+    def note_not_run(self):
+        self.events.append('not run')
+
+
+# Guards against an amount that is not spent by a request that may have run, and
+# against one that is given back after another attempt may have run.
+@pytest.mark.parametrize(
+    ('reply', 'earlier_runs', 'events'),
+    [
+        (ANSWER, 0, ['sent']),
+        (b'garbage', 0, ['sent']),
+        (REFUSAL, 0, ['sent', 'not run']),
+        (REFUSAL, 1, ['sent']),
+    ],
+)
+async def test_attempt_spends_and_gives_back(reply, earlier_runs, events):
+    connection = PeerConnection()
+    connection.connection_made(ScriptedTransport(connection, [reply], 0))
+    job = make_job()
+    job.facts = attrs.evolve(job.facts, request_id='new')
+    job.connection = Caller()
+    job.charge = ChargeRecord()
+    job.runs = earlier_runs
+    pool = SingleConnection(connection)
+    await Attempt(job, REPLICA, pool, Observer()).run(5)
+    assert job.charge.events == events
+
+
+# Guards against a request that is sent after its reservation has expired.
+@pytest.mark.parametrize('is_valid', [True, False])
+def test_reservation_is_checked_before_each_send(clock, is_valid):
+    state = make_cluster_state(clock)
+    job = make_job()
+    job.charge = ChargeRecord(is_valid)
+    observer = ReplyObserver(state, REPLICA, None, job, None)
+    obstacle = observer.find_obstacle()
+    assert (obstacle is None) == is_valid
+
+
+# Guards against a cost that follows the hint on the length of the output.
+@pytest.mark.parametrize(
+    ('headers', 'tokens'),
+    [
+        (((b'Bramleybeam-Token-Counts', b'120,30'),), 150),
+        (
+            (
+                (b'Bramleybeam-Token-Counts', b'120,30'),
+                (b'Bramleybeam-Length-Hint', b'5'),
+            ),
+            150,
+        ),
+        (((b'Bramleybeam-Length-Hint', b'5'),), 0),
+        (((b'Bramleybeam-Token-Counts', b'x'),), 0),
+    ],
+)
+def test_counted_tokens_are_the_stated_numbers(headers, tokens):
+    identity = (b'Bramleybeam-Request-Id', b'1')
+    request = InboundRequest(b'POST', b'/p/x', (identity, *headers), b'', 0)
+    assert platform.describe_request(request).counted_tokens == tokens
--- a/bramleybeam/quotas/_account.py
+++ b/bramleybeam/quotas/_account.py
@@ -17,8 +17,8 @@
 _REPORT_S: Final = 1.0
 # Multiple of the reserve above which a part of the balance is given up.
 _EXCESS_FACTOR: Final = 2
-# Longest time until unmet demand is reported again, and for which the statement
-# that a quota is used up counts.
+# Time until unmet demand is reported again, unless the coordinator asks for
+# longer intervals, and for which the statement that a quota is used up counts.
 _MAX_RETRY_S: Final = 0.2
 _STATEMENT_S: Final = 1.0
 # Least share of a quota's rate that a gateway counts on, and the longest time in
@@ -251,9 +251,17 @@
         )
 
     def accept(
-        self, row: GrantRow, sequence: int, sent_at: float, now: float
+        self,
+        row: GrantRow,
+        sequence: int,
+        sent_at: float,
+        now: float,
+        interval_s: float,
     ) -> None:
-        """Add what was granted in answer to the row sent at ``sent_at``."""
+        """Add what was granted in answer to the row sent at ``sent_at``.
+
+        Unmet demand is reported again after ``interval_s`` at the latest.
+        """
         self.refresh(now)
         self._answered = sequence
         self._recorded = self._reported + max(0, row.amount)
@@ -265,7 +273,7 @@
             self.totals.granted += row.amount
             self._grants.note(row.amount, now)
         self.balance = max(0, self.balance + row.amount)
-        self._note_wait(row.wait_s, now)
+        self._note_wait(row.wait_s, now, interval_s)
         self.refresh(now)
         self.serve_waiters()
 
@@ -282,7 +290,8 @@
         this gateway was granted amounts lately. ``None`` if the coordinator has
         not said lately that the quota is used up.
         """
-        if now - self._used_up_at > _STATEMENT_S:
+        is_old = now > max(self._used_up_at + _STATEMENT_S, self._retry_at)
+        if is_old or self._used_up_at == -math.inf:
             return None
         least = self.limits.rate_per_s * _LEAST_SHARE
         begins_at = max(now, self._used_up_until, self._returns_until)
@@ -290,13 +299,16 @@
         self._returns_until = min(returns_at, now + _MAX_RETURN_S)
         return max(0.0, begins_at - now)
 
-    def _note_wait(self, wait_s: float | None, now: float) -> None:
+    def _note_wait(
+        self, wait_s: float | None, now: float, interval_s: float
+    ) -> None:
         """Record when unmet demand can be met, ``None`` if there is none."""
         if wait_s is None:
             self._retry_at = -math.inf
             self._used_up_at = -math.inf
             return
-        self._retry_at = now + min(_MAX_RETRY_S, wait_s)
+        longest_s = max(_MAX_RETRY_S, interval_s)
+        self._retry_at = now + min(longest_s, wait_s)
         self._used_up_at = now
         self._used_up_until = now + wait_s
 
--- a/bramleybeam/quotas/_bucket.py
+++ b/bramleybeam/quotas/_bucket.py
@@ -239,6 +239,6 @@
             left = record.row.waiting - amount
         most = max(1, self.limits.burst + self.limits.debt)
         missing = ahead + min(left, most) - self._available
-        wait_s = missing / self.limits.rate_per_s
+        wait_s = missing / self.limits.rate_per_s + _ROUNDING
         shortest_s = max(_MIN_WAIT_S, len(unmet) * _WAIT_PER_GATEWAY_S)
         return min(_MAX_WAIT_S, max(shortest_s, wait_s))
--- a/bramleybeam/quotas/_client.py
+++ b/bramleybeam/quotas/_client.py
@@ -186,7 +186,9 @@
                 if grant.version < self._version:
                     # It may be a part of a limit that has fallen since.
                     row = attrs.evolve(row, amount=min(0, row.amount))
-                account.accept(row, grant.sequence, sent.sent_at, now)
+                account.accept(
+                    row, grant.sequence, sent.sent_at, now, self._interval_s
+                )
             if row is None or not grant.is_granting:
                 account.note_no_grants(now)
 
