Compare balances only with buckets that may still be granted

A bucket now counts while its coordinator has authority; otherwise the balances are compared with the total and the debt.

--- a/bramleybeam/quotas/tests/quota_world.py
+++ b/bramleybeam/quotas/tests/quota_world.py
@@ -353,7 +353,7 @@
         """Return by how much what may run without the time exceeds its limit.
 
         This is what all gateways hold, with the level of the newest bucket that
-        is granting.
+        may still grant.
         """
         since, quota = self.bounds_since[-1]
         if since == math.inf:
@@ -365,6 +365,7 @@
             for gateway in self.gateways
             if gateway.coordinator is not None
             and gateway.coordinator.is_granting
+            and gateway.coordinator.has_authority(gateway.view(), self.now)
         ]
         if granting:
             newest = max(granting, key=lambda entry: entry.epoch)
