--- a/bramleybeam/quotas/_account.py
+++ b/bramleybeam/quotas/_account.py
@@ -17,10 +17,14 @@
 _REPORT_S: Final = 1.0
 # Multiple of the reserve above which a part of the balance is given up.
 _EXCESS_FACTOR: Final = 2
-# Longest time until unmet demand is reported again, and for which the statement
-# that a quota is used up counts.
+# Time until unmet demand is reported again, unless the coordinator asks for
+# longer intervals, and for which the statement that a quota is used up counts.
 _MAX_RETRY_S: Final = 0.2
 _STATEMENT_S: Final = 1.0
+# Least share of a quota's rate that a gateway counts on, and the longest time in
+# seconds after which a refused request is told to return.
+_LEAST_SHARE: Final = 0.05
+_MAX_RETURN_S: Final = 30.0
 
 
 @enum.unique
@@ -83,6 +87,13 @@
         self.is_confirmed = False
         self.waiters: deque[Waiter] = deque()
         self._answered = 0
+        # What the coordinator believes to be held here. What was used of it is
+        # reported soon, since the bucket doesn't fill while too much seems held.
+        self._recorded = 0
+        self._reported = 0
+        # What was reported to wait; the end of it is reported at once, since the
+        # coordinator keeps a part of the bucket for it.
+        self._waiting = 0
         self._expires_at = -math.inf
         self._reserved: dict[Reservation, None] = {}
         self._sent: deque[Reservation] = deque()
@@ -90,6 +101,8 @@
         self._retry_at = -math.inf
         self._used_up_until = -math.inf
         self._used_up_at = -math.inf
+        self._grants = DemandAverage()
+        self._returns_until = -math.inf
 
     @property
     def held(self) -> int:
@@ -189,9 +202,14 @@
             return True
         if not self.is_known and now >= self._retry_at:
             return True
+        if self._waiting and not self.waiters:
+            return True
         since_s = now - self.reported_at
         if self.held and since_s >= max(_REPORT_S, interval_s):
             return True
+        used = self._recorded - self.held
+        if used >= self._demand.unit_cost and since_s >= 2 * interval_s:
+            return True
         is_low = 2 * self.balance < self._demand.target(now)
         return is_low and since_s >= interval_s
 
@@ -203,7 +221,9 @@
     def is_idle(self, now: float) -> bool:
         """Whether nothing is held, wanted, or waited for."""
         self.refresh(now)
-        return not (self.held or self.waiters or self._demand.target(now))
+        wanted = self.waiters or self._demand.target(now)
+        is_used = self._recorded and now < self._expires_at
+        return not (self.held or wanted or is_used)
 
     def make_row(self, now: float) -> DemandRow:
         """Return the row for a request; what is not needed is given up."""
@@ -216,11 +236,13 @@
             self.balance -= returned
             self.totals.returned += returned
         spare = max(0, self.balance - queued)
+        self._reported = self.held
+        self._waiting = max(0, queued - self.balance)
         first = self.waiters[0].cost if self.waiters else 0
         return DemandRow(
             self.held,
             spare,
-            max(0, queued - self.balance),
+            self._waiting,
             max(0, first - self.balance),
             max(0, target - spare),
             self._demand.unit_cost,
@@ -229,18 +251,29 @@
         )
 
     def accept(
-        self, row: GrantRow, sequence: int, sent_at: float, now: float
+        self,
+        row: GrantRow,
+        sequence: int,
+        sent_at: float,
+        now: float,
+        interval_s: float,
     ) -> None:
-        """Add what was granted in answer to the row sent at ``sent_at``."""
+        """Add what was granted in answer to the row sent at ``sent_at``.
+
+        Unmet demand is reported again after ``interval_s`` at the latest.
+        """
         self.refresh(now)
         self._answered = sequence
+        self._recorded = self._reported + max(0, row.amount)
+        self._waiting = max(0, self._waiting - max(0, row.amount))
         self._expires_at = sent_at + LEASE_S
         self.reported_at = sent_at
         if row.amount > 0:
             self.granted_at = now
             self.totals.granted += row.amount
+            self._grants.note(row.amount, now)
         self.balance = max(0, self.balance + row.amount)
-        self._note_wait(row.wait_s, now)
+        self._note_wait(row.wait_s, now, interval_s)
         self.refresh(now)
         self.serve_waiters()
 
@@ -250,22 +283,32 @@
         self.reported_at = now
         self._used_up_at = -math.inf
 
-    def find_wait_s(self, now: float) -> float | None:
-        """Return the seconds until a used-up quota can be used again.
+    def plan_return_s(self, cost: int, now: float) -> float | None:
+        """Return after how many seconds a refused request should come back.
 
-        ``None`` if the coordinator has not said lately that it is used up.
+        The requests that were refused return one after the other, as fast as
+        this gateway was granted amounts lately. ``None`` if the coordinator has
+        not said lately that the quota is used up.
         """
-        if now - self._used_up_at > _STATEMENT_S:
+        is_old = now > max(self._used_up_at + _STATEMENT_S, self._retry_at)
+        if is_old or self._used_up_at == -math.inf:
             return None
-        return max(0.0, self._used_up_until - now)
-
-    def _note_wait(self, wait_s: float | None, now: float) -> None:
+        least = self.limits.rate_per_s * _LEAST_SHARE
+        begins_at = max(now, self._used_up_until, self._returns_until)
+        returns_at = begins_at + cost / max(least, self._grants.rate(now))
+        self._returns_until = min(returns_at, now + _MAX_RETURN_S)
+        return max(0.0, begins_at - now)
+
+    def _note_wait(
+        self, wait_s: float | None, now: float, interval_s: float
+    ) -> None:
         """Record when unmet demand can be met, ``None`` if there is none."""
         if wait_s is None:
             self._retry_at = -math.inf
             self._used_up_at = -math.inf
             return
-        self._retry_at = now + min(_MAX_RETRY_S, wait_s)
+        longest_s = max(_MAX_RETRY_S, interval_s)
+        self._retry_at = now + min(longest_s, wait_s)
         self._used_up_at = now
         self._used_up_until = now + wait_s
 
