--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -113,6 +113,7 @@
     store: StoreStandIn = attrs.field(factory=StoreStandIn)
     replicas: dict = attrs.field(factory=dict)
     gateway: GatewayProcess | None = None
+    settings: str = SETTINGS
     _request_count: int = 0
 
     async def add_replica(self, replica: ReplicaStandIn) -> ReplicaStandIn:
@@ -130,7 +131,7 @@
     async def start_gateway(self) -> GatewayProcess:
         """Start a gateway and wait until its ports are open."""
         settings = self.folder / 'settings.toml'
-        settings.write_text(SETTINGS.format(store=self.store.address))
+        settings.write_text(self.settings.format(store=self.store.address))
         self.gateway = await start_gateway(settings)
         return self.gateway
 
@@ -198,12 +199,17 @@
 
 
 @asynccontextmanager
-async def run_site(folder: Path) -> AsyncIterator[Site]:
-    """Run a store, two replicas of each service, and a gateway."""
-    site = Site(folder)
+async def run_site(
+    folder: Path, settings: str = SETTINGS, **configured
+) -> AsyncIterator[Site]:
+    """Run a store, two replicas of each service, and a gateway.
+
+    ``configured`` replaces parts of the configuration.
+    """
+    site = Site(folder, settings=settings)
     await site.store.start()
     try:
-        site.store.put('op/config', make_configuration())
+        site.store.put('op/config', make_configuration(**configured))
         for number in (1, 2):
             await site.add_replica(ReplicaStandIn(f'l{number}', 'ledger'))
         await site.add_replica(
