Charge what callers' connections hold to a byte budget

Cause: nothing bounds the sum of received parts, requests that wait, answers and bytes that callers have not read. An open connection that isn't read also keeps what the system has received for it, several megabytes.

Change: relay charges each connection's bytes to an account. A request that there is no room for is answered 503 with Retry-After, and its rest is discarded for up to a second; a refusal for a broken limit is read on likewise, so that its response is not lost by a reset. Over 256 bytes of empty lines end a connection, and they don't restart the idle timer. The system's buffers are fixed at 64 KiB for callers and 128 KiB for replicas. Long bodies are written without copies.

--- a/bramleybeam/gateway/_attempt.py
+++ b/bramleybeam/gateway/_attempt.py
@@ -104,6 +104,7 @@
             )
         except (OSError, TimeoutError) as error:
             return NotArrived(repr(error))
+        peer_connection.meter.attach(self._job.connection.note_reply_bytes)
         try:
             outcome = await self._exchange(peer_connection, time_left_s)
         except BrokenReplyError as error:
@@ -113,6 +114,8 @@
         except BaseException:
             peer_connection.close()
             raise
+        finally:
+            peer_connection.meter.attach(None)
         max_idle = self._observer.max_idle_connections(self._job.service)
         self._pool.release(pool_key, peer_connection, max_idle)
         return outcome
@@ -233,6 +236,7 @@
         connection = self._job.connection
         connection.start(head.status, head.headers)
         await connection.write_chunk(first_part)
+        peer_connection.meter.note_held(0)
         while piece := await peer_connection.read_chunk():
             await connection.write_chunk(piece)
         if await self._may_be_cut_off(head):
@@ -247,6 +251,7 @@
         splitter = EventSplitter(job.last_event)
         while piece := await peer_connection.read_chunk():
             events = splitter.feed(piece)
+            peer_connection.meter.note_held(splitter.partial_bytes)
             if not events:
                 continue
             self._observer.note_event()
--- a/bramleybeam/gateway/_stream.py
+++ b/bramleybeam/gateway/_stream.py
@@ -30,6 +30,11 @@
         """Whether the bytes since the last complete event are not blank."""
         return bool(self._partial.strip())
 
+    @property
+    def partial_bytes(self) -> int:
+        """Bytes received since the last complete event."""
+        return len(self._partial)
+
     def feed(self, piece: bytes) -> bytes:
         """Add received bytes and return the events that are now complete.
 
--- a/bramleybeam/gateway/tests/test_attempt.py
+++ b/bramleybeam/gateway/tests/test_attempt.py
@@ -109,6 +109,9 @@
 
     resume_reading = pause_reading
 
+    def get_extra_info(self, _name):
+        """Return no socket."""
+
 
 @attrs.define
 class SingleConnection:
@@ -155,6 +158,9 @@
     def respond(self, status, headers, body):
         self.body = body
 
+    def note_reply_bytes(self, _size):
+        """Charge nothing."""
+
 
 async def run_attempt(pieces, *, is_kept):
     """Return the outcome, the caller and the replies that were noted."""
--- a/bramleybeam/memory_budget/_account.py
+++ b/bramleybeam/memory_budget/_account.py
@@ -48,8 +48,15 @@
     held: dict[Holding, int] = attrs.field(
         factory=lambda: dict.fromkeys(Holding, 0)
     )
+    _given_up: dict[Holding, int] = attrs.field(factory=dict)
     _advanced_bytes: int = 0
 
+    @property
+    def reason(self) -> str:
+        """What it held most bytes for when it was dropped."""
+        largest = max(self._given_up, key=self._given_up.__getitem__)
+        return str(largest) if self._given_up[largest] else 'connections'
+
     @property
     def is_large(self) -> bool:
         """Whether it holds more than an ordinary small request."""
@@ -83,9 +90,17 @@
             self.size += held_bytes - self.held[holding]
             self.held[holding] = held_bytes
 
+    def describe(self) -> dict[str, int]:
+        """Return the bytes that it holds, or held until it was dropped."""
+        held = self._given_up if self.is_dropped else self.held
+        return {f'{holding}_bytes': size for holding, size in held.items()}
+
     def drop(self) -> None:
         """Give up all bytes but those of the connection itself."""
+        if self.is_dropped:
+            return
         self.is_dropped = True
+        self._given_up = self.held
         self.held = dict.fromkeys(Holding, 0)
         self.size = CONNECTION_BYTES
 
--- a/bramleybeam/relay/__init__.py
+++ b/bramleybeam/relay/__init__.py
@@ -4,6 +4,7 @@
 process, and *response* for the one that this process writes to a caller.
 """
 
+from bramleybeam.relay._caller_budget import CallerBudget
 from bramleybeam.relay._caller_server import CallerConnection, CallerServer
 from bramleybeam.relay._connection_pool import ConnectionPool
 from bramleybeam.relay._liveness import (
@@ -25,6 +26,7 @@
 
 __all__ = [
     'BrokenReplyError',
+    'CallerBudget',
     'CallerConnection',
     'CallerServer',
     'ConnectionPool',
--- a/bramleybeam/relay/_caller_server.py
+++ b/bramleybeam/relay/_caller_server.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import socket
 from collections import deque
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
@@ -13,6 +14,9 @@
 import structlog
 
 from bramleybeam.catalog import RequestLimits
+from bramleybeam.memory_budget import Holding
+from bramleybeam.relay._caller_budget import CallerBudget
+from bramleybeam.relay._charged_writer import ChargedWriter
 from bramleybeam.relay._messages import InboundRequest
 from bramleybeam.relay._request_parser import RequestParser
 from bramleybeam.relay._response_writer import ResponseWriter
@@ -24,23 +28,33 @@
 # caller that disconnects after that is detected by the next write only.
 _MAX_DISCARDED_BYTES: Final = 65_536
 _CLOSE_POLL_S: Final = 0.02
+# A connection with a refused request is read for this long, and up to this many
+# bytes, so that its caller can read the response; then it is aborted.
+_LINGER_S: Final = 1.0
+_MAX_LINGER_BYTES: Final = 8_388_608
+# Buffers of the system for a connection with an account. With them, 10 Mbit/s are
+# reached at a round trip of 50 ms.
+_SYSTEM_BUFFER_BYTES: Final = 65_536
 _log = structlog.get_logger('callers')
 
 Handler = Callable[[InboundRequest, 'CallerConnection'], Awaitable[None]]
+Refuser = Callable[[InboundRequest, 'CallerConnection'], None]
 
 
-class CallerConnection(ResponseWriter):
+class CallerConnection(ChargedWriter):
     """Runs the handler for each request, which writes its response."""
 
     def __init__(self, owner: 'CallerServer') -> None:
         """Store the server, which has the handler and the limits."""
-        super().__init__()
+        super().__init__(owner.budget)
         self._owner = owner
         self._parser = RequestParser(owner.limits, owner.now)
         self._queue: deque[InboundRequest] = deque()
         self._task: asyncio.Task[None] | None = None
         self._timer = RestartableTimer(self._on_timeout)
         self._discarded_bytes = 0
+        self._is_lingering = False
+        self._current_bytes = 0
 
     @property
     def is_busy(self) -> bool:
@@ -51,20 +65,25 @@
         """Store the transport and start the idle timer."""
         self._transport = transport  # type: ignore[assignment]
         self._owner.connections.add(self)
+        self._open_account()
         self._start_timer()
 
     def data_received(self, received: bytes) -> None:
         """Parse received bytes and queue the complete requests."""
         if self._closing:
-            self._discarded_bytes += len(received)
-            self._update_reading()
+            self._discard(len(received))
             return
         self._parser.limits = self._owner.limits
         was_mid_head = self._parser.is_mid_head
-        self._queue.extend(self._parser.feed(received))
+        completed = self._parser.feed(received)
+        self._queue.extend(completed)
         self._update_reading()
-        # A head that arrives in parts does not restart its timer.
-        if not (was_mid_head and self._parser.is_mid_head):
+        self._charge_requests()
+        if self._closing:
+            return
+        # Neither a head that arrives in parts nor empty lines restart the timer.
+        is_mid_head = was_mid_head and self._parser.is_mid_head
+        if completed or (self._parser.is_mid_request and not is_mid_head):
             self._start_timer()
         self._start_next()
         error = self._parser.error
@@ -75,12 +94,29 @@
         """Cancel the handler and drop queued requests."""
         self._owner.connections.discard(self)
         self._timer.stop()
+        self._close_account()
         self._closing = True
         self._queue.clear()
         self._writable.set()
         if self._task is not None:
             self._task.cancel()
 
+    def drop(self) -> None:
+        """Free the memory of this connection, whose account was dropped.
+
+        A request that was not handled yet is refused; otherwise the connection
+        is closed.
+        """
+        request = self._queue[0] if self._queue else self._parser.peek()
+        self._queue.clear()
+        self._parser.discard()
+        if self._closing or self._task is not None or request is None:
+            self.abort_response()
+            return
+        self._closing = True
+        self._owner.refuse(request, self)
+        self._linger()
+
     def shut_down(self, *, immediately: bool) -> None:
         """Close after the current response, or ``immediately``.
 
@@ -110,7 +146,39 @@
         self._closing = True
         if not self.is_busy and self._transport is not None:
             self.respond(status, (), b'')
-            self._transport.close()
+            self._linger()
+        self._parser.discard()
+        self._charge_requests()
+
+    def _linger(self) -> None:
+        """Discard what is still received, so that the response arrives."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        self._closing = True
+        self._is_lingering = True
+        self._transport.write_eof()
+        self._timer.start(_LINGER_S)
+
+    def _discard(self, size: int) -> None:
+        """Count bytes that are discarded, and stop reading after too many."""
+        self._discarded_bytes += size
+        if not self._is_lingering:
+            self._update_reading()
+        elif self._discarded_bytes > _MAX_LINGER_BYTES:
+            self.abort_response()
+
+    def _charge_requests(self) -> None:
+        """Charge the received parts, and the requests that are complete."""
+        if self._account is None:
+            return
+        self._account.is_in_flight = self._task is not None
+        queued_bytes = sum(request.held_bytes for request in self._queue)
+        self._charge(
+            {
+                Holding.PARTIAL: self._parser.held_bytes,
+                Holding.WHOLE: self._current_bytes + queued_bytes,
+            }
+        )
 
     def _update_reading(self) -> None:
         """Pause reading while much is queued, or for good after endless input."""
@@ -131,6 +199,8 @@
         self._keep_alive = request.keep_alive
         self._response_started = False
         self._task = asyncio.create_task(self._run(request))
+        self._current_bytes = request.held_bytes
+        self._charge_requests()
 
     async def _run(self, request: InboundRequest) -> None:
         """Run the handler; abort the connection if it fails or is cancelled."""
@@ -148,10 +218,14 @@
 
     def _after_response(self) -> None:
         """Close the connection or continue with the next request."""
+        self._current_bytes = 0
+        self._charge_requests()
         transport = self._transport
         if transport is None or transport.is_closing():
             return
         if self._closing and not self._queue:
+            # A caller that does not read the response keeps the connection open.
+            self._start_timer()
             transport.close()
             return
         self._start_timer()
@@ -167,7 +241,15 @@
 
     def _on_timeout(self) -> None:
         """Close an idle connection; reject an incomplete request with 408."""
-        if self.is_busy or self._transport is None:
+        if self._transport is None:
+            return
+        if self._is_lingering:
+            self.abort_response()
+            return
+        if self.is_busy:
+            return
+        if self._has_unread():
+            self._start_timer()
             return
         if self._parser.is_mid_request:
             self._reject(HTTPStatus.REQUEST_TIMEOUT, 'request incomplete')
@@ -175,15 +257,25 @@
             self._transport.close()
 
 
+def refuse_plainly(_request: InboundRequest, writer: ResponseWriter) -> None:
+    """Answer a request that there is no memory for."""
+    retry_after = (b'Retry-After', b'1')
+    writer.respond(HTTPStatus.SERVICE_UNAVAILABLE, (retry_after,), b'')
+
+
 class CallerServer:
     """Listens at one address and calls one handler for each request.
 
     ``limits`` may be replaced while it runs; open connections then use the
-    new limits too.
+    new limits too. With a ``budget``, what connections hold is charged to it, and
+    ``refuse`` answers the requests that it has no room for; their bodies are
+    left out.
     """
 
     def __init__(self, address: str, handler: Handler) -> None:
         """Store the address to listen at, ``IP:PORT``, and the handler."""
+        self.budget: CallerBudget | None = None
+        self.refuse: Refuser = refuse_plainly
         self.address = address
         self.handler = handler
         self.limits = RequestLimits()
@@ -201,7 +293,14 @@
             int(port),
             backlog=1024,
         )
-        bound = self._server.sockets[0].getsockname()
+        listener = self._server.sockets[0]
+        if self.budget is not None:
+            # Accepted connections inherit the sizes.
+            for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+                listener.setsockopt(
+                    socket.SOL_SOCKET, option, _SYSTEM_BUFFER_BYTES
+                )
+        bound = listener.getsockname()
         self.address = f'{bound[0]}:{bound[1]}'
 
     def now(self) -> float:
--- a/bramleybeam/relay/_messages.py
+++ b/bramleybeam/relay/_messages.py
@@ -26,6 +26,8 @@
 # of them as its body has bytes. The HTTP library collects an unfinished line
 # itself, so that counting the headers would not limit them.
 MAX_FRAMING_BYTES: Final = 65_536
+# What the objects of one header take in memory besides its name and value.
+HEADER_OBJECT_BYTES: Final = 160
 
 
 class BrokenReplyError(Exception):
@@ -55,6 +57,15 @@
     received_at: float
     keep_alive: bool = True
 
+    @property
+    def held_bytes(self) -> int:
+        """Memory that the request takes."""
+        head_bytes = sum(
+            len(name) + len(value) + HEADER_OBJECT_BYTES
+            for name, value in self.headers
+        )
+        return len(self.target) + head_bytes + len(self.body)
+
     @property
     def path(self) -> str:
         """The request target without its query string."""
--- a/bramleybeam/relay/_peer_connection.py
+++ b/bramleybeam/relay/_peer_connection.py
@@ -10,7 +10,9 @@
 import ssl
 from typing import Final
 
+from bramleybeam.relay._reply_meter import ReplyMeter
 from bramleybeam.relay._reply_parser import ReplyParser
+from bramleybeam.relay._request_writer import RequestWriter
 from bramleybeam.relay._messages import (
     BrokenReplyError,
     Headers,
@@ -25,16 +27,20 @@
 # traffic, again after as many, and then closes the connection.
 _IDLE_PROBE_S: Final = 1
 _IDLE_PROBES: Final = 1
+# The system's receive buffer. Without it, an answer that isn't read may take
+# several megabytes there.
+_RECEIVE_BUFFER_BYTES: Final = 131_072
 _BODILESS_METHODS: Final = (b'GET ', b'HEAD ', b'DELETE ')
 _CLOSE: Final = (b'connection', b'close')
 
 
-class PeerConnection(asyncio.Protocol):
+class PeerConnection(RequestWriter):
     """Sends requests and returns the reply to each in chunks."""
 
     def __init__(self) -> None:
         """Start without a connection."""
-        self._transport: asyncio.Transport | None = None
+        super().__init__()
+        self.meter = ReplyMeter()
         self._parser = ReplyParser()
         self._waiter: asyncio.Future[None] | None = None
         self._failure: BrokenReplyError | None = None
@@ -54,10 +60,7 @@
     @property
     def is_reusable(self) -> bool:
         """Whether another request may be sent on this connection."""
-        if self._failure or self._parser.is_unusable or not self._transport:
-            return False
-        peer_allows_reuse = self._parser.reply.allows_reuse
-        return peer_allows_reuse and not self._transport.is_closing()
+        return self._can_continue() and self._is_sent
 
     def send(
         self,
@@ -82,7 +85,7 @@
         if body or not first_line.startswith(_BODILESS_METHODS):
             extra = (*extra, (b'content-length', str(len(body)).encode()))
         head = render_head(first_line, (*headers, *extra))
-        self._transport.write(head + body)
+        self._write_request(head, body)
 
     async def read_head(self) -> ReplyHead:
         """Wait for the head of the reply; raises ``BrokenReplyError``."""
@@ -97,7 +100,7 @@
         the connection cannot be used for a further reply.
         """
         await self.read_body(limit)
-        if not self.is_reusable:
+        if not self._can_continue():
             raise BrokenReplyError(
                 'the connection ends after a reply to another request'
             )
@@ -111,6 +114,7 @@
                 return b''
             await self._wait()
         joined = reply.take_chunks()
+        self.meter.note_buffered(0)
         if self._transport is not None and not self._transport.is_closing():
             self._transport.resume_reading()
         return joined
@@ -139,6 +143,7 @@
             if not chunk:
                 return bytes(collected), True
             collected += chunk
+            self.meter.note_held(len(collected))
         return bytes(collected), False
 
     async def fetch(
@@ -170,8 +175,13 @@
             self._transport.abort()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Store the transport."""
+        """Store the transport and limit the system's receive buffer."""
         self._transport = transport  # type: ignore[assignment]
+        connection = transport.get_extra_info('socket')
+        if connection is not None:
+            connection.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES
+            )
 
     def data_received(self, received: bytes) -> None:
         """Parse received bytes and wake the reader."""
@@ -186,6 +196,7 @@
         buffered_bytes = self._parser.reply.buffered_bytes
         if buffered_bytes > _HIGH_WATER_BYTES and self._transport is not None:
             self._transport.pause_reading()
+        self.meter.note_buffered(buffered_bytes)
         self._wake()
 
     def eof_received(self) -> bool:
@@ -196,10 +207,18 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Record a failure if the connection ended before the reply did."""
         self._parser.is_unusable = True
+        self._discard_unsent()
         if not self._parser.reply.is_complete and not self._failure:
             self._failure = BrokenReplyError(f'connection lost: {exc!r}')
         self._wake()
 
+    def _can_continue(self) -> bool:
+        """Whether a further reply may arrive on this connection."""
+        if self._failure or self._parser.is_unusable or not self._transport:
+            return False
+        peer_allows_reuse = self._parser.reply.allows_reuse
+        return peer_allows_reuse and not self._transport.is_closing()
+
     def _probe_peer(self, *, enabled: bool) -> None:
         """Turn the keep-alive probes of the system on or off."""
         self._is_idle = enabled
--- a/bramleybeam/relay/_request_parser.py
+++ b/bramleybeam/relay/_request_parser.py
@@ -7,8 +7,15 @@
 import httptools
 
 from bramleybeam.catalog import RequestLimits
-from bramleybeam.relay._messages import MAX_FRAMING_BYTES, InboundRequest
-
+from bramleybeam.relay._messages import (
+    HEADER_OBJECT_BYTES,
+    MAX_FRAMING_BYTES,
+    InboundRequest,
+)
+
+# Empty lines that may precede a request have at most this many bytes together. A
+# caller may send one of two bytes (RFC 9112, section 2.2).
+_MAX_BLANK_BYTES = 256
 # Bytes of a header line besides its name and value: ': ' and CR LF.
 _HEADER_OVERHEAD = 4
 # An incomplete head may have this many times the bytes allowed for the headers
@@ -42,6 +49,7 @@
         self._parser = httptools.HttpRequestParser(self)
         self._completed: list[InboundRequest] = []
         self._error: UnreadableRequest | None = None
+        self._last_size = 0
         self._reset()
 
     @property
@@ -59,12 +67,42 @@
         """Whether the head of a request has been received in part."""
         return self._is_mid_request and not self._has_head
 
+    @property
+    def held_bytes(self) -> int:
+        """Memory that the received parts of an incomplete request take."""
+        if not self._is_mid_request:
+            return 0
+        if self._has_head:
+            return self._measure_head() + len(self._body)
+        return self._measure_head() + self._first_size + self._received
+
+    def peek(self) -> InboundRequest | None:
+        """Return an incomplete request whose head is complete, without body."""
+        if not self._has_head:
+            return None
+        return InboundRequest(
+            self._parser.get_method(),
+            self._target,
+            tuple(self._headers),
+            b'',
+            self._started_at,
+            keep_alive=False,
+        )
+
+    def discard(self) -> None:
+        """Free the received parts of an incomplete request.
+
+        No further bytes may be parsed.
+        """
+        self._reset()
+
     def feed(self, received: bytes) -> list[InboundRequest]:
         """Parse bytes and return the requests that they complete.
 
         A malformed or too long request sets ``error`` and ends the input.
         """
         self._received += len(received)
+        self._last_size = len(received)
         try:
             self._parser.feed_data(received)
         except (
@@ -72,7 +110,9 @@
             httptools.HttpParserError,
         ) as error:
             self._note_error(HTTPStatus.BAD_REQUEST, repr(error))
-        if self.is_mid_request and not self._completed:
+        if not self.is_mid_request:
+            self._check_blank()
+        elif not self._completed:
             self._check_incomplete()
         completed = self._completed
         self._completed = []
@@ -129,6 +169,17 @@
             ),
         )
 
+    def _measure_head(self) -> int:
+        objects_bytes = HEADER_OBJECT_BYTES * len(self._headers)
+        return len(self._target) + self._header_bytes + objects_bytes
+
+    def _check_blank(self) -> None:
+        """Note an error if only empty lines arrive."""
+        if self._received > _MAX_BLANK_BYTES:
+            self._note_error(
+                HTTPStatus.BAD_REQUEST, f'{self._received} bytes of empty lines'
+            )
+
     def _check_incomplete(self) -> None:
         """Note an error if an incomplete request has too much framing."""
         if self.is_mid_head:
@@ -155,6 +206,8 @@
         self._is_mid_request = False
         self._has_head = False
         self._received = 0
+        # The bytes that a request begins with are not counted as received.
+        self._first_size = self._last_size
         self._target = b''
         self._headers: list[tuple[bytes, bytes]] = []
         self._header_bytes = 0
--- a/bramleybeam/relay/_response_writer.py
+++ b/bramleybeam/relay/_response_writer.py
@@ -11,6 +11,8 @@
 )
 
 _LAST_CHUNK: Final = b'0\r\n\r\n'
+# Longer bodies are written without a copy that joins them with the head.
+_MAX_JOINED_BYTES: Final = 65_536
 
 
 class ResponseWriter(asyncio.Protocol):
@@ -45,7 +47,12 @@
     def respond(self, status: int, headers: Headers, body: bytes) -> None:
         """Write a whole response."""
         length = (b'content-length', str(len(body)).encode())
-        self._write(self._build_head(status, headers, length) + body)
+        head = self._build_head(status, headers, length)
+        if len(body) <= _MAX_JOINED_BYTES:
+            self._write(head + body)
+        else:
+            self._write(head)
+            self._write(body)
 
     def start(self, status: int, headers: Headers) -> None:
         """Write the head of a chunked response."""
@@ -56,7 +63,12 @@
         """Write a chunk; waits while the write buffer is full."""
         await self._writable.wait()
         size = b'%x\r\n' % len(chunk)
-        self._write(b''.join((size, chunk, b'\r\n')))
+        if len(chunk) <= _MAX_JOINED_BYTES:
+            self._write(b''.join((size, chunk, b'\r\n')))
+        else:
+            self._write(size)
+            self._write(chunk)
+            self._write(b'\r\n')
 
     def finish(self) -> None:
         """Write the last chunk of a chunked response."""
