--- a/bramleybeam/errors/_kinds.py
+++ b/bramleybeam/errors/_kinds.py
@@ -48,6 +48,7 @@
     KEY_REUSED = 'idempotency_key_reused'
     QUARANTINED = 'quarantined'
     CRASH_SUSPECTED = 'crash_suspected'
+    MEMORY_SPENT = 'memory_spent'
     SHUTTING_DOWN = 'shutting_down'
 
 
@@ -157,6 +158,11 @@
             'Requests with the same content crashed upstreams, one after other.',
             'Change the request, or repeat it after the time in Retry-After.',
         ),
+        ErrorKind.MEMORY_SPENT: KindDescription(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            'This process holds too many unfinished requests and answers.',
+            'Repeat after the time in Retry-After.',
+        ),
         ErrorKind.SHUTTING_DOWN: KindDescription(
             HTTPStatus.SERVICE_UNAVAILABLE,
             'This entry is shutting down.',
--- a/bramleybeam/gateway/_daemon.py
+++ b/bramleybeam/gateway/_daemon.py
@@ -24,6 +24,7 @@
 )
 from bramleybeam.gateway._forward import Forwarder
 from bramleybeam.gateway._host_endpoints import HostEndpoints
+from bramleybeam.gateway._memory_refusals import limit_memory
 from bramleybeam.gateway._metrics import GatewayMetrics
 from bramleybeam.gateway._order_history import OrderHistory
 from bramleybeam.gateway._parent import ParentSelector
@@ -135,6 +136,7 @@
             settings, platform.load_host_settings, self._apply_settings
         )
         self._callers = CallerServer(settings.listen, self._forwarder.handle)
+        limit_memory(self._callers, settings, self._metrics)
         self._endpoints = HostEndpoints(
             settings, self._metrics, self._accepts_requests
         )
--- a/bramleybeam/gateway/_metrics.py
+++ b/bramleybeam/gateway/_metrics.py
@@ -7,6 +7,7 @@
 
 from bramleybeam.gateway._cluster_state import ClusterState
 from bramleybeam.gateway._job import Job
+from bramleybeam.relay import CallerBudget
 
 # Path at which the metrics are served.
 METRICS_PATH: Final = '/metrics'
@@ -53,6 +54,17 @@
             'Calls to the store by result.',
             registry=registry,
         )
+        self._held = Gauge(
+            'bramleybeam_gateway_held_bytes',
+            'Bytes held for callers, by what they are held for.',
+            registry=registry,
+        )
+        self._closed = Counter(
+            'bramleybeam_gateway_callers_closed_total',
+            'Connections of callers closed by the byte budget, by reason.',
+            registry=registry,
+        )
+        self._callers: CallerBudget | None = None
         self._state = Gauge(
             'bramleybeam_gateway_state',
             'State by name: ages in seconds, numbers of replicas, 0 or 1.',
@@ -79,13 +91,27 @@
         outcome = 'answered' if answered else 'failed'
         self._store_calls.inc({'outcome': outcome})
 
+    def watch_callers(self, callers: CallerBudget) -> None:
+        """Show what is held for callers, and whose connections were closed."""
+        self._callers = callers
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
+        self._read_budget()
         for name, number in self._read_state().items():
             self._state.set({'name': name}, float(number))
         content, _headers = render(self._registry, ['text/plain'])
         return bytes(content)
 
+    def _read_budget(self) -> None:
+        if self._callers is None:
+            return
+        for kind, size in self._callers.budget.sum_held().items():
+            self._held.set({'kind': kind}, float(size))
+        self._held.set({'kind': 'limit'}, self._callers.budget.limit_bytes)
+        for reason, count in self._callers.closed.items():
+            self._closed.set({'reason': reason}, count)
+
     def _read_state(self) -> dict[str, float]:
         directory = self._directory
         requested = self._pauses.list_requested(directory.now())
