Give entries a byte budget, and limit their connections

Cause: the server of entries, uvicorn with h11, holds bodies and unread answers of all connections without a bound. Settings memory_mb (552) and max_connections (10,000) limit both; refusals are as those of a gateway (503, memory_spent).

A listening socket accepted up to its whole queue before the number of connections was checked: 618 descriptors with a limit of 400. It now accepts 32 at a time, at gateways too.

--- a/bramleybeam/entry/_daemon.py
+++ b/bramleybeam/entry/_daemon.py
@@ -27,6 +27,7 @@
     HOURLY_REPORT_PERIOD_S,
     HourlyReport,
 )
+from bramleybeam.entry._memory_limits import make_caller_limits
 from bramleybeam.entry._operator_http import make_operator_app
 from bramleybeam.entry._pipeline import Pipeline
 from bramleybeam.entry._planner import LEASE_PERIOD_S, PLAN_PERIOD_S, Planner
@@ -144,10 +145,12 @@
             self.connections,
             self._trust.make_server_context(),
         )
+        self._caller_limits = make_caller_limits(settings)
         self._caller_web = HttpServer(
             make_caller_app(self),
             settings.listen,
             self._caller_trust.make_server_context(),
+            self._caller_limits,
         )
         self._operator_web = HttpServer(
             make_operator_app(self),
--- a/bramleybeam/relay/_caller_server.py
+++ b/bramleybeam/relay/_caller_server.py
@@ -28,6 +28,10 @@
 # caller that disconnects after that is detected by the next write only.
 _MAX_DISCARDED_BYTES: Final = 65_536
 _CLOSE_POLL_S: Final = 0.02
+# Connections that the system queues until they are accepted, and how many are
+# accepted at a time, before their number is checked.
+_BACKLOG: Final = 1024
+_ACCEPTED_AT_ONCE: Final = 32
 # A connection with a refused request is read for this long, and up to this many
 # bytes, so that its caller can read the response; then it is aborted.
 _LINGER_S: Final = 1.0
@@ -286,20 +290,20 @@
     async def start(self) -> None:
         """Open the port; ``address`` then has the actual port number."""
         host, _, port = self.address.rpartition(':')
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            lambda: CallerConnection(self),
-            host,
-            int(port),
-            backlog=1024,
-        )
-        listener = self._server.sockets[0]
+        listener = socket.create_server((host, int(port)))
         if self.budget is not None:
             # Accepted connections inherit the sizes.
             for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
                 listener.setsockopt(
                     socket.SOL_SOCKET, option, _SYSTEM_BUFFER_BYTES
                 )
+        self._server = await asyncio.get_running_loop().create_server(
+            lambda: CallerConnection(self),
+            sock=listener,
+            backlog=_ACCEPTED_AT_ONCE,
+        )
+        # asyncio has set the queue to the number that it accepts at a time.
+        listener.listen(_BACKLOG)
         bound = listener.getsockname()
         self.address = f'{bound[0]}:{bound[1]}'
 
--- a/bramleybeam/settings/_settings.py
+++ b/bramleybeam/settings/_settings.py
@@ -91,6 +91,16 @@
         Interval(1024, 900_000, 'B'),
         default=512_000,
     )
+    memory_mb: int = parameter(
+        'Memory that the process may use.',
+        Interval(100, 1_000_000, 'MB'),
+        default=552,
+    )
+    max_connections: int = parameter(
+        "Largest number of callers' connections.",
+        Interval(10, 1_000_000),
+        default=10_000,
+    )
     log_level: str = parameter(
         'Least level logged.', _LOG_LEVELS, default='info'
     )
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -55,7 +55,8 @@
 
     Fault proxies stand between entries and agents, between agents and their
     upstreams, and between entries and the key-value service. ``ledger_delay``
-    is the time in seconds that the ledger takes for a posting.
+    is the time in seconds that the ledger takes for a posting, and
+    ``entry_settings`` are further lines of the settings of entries.
     """
 
     def __init__(self, folder: Path, document: Document) -> None:
@@ -66,6 +67,7 @@
         self.urls: dict[str, str] = {}
         self.ledger_delay = 0.0
         self.engine_step_s = 0.08
+        self.entry_settings = ''
         self._folder = folder
         self.session = aiohttp.ClientSession()
 
@@ -170,6 +172,7 @@
             f'keyvalue_url = "{keyvalue.url}"\n'
             f'hosts_url = "{self.urls["hosts"]}"\n'
             'readiness_lead_s = 0.5\nshutdown_s = 30\nseed = 7\n'
+            f'{self.entry_settings}'
         )
         running = await self._spawn_daemon('entry', name, settings)
         self.urls[name] = running.announcement['callers']
@@ -284,10 +287,12 @@
     *,
     entries: int = 2,
     ledger_delay: float = 0,
+    entry_settings: str = '',
 ) -> AsyncIterator[ProcessCluster]:
     """Run a small deployment; close it at the end of the ``async with``."""
     cluster = ProcessCluster(folder, make_document())
     cluster.ledger_delay = ledger_delay
+    cluster.entry_settings = entry_settings
     try:
         await cluster.start(entries)
         yield cluster
--- a/tests/test_hostile_callers.py
+++ b/tests/test_hostile_callers.py
@@ -6,15 +6,18 @@
 """
 
 import asyncio
-import re
-import socket
 from contextlib import asynccontextmanager, suppress
-from pathlib import Path
 
-import attrs
-import psutil
 import pytest
 
+from tests.hostile_callers import (
+    CROWD_S,
+    PIECE_BYTES,
+    connect,
+    list_queues,
+    measured,
+    write_all,
+)
 from tests.platform_replica import ReplicaStandIn
 from tests.platform_site import (
     SETTINGS,
@@ -28,9 +31,6 @@
 BODY_BYTES = 4 << 20
 # The crowd of each kind. Its bodies are 400 MB, its heads are smaller.
 CALLERS = 100
-# The longest time for which a hostile client goes on; it may be closed before.
-CROWD_S = 45
-PIECE_BYTES = 65_536
 HEADER_BYTES = 16_384
 ENDLESS_BYTES = 2 << 20
 EVENT = b'data: %s\n\n' % (b'x' * 32_000)
@@ -119,53 +119,6 @@
 )
 
 
-@attrs.define
-class Usage:
-    """The highest use of memory and descriptors that was seen.
-
-    Memory includes what the system has received for callers' connections and
-    the process has not read.
-    """
-
-    pid: int
-    port: int
-    memory_bytes: int = 0
-    descriptors: int = 0
-
-    def sample(self) -> None:
-        process = psutil.Process(self.pid)
-        status = Path(f'/proc/{self.pid}/status').read_text()
-        peak_kib = int(re.search(r'VmHWM:\s+(\d+)', status)[1])
-        used = process.memory_info().rss + self._unread_bytes()
-        self.memory_bytes = max(self.memory_bytes, used, peak_kib * 1024)
-        self.descriptors = max(self.descriptors, process.num_fds())
-
-    def _unread_bytes(self) -> int:
-        """Return the bytes in the receive queues of callers' connections."""
-        return sum(
-            received
-            for local, _remote, _sent, received in list_queues()
-            if local == self.port
-        )
-
-
-def list_queues() -> list[tuple[int, int, int, int]]:
-    """Return the ports and the queued bytes of each TCP connection.
-
-    These are the local and the remote port, the bytes sent and not yet
-    accepted by the peer, and the bytes received and not yet read.
-    """
-    queues = []
-    for row in Path('/proc/net/tcp').read_text().splitlines()[1:]:
-        fields = row.split()
-        # The queue of a listening socket (state 0A) counts connections.
-        if fields[3] != '0A':
-            ports = [int(end.partition(':')[2], 16) for end in fields[1:3]]
-            sizes = [int(size, 16) for size in fields[4].split(':')]
-            queues.append((*ports, *sizes))
-    return queues
-
-
 def count_unread_answers(replica) -> int:
     """Return the bytes that a replica has sent and the gateway has not read."""
     port = int(replica.address.rpartition(':')[2])
@@ -175,26 +128,6 @@
     )
 
 
-@asynccontextmanager
-async def measured(gateway):
-    """Yield the usage of a gateway, sampled until the block ends."""
-    port = int(gateway.callers_address.rpartition(':')[2])
-    usage = Usage(gateway.process.pid, port)
-
-    async def keep_sampling():
-        while True:
-            usage.sample()
-            await asyncio.sleep(0.02)
-
-    sampler = asyncio.create_task(keep_sampling())
-    try:
-        yield usage
-    finally:
-        sampler.cancel()
-        with suppress(asyncio.CancelledError):
-            await sampler
-
-
 @asynccontextmanager
 async def run_hostile_site(folder):
     """Run a gateway with 200 MB whose replicas answer after a second."""
@@ -214,28 +147,6 @@
         yield site
 
 
-async def connect(site, *, receive_buffer: int = 0):
-    """Open a connection of a caller, with a small receive buffer if given."""
-    host, _, port = site.gateway.callers_address.rpartition(':')
-    sock = socket.socket()
-    sock.setblocking(False)
-    if receive_buffer:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
-    await asyncio.get_running_loop().sock_connect(sock, (host, int(port)))
-    return sock
-
-
-async def write_all(sock, text: bytes) -> None:
-    """Write until the end, or until the gateway closes the connection."""
-    loop = asyncio.get_running_loop()
-    view = memoryview(text)
-    with suppress(ConnectionError, TimeoutError):
-        async with asyncio.timeout(CROWD_S):
-            for start in range(0, len(view), PIECE_BYTES):
-                await loop.sock_sendall(sock, view[start : start + PIECE_BYTES])
-                await asyncio.sleep(0)
-
-
 async def check_survival(site, usage) -> None:
     """Check what holds after each crowd, while it is still connected."""
     for replica in site.replicas.values():
@@ -252,7 +163,9 @@
 async def send_crowd(site, kind: str) -> list:
     """Let all callers of a kind write at the same time; return their sockets."""
     make_text = WRITERS[kind]
-    socks = [await connect(site) for _ in range(CALLERS)]
+    socks = [
+        await connect(site.gateway.callers_address) for _ in range(CALLERS)
+    ]
     await asyncio.gather(
         *(
             write_all(sock, make_text(number))
@@ -266,7 +179,9 @@
 async def test_hostile_requests_stay_within_the_memory(tmp_path, kind):
     """Guards against requests that take the memory of a host of 200 MB."""
     async with run_hostile_site(tmp_path) as site:
-        async with measured(site.gateway) as usage:
+        async with measured(
+            site.gateway.process, site.gateway.callers_address
+        ) as usage:
             socks = await send_crowd(site, kind)
             await check_survival(site, usage)
             for sock in socks:
@@ -276,7 +191,9 @@
 async def test_crowds_that_return_stay_within_the_memory(tmp_path):
     """Guards against memory that grows with each crowd that was refused."""
     async with run_hostile_site(tmp_path) as site:
-        async with measured(site.gateway) as usage:
+        async with measured(
+            site.gateway.process, site.gateway.callers_address
+        ) as usage:
             socks = []
             for kind in RETURNING:
                 socks.extend(await send_crowd(site, kind))
@@ -288,10 +205,12 @@
 async def test_idle_connections_stay_within_the_descriptors(tmp_path):
     """Guards against connections that use up the descriptors of a host."""
     async with run_hostile_site(tmp_path) as site:
-        async with measured(site.gateway) as usage:
+        async with measured(
+            site.gateway.process, site.gateway.callers_address
+        ) as usage:
             socks = []
             for number in range(MAX_DESCRIPTORS + CALLERS):
-                socks.append(await connect(site))
+                socks.append(await connect(site.gateway.callers_address))
                 await write_all(socks[-1], b'' if number % 2 else b'POST / H')
             await check_survival(site, usage)
             for sock in socks:
@@ -303,7 +222,7 @@
     loop = asyncio.get_running_loop()
     limits = {**LIMITS, 'idle-timeout-ms': 1000}
     async with run_site(tmp_path, HOST_SETTINGS, limits=limits) as site:
-        sock = await connect(site)
+        sock = await connect(site.gateway.callers_address)
         received = asyncio.create_task(loop.sock_recv(sock, 1))
         with suppress(ConnectionError):
             for _ in range(100):
@@ -361,9 +280,12 @@
     """Guards against callers that don't read the answers they asked for."""
     async with run_hostile_site(tmp_path) as site:
         await add_large_answers(site, LARGE_EVENTS)
-        async with measured(site.gateway) as usage:
+        async with measured(
+            site.gateway.process, site.gateway.callers_address
+        ) as usage:
             socks = [
-                await connect(site, receive_buffer=4096) for _ in range(CALLERS)
+                await connect(site.gateway.callers_address, receive_buffer=4096)
+                for _ in range(CALLERS)
             ]
             for number, sock in enumerate(socks):
                 await write_all(sock, READER_REQUESTS[kind] % number)
@@ -386,7 +308,7 @@
     async with run_hostile_site(tmp_path) as site:
         replicas = await add_large_answers(site, READ_ON_EVENTS)
         number = 1
-        sock = await connect(site, receive_buffer=4096)
+        sock = await connect(site.gateway.callers_address, receive_buffer=4096)
         await write_all(sock, READER_REQUESTS['stream'] % number)
         await asyncio.sleep(READING_S)
         (run,) = site.runs('h-1')
@@ -406,7 +328,7 @@
     """Guards against a budget that refuses a body of the legal size."""
     loop = asyncio.get_running_loop()
     async with run_hostile_site(tmp_path) as site:
-        sock = await connect(site)
+        sock = await connect(site.gateway.callers_address)
         await write_all(sock, send_body(1))
         async with asyncio.timeout(CROWD_S):
             answer = await loop.sock_recv(sock, PIECE_BYTES)
