--- a/bramleybeam/entry/_daemon.py
+++ b/bramleybeam/entry/_daemon.py
@@ -145,12 +145,12 @@
             self.connections,
             self._trust.make_server_context(),
         )
-        self._caller_limits = make_caller_limits(settings)
+        self.caller_limits = make_caller_limits(settings)
         self._caller_web = HttpServer(
             make_caller_app(self),
             settings.listen,
             self._caller_trust.make_server_context(),
-            self._caller_limits,
+            self.caller_limits,
         )
         self._operator_web = HttpServer(
             make_operator_app(self),
--- a/bramleybeam/entry/_operator_http.py
+++ b/bramleybeam/entry/_operator_http.py
@@ -82,6 +82,11 @@
             moves=entry.planner.moves,
             dropped_frames=entry.connections.dropped_frames,
         )
+        callers = entry.caller_limits.budget
+        entry.metrics.show_held(
+            {**callers.budget.sum_held(), 'limit': callers.budget.limit_bytes},
+            callers.closed,
+        )
         return text_response(200, entry.metrics.render().decode())
 
     def _has_valid_key(self, request: Request) -> bool:
--- a/bramleybeam/entry/_view.py
+++ b/bramleybeam/entry/_view.py
@@ -14,6 +14,7 @@
 from bramleybeam.links import LinkIdentity
 from bramleybeam.settings import EntrySettings
 from bramleybeam.telemetry import Metrics
+from bramleybeam.web import CallerLimits
 
 
 class EntryView(Protocol):
@@ -30,6 +31,7 @@
     claims: ClaimRouter
     statistics: RequestStatistics
     metrics: Metrics
+    caller_limits: CallerLimits
     store: HttpKeyValue
 
     @property
--- a/bramleybeam/telemetry/_metrics.py
+++ b/bramleybeam/telemetry/_metrics.py
@@ -1,5 +1,6 @@
 """Prometheus metrics of a process."""
 
+from collections.abc import Mapping
 from typing import Final
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
@@ -54,6 +55,18 @@
             const_labels=labels,
             registry=self.registry,
         )
+        self.held = Gauge(
+            'bramleybeam_held_bytes',
+            'Bytes held for callers, by what they are held for.',
+            const_labels=labels,
+            registry=self.registry,
+        )
+        self.closed = Counter(
+            'bramleybeam_callers_closed_total',
+            'Connections of callers closed by the byte budget, by reason.',
+            const_labels=labels,
+            registry=self.registry,
+        )
         self.first_token = Histogram(
             'bramleybeam_first_token_seconds',
             'Time from request to first token.',
@@ -86,6 +99,15 @@
         self.moves.set({}, moves)
         self.frames.set({}, dropped_frames)
 
+    def show_held(
+        self, held: Mapping[str, int], closed: Mapping[str, int]
+    ) -> None:
+        """Set the bytes held by kind, and the closed connections by reason."""
+        for kind, size in held.items():
+            self.held.set({'kind': kind}, size)
+        for reason, count in closed.items():
+            self.closed.set({'reason': reason}, count)
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         content, _headers = render(self.registry, ['text/plain'])
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -377,6 +377,9 @@
     assert metrics['state{name="replicas_paused"}'] == 1
     assert 20 < metrics['state{name="longest_pause_s"}'] <= 36
     assert metrics['state{name="is_ready"}'] == 1
+    # Without memory-mb, a host of 552 MB is assumed.
+    assert metrics['held_bytes{kind="limit"}'] == 246_000_000
+    assert metrics['held_bytes{kind="unread"}'] == 0
 
 
 async def test_absent_model_is_loaded_for_queued_request(site):
--- a/tests/test_hostile_callers_of_entries.py
+++ b/tests/test_hostile_callers_of_entries.py
@@ -61,6 +61,9 @@
             async with cluster.session.get(url) as response:
                 assert response.status == 200
             usage.sample()
+            url = cluster.urls['entry-0/operators'] + '/metrics'
+            async with cluster.session.get(url) as response:
+                assert 'bramleybeam_held_bytes{' in await response.text()
             assert process.returncode is None
             assert usage.memory_bytes < MEMORY_LIMIT_BYTES, usage
             assert usage.descriptors < MAX_DESCRIPTORS, usage
