Report that a change of memory-mb needs a restart

The byte budget is made at the start, so that settings_changed has to list the setting under need_restart. Tests of the settings in tests/test_gateway.py pass.

--- a/bramleybeam/gateway/_settings_reload.py
+++ b/bramleybeam/gateway/_settings_reload.py
@@ -27,6 +27,7 @@
     'max_descriptors',
     'link_bytes_per_s',
     'metrics_listen',
+    'memory_mb',
 )
 _log = structlog.get_logger('settings')
 
