Tests of workspaces' keys from outside the gateway

The tests start gateway processes whose configuration has workspaces and judge by what replicas got and when callers sent it. The replica stand-in records the headers of each request, the store's watch can lag, a gateway's link can reset connections to the store or drop peers' datagrams, and datagrams can arrive twice.

--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -45,10 +45,17 @@
 
 @attrs.define(eq=False)
 class Fleet:
-    """Gateways, each with its own link, and their store and replicas."""
+    """Gateways, each with its own link, and their store and replicas.
+
+    ``bounds`` are fields added to the bounds of the gateways' settings.
+    ``tenants`` is the list of workspaces in the configuration; without it,
+    requests need no keys.
+    """
 
     folder: Path
     models: tuple[str, ...]
+    bounds: dict[str, str] = attrs.field(factory=dict)
+    tenants: list[dict] | None = None
     store: RelayedStore = attrs.field(factory=RelayedStore)
     gateways: list[GatewayProcess] = attrs.field(factory=list)
     replicas: dict = attrs.field(factory=dict)
@@ -64,6 +71,8 @@
         engine = configuration['services'][1]['engine']
         engine['models'] = [{**MODEL, 'name': name} for name in self.models]
         configuration['routes'] += more_routes
+        if self.tenants is not None:
+            configuration['tenants'] = self.tenants
         self.store.put('op/config', configuration)
 
     def write_entry(self, replica: ReplicaStandIn, **changed) -> None:
@@ -154,6 +163,8 @@
         )
         mbps = self.links[host].outbound.bytes_per_s / BYTES_PER_MBIT
         text = text.replace('[limits]', f'[limits]\nlink-mbps = {mbps:f}')
+        added = ''.join(f'{key} = {self.bounds[key]}\n' for key in self.bounds)
+        text = text.replace('[bounds]\n', f'[bounds]\n{added}')
         settings = self.folder / f'settings-{number}.toml'
         settings.write_text(text)
         return await start_gateway(settings)
@@ -176,14 +187,17 @@
     models: int,
     engines: int,
     plain: int = 4,
+    bounds: dict[str, str] | None = None,
+    tenants: list[dict] | None = None,
 ) -> AsyncIterator[Fleet]:
     """Run a store, replicas, and one gateway for each link rate.
 
     Rates are in bytes per second. ``engines`` and ``plain`` are the numbers of
-    replicas of the model service and of the plain service.
+    replicas of the model service and of the plain service; ``bounds`` and
+    ``tenants`` are those of the ``Fleet``.
     """
     names = tuple(f'model{number:03d}' for number in range(models))
-    fleet = Fleet(folder, names)
+    fleet = Fleet(folder, names, bounds or {}, tenants)
     await fleet.store.start()
     try:
         fleet.configure(1)
--- a/tests/platform_gateway.py
+++ b/tests/platform_gateway.py
@@ -68,28 +68,27 @@
     ) -> Answer:
         """Send a request with the given id and return its answer."""
         async with self.send(request_id, path, method, **headers) as call:
-            return await _read_answer(call)
+            return await read_answer(call)
 
     @asynccontextmanager
     async def send(
         self, request_id: str, path: str, method='POST', **headers
     ) -> AsyncIterator[PeerConnection]:
         """Send a request; disconnect at the end of the block."""
-        fields = {
-            'Host': 'desk.example',
-            'Bramleybeam-Request-Id': request_id,
-            'Bramleybeam-Request-Deadline': '4000',
-            **{key.replace('_', '-'): field for key, field in headers.items()},
-        }
-        encoded = tuple(
-            (key.encode(), field.encode()) for key, field in fields.items()
-        )
         call = await connect_peer(self.callers_address, 1)
         with closing(call):
-            body = b'' if method == 'GET' else b'body'
-            call.send(f'{method} {path} HTTP/1.1'.encode(), encoded, body)
+            call.send(*encode_request(request_id, path, method, **headers))
             yield call
 
+    async def read_metrics(self) -> str:
+        """Return the page of the metrics."""
+        call = await connect_peer(
+            self.events('metrics_served')[0]['address'], 1
+        )
+        with closing(call):
+            call.send(b'GET /metrics HTTP/1.1', (), b'')
+            return (await read_answer(call)).body.decode()
+
     async def stop(self) -> int:
         """Send SIGTERM, wait for the exit and return the exit status."""
         self.process.send_signal(signal.SIGTERM)
@@ -122,7 +121,25 @@
     return gateway
 
 
-async def _read_answer(call) -> Answer:
+def encode_request(
+    request_id: str, path: str, method='POST', **headers
+) -> tuple[bytes, tuple, bytes]:
+    """Return first line, headers and body of a caller's request."""
+    fields = {
+        'Host': 'desk.example',
+        'Bramleybeam-Request-Id': request_id,
+        'Bramleybeam-Request-Deadline': '4000',
+        **{key.replace('_', '-'): field for key, field in headers.items()},
+    }
+    encoded = tuple(
+        (key.encode(), field.encode()) for key, field in fields.items()
+    )
+    body = b'' if method == 'GET' else b'body'
+    return f'{method} {path} HTTP/1.1'.encode(), encoded, body
+
+
+async def read_answer(call) -> Answer:
+    """Read the answer to a request that was sent."""
     head = await call.read_head()
     headers = {
         key.decode().lower(): field.decode() for key, field in head.headers
--- a/tests/platform_links.py
+++ b/tests/platform_links.py
@@ -56,7 +56,8 @@
     """The link of one gateway's host, with a TCP relay to the store.
 
     While ``is_cut`` no bytes pass between the gateway and the store. While
-    ``is_refusing`` every new connection to the store is reset.
+    ``is_refusing`` every new connection to the store is reset. While
+    ``is_isolated`` no datagrams pass between the gateway and its peers.
     """
 
     def __init__(self, bytes_per_s: float, store_address: str) -> None:
@@ -66,6 +67,7 @@
         self._store_address = store_address
         self.is_cut = False
         self.is_refusing = False
+        self.is_isolated = False
         self._stalled: set[asyncio.Task] = set()
         self._pumps: set[asyncio.Task] = set()
         self._server: asyncio.Server | None = None
@@ -86,6 +88,12 @@
         """Stop the relay; open connections stay open."""
         self._server.close()
 
+    def refuse_store(self) -> None:
+        """Reset the open connections to the store, and all new ones."""
+        self.is_refusing = True
+        for pump in tuple(self._pumps):
+            pump.cancel()
+
     def stall_open_connections(self) -> None:
         """Pass no more bytes on the connections that are open now."""
         self._stalled |= self._pumps
@@ -134,12 +142,16 @@
 
     Each gateway has a public address at the relay. Its peers read this address
     in the store and see it as the sender. ``links`` maps the IP address of a
-    host to its link; ``loss`` is the share of datagrams that are dropped.
+    host to its link; ``loss`` is the share of datagrams that are dropped,
+    ``repeats`` the share of those that arrive once more, up to ``repeat_after_s``
+    later.
     """
 
     def __init__(self, links: dict[str, HostLink]) -> None:
         """Create a relay without public addresses."""
         self.loss = 0.0
+        self.repeats = 0.0
+        self.repeat_after_s = 1.0
         self._rng = random.Random(1)
         self._links = links
         self._ports: dict[str, _PublicPort] = {}
@@ -156,6 +168,12 @@
         is_lost = self._rng.random() < self.loss
         return None if is_lost else self._ports.get(address)
 
+    def draw_repeat_s(self) -> float | None:
+        """Return when a datagram arrives again, None if it doesn't."""
+        if not self.repeats or self._rng.random() >= self.repeats:
+            return None
+        return self._rng.uniform(0, self.repeat_after_s)
+
     def close(self) -> None:
         """Close all public addresses."""
         for port in self._ports.values():
@@ -189,6 +207,16 @@
         sender = self._relay.sender_of(f'{host}:{port}')
         if sender is None or sender is self:
             return
+        if sender._link.is_isolated or self._link.is_isolated:
+            return
+        self._pass_on(datagram, sender)
+        repeat_s = self._relay.draw_repeat_s()
+        if repeat_s is not None:
+            asyncio.get_running_loop().call_later(
+                repeat_s, self._pass_on, datagram, sender
+            )
+
+    def _pass_on(self, datagram: bytes, sender: '_PublicPort') -> None:
         size = len(datagram)
         sender._link.outbound.pass_datagram(
             size,
--- a/tests/platform_replica.py
+++ b/tests/platform_replica.py
@@ -50,6 +50,32 @@
     fault: str = ''
 
 
+@attrs.frozen
+class Arrival:
+    """A request as it arrived, whether it ran or not.
+
+    ``headers`` are all its headers, repeated ones too, with names in lower case.
+    """
+
+    request_id: str
+    path: str
+    headers: tuple
+
+    @property
+    def tenants(self) -> list[str]:
+        """The values of all headers that name a workspace."""
+        return self.values_of('bramleybeam-tenant')
+
+    @property
+    def authorizations(self) -> list[str]:
+        """The values of all ``Authorization`` headers."""
+        return self.values_of('authorization')
+
+    def values_of(self, name: str) -> list[str]:
+        """Return the values of all headers with a name."""
+        return [field for key, field in self.headers if key == name]
+
+
 @attrs.frozen
 class AcceptedOrder:
     """An accepted order and the event loop's time when it was accepted."""
@@ -95,7 +121,7 @@
     A run for which ``crashes_on`` returns true crashes the replica likewise,
     after ``events_before_crash`` events of a stream. ``draw_fault`` returns the fault of any other request, or an empty string.
     ``requests`` are the ids of all requests that arrived, ``runs`` those that
-    ran. With ``echoes`` answers contain the request's id. ``max_models`` is the
+    ran; ``arrivals`` has the headers of everything that arrived. With ``echoes`` answers contain the request's id. ``max_models`` is the
     number of models that fit in memory; load orders beyond it are kept in
     ``excess_orders``. While ``order_delay_s`` is set, orders get no answer and
     are accepted after that many seconds. While ``is_unresponsive``, requests
@@ -115,6 +141,7 @@
     faults: dict = attrs.field(factory=dict)
     runs: list = attrs.field(factory=list)
     requests: list = attrs.field(factory=list)
+    arrivals: list = attrs.field(factory=list)
     orders: list = attrs.field(factory=list)
     cancelled: list = attrs.field(factory=list)
     highest_fencing_token: int = 0
@@ -174,6 +201,7 @@
         await self.close()
 
     async def _answer(self, request, connection) -> None:
+        self.arrivals.append(_describe_arrival(request))
         if self.is_unresponsive:
             await asyncio.sleep(_NO_ANSWER_S)
         expected = find_header(request.headers, b'bramleybeam-expect-instance')
@@ -414,6 +442,17 @@
         ]
 
 
+def _describe_arrival(request) -> Arrival:
+    request_id = find_header(request.headers, REQUEST_ID.lower()) or b''
+    headers = tuple(
+        (name.decode('latin-1').lower(), field.decode('latin-1'))
+        for name, field in request.headers
+    )
+    return Arrival(
+        request_id.decode('latin-1'), request.target.decode('latin-1'), headers
+    )
+
+
 def _write_unframed_head(head, connection) -> None:
     lines = b''.join(key + b': ' + field + b'\r\n' for key, field in head)
     connection._write(b'HTTP/1.1 200 OK\r\n' + lines + b'\r\n')
--- a/tests/platform_store.py
+++ b/tests/platform_store.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import json
+import time
 from contextlib import suppress
 from urllib.parse import parse_qs, urlsplit
 
@@ -12,6 +13,8 @@
 
 # Interval between checks for expired leases.
 _EXPIRY_CHECK_S = 0.05
+# Interval between checks of a watch that lags for changes that it may show.
+_LAG_CHECK_S = 0.02
 
 
 @attrs.define
@@ -39,7 +42,8 @@
     ``mode`` is ``up``, ``unresponsive`` (no answers), ``busy`` (answers 503)
     or ``lost`` (writes are applied but not answered). While the store is not
     up, leases are extended, unless ``expires_while_down`` is set. Each answer
-    is delayed by ``delay_s``.
+    is delayed by ``delay_s``. Watches show a change only ``watch_lag_s`` after it
+    was written, and state a revision before it until then.
     """
 
     mode: str = 'up'
@@ -51,6 +55,8 @@
     calls: list = attrs.field(factory=list)
     expires_while_down: bool = False
     delay_s: float = 0
+    watch_lag_s: float = 0
+    _written_at: dict = attrs.field(factory=dict)
     _last_lease: int = 7000
     _expiry: asyncio.Task | None = None
     _changed: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -85,6 +91,7 @@
         created = existing.created if existing else self.revision
         self.items[key] = StoredItem(content, self.revision, created, lease)
         self.history.append((self.revision, self._render_item(key)))
+        self._written_at[self.revision] = time.monotonic()
         self._notify_watchers()
         return self.revision
 
@@ -95,6 +102,7 @@
         self.revision += 1
         row = {'key': key, 'revision': self.revision, 'removed': True}
         self.history.append((self.revision, row))
+        self._written_at[self.revision] = time.monotonic()
         self._notify_watchers()
 
     def compact_history(self) -> None:
@@ -190,18 +198,36 @@
         while True:
             if after < self.compacted_revision:
                 return 410, {}
+            visible = max(after, self._visible_revision())
             rows = [
                 row
                 for revision, row in self.history
-                if revision > after
+                if after < revision <= visible
                 and row['key'].startswith(query.get('prefix', ''))
             ]
             remaining_s = deadline - loop.time()
             if rows or remaining_s <= 0:
-                return 200, {'events': rows, 'as-of': self.revision}
+                return 200, {'events': rows, 'as-of': visible}
+            if self.watch_lag_s:
+                await asyncio.sleep(min(remaining_s, _LAG_CHECK_S))
+                continue
             with suppress(TimeoutError):
                 await asyncio.wait_for(self._changed.wait(), remaining_s)
 
+    def _visible_revision(self) -> int:
+        """Return the newest revision that a watch shows now."""
+        if not self.watch_lag_s:
+            return self.revision
+        shown_until = time.monotonic() - self.watch_lag_s
+        return max(
+            (
+                revision
+                for revision, written_at in self._written_at.items()
+                if written_at <= shown_until
+            ),
+            default=0,
+        )
+
     def _revision_of(self, key: str) -> int:
         existing = self.items.get(key)
         return existing.revision if existing else 0
