Soak with workspaces, quotas and hostile callers

Half of the seeds run with keys: a key is replaced as a fault, a workspace gets ten times its quota, and other callers use unknown, missing and dropped keys, name a workspace themselves, or stop in the middle of a request. The checks hold for each request and window, whatever faults there are. The recovery and the share of answered requests count ordinary callers only, whose keys are always valid. A run without workspaces stays possible and keeps the choices of its seed; the seeds of the test run without, two more runs with.

--- a/tests/platform_workspaces.py
+++ b/tests/platform_workspaces.py
@@ -250,6 +250,25 @@
         return request
 
 
+def find_most_in_window(
+    costs: list[tuple[float, float]], window_s: float
+) -> float:
+    """Return the largest sum of costs within any window.
+
+    ``costs`` are pairs of a time and a cost, in order of time.
+    """
+    most = 0.0
+    total = 0.0
+    first = 0
+    for at, cost in costs:
+        total += cost
+        while costs[first][0] <= at - window_s:
+            total -= costs[first][1]
+            first += 1
+        most = max(most, total)
+    return most
+
+
 async def _exchange(
     call, request: SentRequest, headers: dict, *, keep_alive: bool = False
 ) -> SentRequest:
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -23,6 +23,7 @@
         click.echo(
             f'seed {seed}: {result.request_count} requests, {dict(result.statuses)},'
             f' {sum(result.fault_counts.values())} faults,'
+            f' hostile: {dict(result.hostile_statuses)},'
             f' {len(result.violations)} violations'
         )
         for violation in result.violations[:20]:
@@ -41,15 +42,27 @@
     '--at-once', default=1, help='Number of seeds that run in parallel.'
 )
 @click.option('--size', default=1, help='Factor of the default size.')
+@click.option(
+    '--workspaces/--no-workspaces',
+    default=None,
+    help='Whether requests need keys; by default, the seed decides.',
+)
 @click.option(
     '--keep',
     default=Path('build/soak'),
     type=click.Path(path_type=Path),
     help='Folder for the logs of seeds with violations.',
 )
-def main(first: int, seeds: int, at_once: int, size: int, keep: Path) -> None:
+def main(
+    first: int,
+    seeds: int,
+    at_once: int,
+    size: int,
+    workspaces: bool | None,
+    keep: Path,
+) -> None:
     """Run seeds and print their violations."""
-    options = Options().scale(size)
+    options = Options(has_workspaces=workspaces).scale(size)
     broken = asyncio.run(
         run_seeds(range(first, first + seeds), at_once, options, keep)
     )
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -7,6 +7,7 @@
 from bramleybeam.relay import BrokenReplyError, connect_peer, find_header
 from tests.platform_fleet import Fleet, model_headers
 from tests.soak.record import CallerRequest, Record
+from tests.soak.workspaces import Workspaces
 
 # Deadline that each request states.
 DEADLINE_S = 4.0
@@ -85,8 +86,13 @@
         balancer: LoadBalancer,
         record: Record,
         rng: random.Random,
+        workspaces: Workspaces | None = None,
     ) -> None:
-        """Store the name in request ids, the targets and the record."""
+        """Store the name in request ids, the targets and the record.
+
+        ``workspaces`` give the keys, ``None`` if requests need none.
+        """
+        self._workspaces = workspaces
         self._name = name
         self._fleet = fleet
         self._balancer = balancer
@@ -127,8 +133,13 @@
         path = self._rng.choices(list(PATH_WEIGHTS), PATH_WEIGHTS.values())[0]
         request_id = f'{self._name}-{self._count}'
         request = CallerRequest(request_id, path, number, gateway, loop.time())
+        first_line, headers, body = self._build_request(path, request_id)
+        if self._workspaces:
+            request.key = self._workspaces.draw_key()
+            fields = self._workspaces.make_fields(request.key)
+            headers += _encode(fields)
         try:
-            call.send(*self._build_request(path, request_id), keep_alive=True)
+            call.send(first_line, headers, body, keep_alive=True)
         except BrokenReplyError:
             return False
         self._record.requests.append(request)
@@ -161,11 +172,14 @@
             fields |= {
                 key.replace('_', '-'): model_fields[key] for key in model_fields
             }
-        headers = tuple(
-            (key.encode(), field.encode()) for key, field in fields.items()
-        )
         body = b'' if method == 'GET' else b'body'
-        return f'{method} {path} HTTP/1.1'.encode(), headers, body
+        return f'{method} {path} HTTP/1.1'.encode(), _encode(fields), body
+
+
+def _encode(fields: dict[str, str]) -> tuple:
+    return tuple(
+        (key.encode(), field.encode()) for key, field in fields.items()
+    )
 
 
 async def _read(call, request: CallerRequest) -> None:
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -6,9 +6,10 @@
 from tests.soak.callers import DEADLINE_S
 from tests.soak.crashes import check_crashes
 from tests.soak.record import DRAIN_S, FAULT_GRACE_S, CallerRequest, Record
+from tests.soak.workspaces import Workspaces, check_workspaces
 
 # Statuses that guarantee that the request has not run and never will.
-_NOT_RUN_STATUSES = {408, 421, 429, 503}
+_NOT_RUN_STATUSES = {401, 408, 421, 429, 503}
 _PLAIN_ROUTES = {'post', 'look', 'moved', 'added'}
 _AT_MOST_ONCE_ROUTES = {'post', 'ask'}
 _MAX_RUNS = 2
@@ -26,7 +27,9 @@
 _MOVED = ('ledger', 'desk')
 
 
-def check_all(fleet: Fleet, record: Record) -> list[str]:
+def check_all(
+    fleet: Fleet, record: Record, workspaces: Workspaces | None = None
+) -> list[str]:
     """Return the violations, one line each."""
     runs: dict[str, list] = {}
     for replica in record.replicas:
@@ -43,6 +46,7 @@
             _check_time(request, runs.get(request.request_id, []), record)
         )
     violations.extend(check_crashes(record, runs))
+    violations.extend(check_workspaces(fleet, record, workspaces))
     violations.extend(_check_orders(record))
     violations.extend(_check_processes(fleet, record))
     violations.extend(_check_recovery(record))
@@ -199,6 +203,7 @@
             for request in record.requests
             if request.sent_at >= record.final_period_from
             and request.route in routes
+            and request.is_ordinary
             and not request.disconnected_at
         ]
         served = [
--- a/tests/soak/crashes.py
+++ b/tests/soak/crashes.py
@@ -25,11 +25,15 @@
 
 @attrs.define(eq=False)
 class CrashingRequests:
-    """Sends crashing requests, and replaces the replicas that crash."""
+    """Sends crashing requests, and replaces the replicas that crash.
+
+    ``key`` is the key of the requests, ``None`` if they need none.
+    """
 
     fleet: Fleet
     record: Record
     rng: random.Random
+    key: object = None
     _count: int = 0
     _tasks: set = attrs.field(factory=set)
 
@@ -66,6 +70,9 @@
             path, method = f'/ask/{request_id}', 'POST'
             headers = self._prompt_headers(name, request_id)
         request = CallerRequest(request_id, path, number, gateway, now())
+        if self.key:
+            request.key = self.key
+            headers['Authorization'] = f'Bearer {self.key.text}'
         self.record.requests.append(request)
         try:
             async with asyncio.timeout(_REPEATS * _PAUSE_S):
@@ -75,10 +82,7 @@
         except (OSError, TimeoutError, BrokenReplyError):
             request.disconnected_at = now()
         else:
-            request.status = answer.status
-            request.is_sealed = 'bramleybeam-response-seal' in answer.headers
-            request.body = answer.body
-            request.is_complete = not answer.is_truncated
+            request.take(answer)
         finally:
             request.ended_at = now()
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -15,6 +15,7 @@
     DrainingReplica,
     Record,
 )
+from tests.soak.workspaces import Workspaces
 
 # A draining replica keeps serving for this long after its drain bound.
 _SERVE_AFTER_DRAIN_S = 1.5
@@ -54,8 +55,17 @@
 class FaultInjector:
     """Injects faults into a fleet; all choices come from one generator."""
 
-    def __init__(self, fleet: Fleet, record: Record, seed: int) -> None:
-        """Store the fleet, the record of the faults and the seed."""
+    def __init__(
+        self,
+        fleet: Fleet,
+        record: Record,
+        seed: int,
+        workspaces: Workspaces | None = None,
+    ) -> None:
+        """Store the fleet, the record of the faults and the seed.
+
+        The keys of ``workspaces`` are changed, if there are any.
+        """
         self._fleet = fleet
         self._record = record
         self._rng = random.Random(seed)
@@ -85,6 +95,9 @@
             'restart_replica': self._restart_replica,
             'delay_orders': self._delay_orders,
         }
+        self._workspaces = workspaces
+        if workspaces:
+            self._kinds['change_key'] = self._change_key
 
     @property
     def kinds(self) -> list[str]:
@@ -339,6 +352,12 @@
             targets['added'] = 'ledger'
         self.write_configuration(targets)
 
+    async def _change_key(self) -> None:
+        targets = self._record.versions[-1].targets
+        self._workspaces.change_key(
+            self._fleet, lambda: self.write_configuration(targets)
+        )
+
     async def _configuration_burst(self) -> None:
         for _ in range(self._rng.randint(3, 8)):
             await self._configure()
--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -21,6 +21,7 @@
 
     ``process`` is the gateway process that received it. ``disconnected_at`` is
     set if the caller closed its connection before the answer was complete.
+    ``key`` is what it was sent with, ``None`` if requests need no keys.
     """
 
     request_id: str
@@ -34,6 +35,19 @@
     is_complete: bool = False
     body: bytes = b''
     disconnected_at: float = 0
+    key: object = attrs.field(default=None, repr=False)
+
+    @property
+    def is_ordinary(self) -> bool:
+        """Whether the caller's key, if it needs one, is always valid."""
+        return self.key is None or self.key.workspace == 'steady'
+
+    def take(self, answer) -> None:
+        """Record an answer."""
+        self.status = answer.status
+        self.is_sealed = 'bramleybeam-response-seal' in answer.headers
+        self.body = answer.body
+        self.is_complete = not answer.is_truncated
 
     @property
     def route(self) -> str:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -15,6 +15,7 @@
 from tests.soak.crashes import CrashingRequests
 from tests.soak.faults import FaultInjector
 from tests.soak.record import FAULT_GRACE_S, ConfigurationVersion, Record
+from tests.soak.workspaces import Workspaces
 
 # Rates of the links of the gateways; each is drawn from these two.
 _SLOW_BYTES_PER_S = 625_000.0
@@ -31,11 +32,17 @@
 _EVENTS = 12
 _EVENT_PAUSE_S = 0.02
 _MODELS_PER_REPLICA = 3
+# Share of the seeds whose requests need keys.
+_WORKSPACES_SHARE = 0.5
 
 
 @attrs.frozen
 class Options:
-    """Size and duration of a soak; ``mean_gap_s`` is between two faults."""
+    """Size and duration of a soak; ``mean_gap_s`` is between two faults.
+
+    ``has_workspaces`` is whether requests need keys; ``None`` lets the seed
+    decide.
+    """
 
     gateways: int = 6
     callers: int = 12
@@ -43,6 +50,7 @@
     models: int = 24
     duration_s: float = 15
     mean_gap_s: float = 0.7
+    has_workspaces: bool | None = None
 
     def scale(self, factor: int) -> 'Options':
         """Return options for ``factor`` times the size and the fault rate."""
@@ -58,13 +66,18 @@
 
 @attrs.frozen
 class SoakResult:
-    """Counts of requests and faults, the violations and the logs."""
+    """Counts of requests and faults, the violations and the logs.
+
+    The counts of requests are those of ordinary callers; ``hostile_statuses``
+    has those of callers without a valid key or beyond their quota.
+    """
 
     request_count: int
     statuses: Counter
     fault_counts: Counter
     violations: list[str]
     log_lines: list[str]
+    hostile_statuses: Counter = attrs.field(factory=Counter)
 
     def write_log(self, folder: Path, seed: int) -> None:
         """Write the violations and all log lines to ``seed-SEED.log``."""
@@ -80,25 +93,53 @@
         rng.choice((_SLOW_BYTES_PER_S, _FAST_BYTES_PER_S))
         for _ in range(options.gateways)
     ]
+    workspaces = _draw_workspaces(seed, options)
     async with run_fleet(
-        folder, rates, models=options.models, engines=0, plain=0
+        folder,
+        rates,
+        models=options.models,
+        engines=0,
+        plain=0,
+        bounds=workspaces.bounds if workspaces else None,
+        tenants=workspaces.list_tenants() if workspaces else None,
     ) as fleet:
-        return await _Soak(fleet, rng, options).execute()
+        return await _Soak(fleet, rng, options, workspaces).execute()
+
+
+def _draw_workspaces(seed: int, options: Options) -> Workspaces | None:
+    """Return the workspaces of a seed, if it has any.
+
+    Their generator is one of its own, so that the other choices of a seed don't
+    depend on them.
+    """
+    rng = random.Random(f'workspaces {seed}')
+    is_enabled = rng.random() < _WORKSPACES_SHARE
+    if options.has_workspaces is not None:
+        is_enabled = options.has_workspaces
+    return Workspaces(rng.randrange(1 << 30)) if is_enabled else None
 
 
 class _Soak:
     def __init__(
-        self, fleet: Fleet, rng: random.Random, options: Options
+        self,
+        fleet: Fleet,
+        rng: random.Random,
+        options: Options,
+        workspaces: Workspaces | None,
     ) -> None:
+        self._workspaces = workspaces
         self._fleet = fleet
         self._rng = rng
         self._options = options
         self._record = Record()
         self._injector = FaultInjector(
-            fleet, self._record, rng.randrange(1 << 30)
+            fleet, self._record, rng.randrange(1 << 30), workspaces
         )
         self._crashing = CrashingRequests(
-            fleet, self._record, random.Random(len(fleet.gateways))
+            fleet,
+            self._record,
+            random.Random(len(fleet.gateways)),
+            workspaces.keys[0] if workspaces else None,
         )
         self._injector.on_replacement = self._crashing.arm
 
@@ -114,6 +155,10 @@
             for number in range(self._options.callers)
         ]
         tasks = [asyncio.create_task(caller.run()) for caller in callers]
+        if self._workspaces:
+            hostile = self._workspaces.send_hostile(self._fleet, self._record)
+            tasks.append(asyncio.create_task(hostile))
+            callers.append(self._workspaces)
         await asyncio.sleep(_WARM_UP_S)
         await asyncio.gather(self._inject_faults(), self._crashing.run())
         await self._crashing.wait_replaced()
@@ -134,16 +179,23 @@
             balancer,
             self._record,
             random.Random(self._rng.random()),
+            self._workspaces,
         )
 
     def _summarize(self) -> SoakResult:
         requests = self._record.requests
+        ordinary = [request for request in requests if request.is_ordinary]
         return SoakResult(
-            len(requests),
-            Counter(request.status for request in requests),
+            len(ordinary),
+            Counter(request.status for request in ordinary),
             self._record.fault_counts,
-            check_all(self._fleet, self._record),
+            check_all(self._fleet, self._record, self._workspaces),
             self._list_log_lines(),
+            Counter(
+                request.status
+                for request in requests
+                if not request.is_ordinary
+            ),
         )
 
     def _list_log_lines(self) -> list[str]:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -15,9 +15,22 @@
 )
 
 
-@pytest.mark.parametrize('seed', SEEDS)
-async def test_guarantees_hold_under_overlapping_faults(tmp_path, seed):
-    result = await run_soak(tmp_path, seed, Options())
+# Seeds whose requests need keys, with strict revocation and without it.
+WORKSPACE_SEEDS = (1, 907)
+
+
+@pytest.mark.parametrize(
+    ('seed', 'has_workspaces'),
+    [
+        *((seed, False) for seed in SEEDS),
+        *((seed, True) for seed in WORKSPACE_SEEDS),
+    ],
+)
+async def test_guarantees_hold_under_overlapping_faults(
+    tmp_path, seed, has_workspaces
+):
+    options = Options(has_workspaces=has_workspaces)
+    result = await run_soak(tmp_path, seed, options)
     assert not result.violations
     assert result.statuses[200] > result.request_count / 2
     assert result.fault_counts
--- a/tests/test_workspace_quotas.py
+++ b/tests/test_workspace_quotas.py
@@ -11,6 +11,7 @@
 
 from tests.platform_workspaces import (
     CONFIGURATION_APPLY_S,
+    find_most_in_window,
     make_tenant,
     now,
     run_workspaces,
@@ -136,20 +137,6 @@
     )
 
 
-def find_most_in_window(run_costs):
-    """Return the largest sum of costs that began within one window."""
-    most = 0
-    total = 0
-    first = 0
-    for began_at, cost in run_costs:
-        total += cost
-        while run_costs[first][0] <= began_at - WINDOW_S:
-            total -= run_costs[first][1]
-            first += 1
-        most = max(most, total)
-    return most
-
-
 async def apply_and_fill(workspaces, limit):
     """Apply a limit and wait until its whole burst can be used."""
     workspaces.configure(limit.tenant('hule930', KEY))
@@ -160,7 +147,7 @@
 def check_bound(workspaces, limit, began_after=0.0):
     """Check the bound of a limit in all windows, and all refusals."""
     run_costs = list_run_costs(workspaces, limit, began_after)
-    assert find_most_in_window(run_costs) <= limit.most_in_window
+    assert find_most_in_window(run_costs, WINDOW_S) <= limit.most_in_window
     assert not workspaces.list_untrue_refusals()
 
 
