--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -241,6 +241,9 @@
         running = []
         loop = asyncio.get_running_loop()
         end = loop.time() + self._options.duration_s
+        if self._workspaces:
+            # So that a dropped key is in use for the rest of each soak.
+            await self._injector.inject('change_key')
         while loop.time() < end:
             kind = self._rng.choice(self._injector.kinds)
             running.append(asyncio.create_task(self._injector.inject(kind)))
