--- a/bramleybeam/errors/_kinds.py
+++ b/bramleybeam/errors/_kinds.py
@@ -32,6 +32,7 @@
     INVALID_REQUEST = 'invalid_request'
     REQUEST_TOO_LARGE = 'request_too_large'
     UNAUTHENTICATED = 'unauthenticated'
+    KEYS_OUTDATED = 'keys_outdated'
     UNKNOWN_MODEL = 'unknown_model'
     UNKNOWN_CLASS = 'unknown_class'
     UNKNOWN_SERVICE = 'unknown_service'
@@ -39,6 +40,7 @@
     NO_READY_UPSTREAM = 'no_ready_upstream'
     TARGET_UNREACHABLE = 'target_unreachable'
     CALLER_LIMIT = 'caller_limit'
+    QUOTA_UNAVAILABLE = 'quota_unavailable'
     UPSTREAM_REFUSED = 'upstream_refused'
     UPSTREAM_LOST = 'upstream_lost'
     DEADLINE_EXCEEDED = 'deadline_exceeded'
@@ -77,6 +79,11 @@
             'The key is missing or not known.',
             'Send a valid key as "Authorization: Bearer KEY".',
         ),
+        ErrorKind.KEYS_OUTDATED: KindDescription(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            'Whether the key is still valid cannot be checked at the moment.',
+            'Repeat after the time in Retry-After.',
+        ),
         ErrorKind.UNKNOWN_MODEL: KindDescription(
             HTTPStatus.NOT_FOUND,
             'No model or adapter of this name is configured.',
@@ -112,6 +119,11 @@
             'The caller has used its share of the capacity.',
             'Repeat after the time in Retry-After.',
         ),
+        ErrorKind.QUOTA_UNAVAILABLE: KindDescription(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            'Nobody can say at the moment whether the quota is used up.',
+            'Repeat after the time in Retry-After.',
+        ),
         ErrorKind.UPSTREAM_REFUSED: KindDescription(
             HTTPStatus.BAD_GATEWAY,
             'The upstream refused the request.',
--- a/bramleybeam/gateway/_daemon.py
+++ b/bramleybeam/gateway/_daemon.py
@@ -14,11 +14,9 @@
 from bramleybeam.catalog import HostSettings
 from bramleybeam.gateway._choose import Chooser
 from bramleybeam.gateway._cluster_state import make_cluster_state
-from bramleybeam.gateway._directory import GATEWAY_PREFIX, PEER_PREFIX
 from bramleybeam.gateway._exchange import PeerExchange
 from bramleybeam.gateway._follower import StoreFollower
 from bramleybeam.gateway._follower_pace import (
-    NEAR_BATCH_DELAY_S,
     PLANNER_BATCH_DELAY_S,
     make_pace,
 )
@@ -31,14 +29,16 @@
 from bramleybeam.gateway._peers import PeerPort
 from bramleybeam.gateway._planner import Planner
 from bramleybeam.gateway._planner_lease import PlannerLease
+from bramleybeam.gateway._quotas import QuotaKeeper
+from bramleybeam.gateway._registration import RENEW_S, make_registration
 from bramleybeam.gateway._reply_observer import note_leaving
 from bramleybeam.gateway._settings_reload import SettingsReloader
 from bramleybeam.gateway._status import StatusReporter, Traffic
 from bramleybeam.gateway._suspect_keeper import SuspectKeeper
-from bramleybeam.gateway._tree import Peer, encode_peer
-from bramleybeam.keyvalue import LeaseKeeper
+from bramleybeam.gateway._tree import Peer
 from bramleybeam.relay import CallerServer, ConnectionPool
 from bramleybeam.timers import Coalescer, TaskSet, TimerService
+from bramleybeam.workspaces import KeyAge, max_key_age_s
 
 # Periods of the timers, in seconds: the exchange with neighbours, the planning
 # rounds, the closing of idle connections to replicas and the lease.
@@ -48,10 +48,10 @@
 _LEASE_CHECK_S: Final = 0.1
 # Period at which the planner publishes its placement without changes.
 _PUBLISH_S: Final = 0.25
-# Lifetime of this gateway's entry in the store, and how often it is renewed.
-_REGISTRATION_TTL_S: Final = 10.0
-_REGISTRATION_RENEW_S: Final = 3.0
 _STATUS_S: Final = 1.0
+# Period at which balances of quotas are checked; requests that wait for one are
+# reported at once.
+_QUOTAS_S: Final = 0.1
 # Period at which the planner compares its suspects with those in the store.
 _SUSPECTS_S: Final = 0.5
 # Period at which the settings file is read, because it may change without a signal.
@@ -76,9 +76,13 @@
         self._store = platform.PlatformStore(
             settings.store_address, on_call=self._note_store_call
         )
-        pace = make_pace(settings.bounds)
-        cluster_state = make_cluster_state(time.monotonic, rng, pace)
+        keys = KeyAge(
+            platform.boot_clock, max_key_age_s(settings.bounds.revocation_s)
+        )
+        cluster_state = make_cluster_state(time.monotonic, rng, keys=keys)
+        self._access = cluster_state.access
         self._directory = cluster_state.directory
+        self._apply_pace()
         self._metrics = GatewayMetrics(cluster_state, self._is_planner)
         self._timers = TimerService(rng)
         self._tasks = TaskSet()
@@ -86,18 +90,27 @@
         self._chooser = Chooser(
             cluster_state, settings.zone, rng, pool.has_idle
         )
-        self._forwarder = Forwarder(
-            settings, cluster_state, self._chooser, pool, rng, self._metrics
-        )
         order_history = OrderHistory(
             settings.bounds.order_pause_s, platform.boot_clock
         )
+        lease = PlannerLease(
+            settings, self._store, self._directory, order_history, rng
+        )
+        self._quotas = QuotaKeeper(
+            settings,
+            self._directory,
+            lease,
+            lambda address, datagram: self._peers.send(address, datagram),
+        )
+        self._metrics.read_quotas = self._quotas.read_totals
+        self._forwarder = Forwarder(
+            settings, cluster_state, self._chooser, pool, rng, self._metrics
+        )
+        self._forwarder.charge = self._quotas.charge
         self._planner = Planner(
             settings.name,
             cluster_state,
-            PlannerLease(
-                settings, self._store, self._directory, order_history, rng
-            ),
+            lease,
             platform.ReplicaOrders(partial(note_leaving, cluster_state)),
             order_history,
             self._announce_orders,
@@ -159,20 +172,12 @@
         await self._callers.start()
         await self._peers.start()
         self._tasks.spawn(self._follower.run())
-        key = PEER_PREFIX.removeprefix(GATEWAY_PREFIX) + self._peers.address
         registered_peer = attrs.evolve(
             self._local_peer, address=self._peers.address
         )
-        registration = LeaseKeeper(
-            self._store,
-            key,
-            encode_peer(registered_peer),
-            platform.boot_clock,
-            _REGISTRATION_TTL_S,
-        )
-        self._timers.subscribe(
-            'listing', _REGISTRATION_RENEW_S, registration.keep
-        )
+        registration = make_registration(self._store, registered_peer)
+        self._timers.subscribe('listing', RENEW_S, registration.keep)
+        self._quotas.entry_revision = lambda: registration.epoch
         self._subscribe_timers()
         _log.info(
             'started',
@@ -207,6 +212,7 @@
     async def _stop_parts(self) -> None:
         """Stop what runs beside the requests."""
         self._forwarder.close()
+        self._quotas.close()
         await self._endpoints.close()
         await self._timers.close()
         await self._tasks.close()
@@ -221,6 +227,7 @@
         subscribe('plan', _PLAN_S, self._plan)
         subscribe('settings', _SETTINGS_S, self._reloader.reload)
         subscribe('suspects', _SUSPECTS_S, self._suspect_keeper.keep)
+        subscribe('quotas', _QUOTAS_S, self._quotas.keep)
         subscribe('status', _STATUS_S, self._status.report)
 
     def _accepts_requests(self) -> bool:
@@ -237,7 +244,10 @@
     def _apply_settings(self, settings: HostSettings) -> None:
         """Apply changed settings to the parts that use them."""
         self._settings = settings
-        self._directory.freshness.pace = make_pace(settings.bounds)
+        self._directory.keys.max_age_s = max_key_age_s(
+            settings.bounds.revocation_s
+        )
+        self._apply_pace()
         self._forwarder.apply_settings(settings)
         self._planner.apply_settings(settings)
 
@@ -245,9 +255,18 @@
         configuration = self._directory.configuration
         if configuration is not None:
             self._callers.limits = configuration.limits
+            self._apply_pace()
+
+    def _apply_pace(self) -> None:
+        """Set how often the store is read; keys may need it more often."""
+        bounds = self._settings.bounds
+        if not self._directory.keys.is_limited:
+            bounds = attrs.evolve(bounds, revocation_s=None)
+        self._directory.freshness.pace = make_pace(bounds)
 
     def _receive(self, message: PeerMessage, sender: str) -> None:
-        self._exchange.receive(message, sender)
+        if not self._quotas.receive(message, sender):
+            self._exchange.receive(message, sender)
 
     def _replan_or_send_pending(self) -> None:
         """Replan now if this is the planner, otherwise send pending demand."""
@@ -288,14 +307,15 @@
 
     def _batch_delay_s(self) -> float:
         """Return the wait in seconds between two calls to the store."""
+        pace = self._directory.freshness.pace
         if self._is_planner():
             return PLANNER_BATCH_DELAY_S
         if self._exchange.is_deputy:
-            return NEAR_BATCH_DELAY_S
-        pace = self._directory.freshness.pace
+            return pace.near_delay_s
         if self._exchange.has_responding_parent:
             return pace.relayed_delay_s
         return pace.batch_delay_s
 
     async def _tick(self) -> None:
+        self._access.note_age()
         self._exchange.tick()
--- a/bramleybeam/gateway/_forward.py
+++ b/bramleybeam/gateway/_forward.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 import random
+from collections.abc import Awaitable, Callable
 from typing import Final
 
 import structlog
@@ -60,7 +61,12 @@
         rng: random.Random,
         metrics: GatewayMetrics,
     ) -> None:
-        """Store the parts of the pipeline."""
+        """Store the parts of the pipeline.
+
+        ``charge`` is called before each attempt, and raises the refusal of a
+        request whose workspace has used its quota.
+        """
+        self.charge: Callable[[Job], Awaitable[None]] = _charge_nothing
         self._metrics = metrics
         self._cluster_state = cluster_state
         self._directory = cluster_state.directory
@@ -104,6 +110,9 @@
         except asyncio.CancelledError:
             _log.info('caller_left', request=request_id, sends=job.sends)
             raise
+        finally:
+            if job.charge is not None:
+                job.charge.release()
 
     def apply_settings(self, settings: HostSettings) -> None:
         """Apply changed settings from the next request on."""
@@ -135,7 +144,9 @@
         while True:
             now = self._directory.now()
             gateways = len(self._directory.peers)
+            self._check_access(job)
             self._check_quarantine(job)
+            await self.charge(job)
             if job.sends and not self._retries.take(
                 job.service.name, now, gateways
             ):
@@ -150,6 +161,9 @@
                 self._note_answered(job, replica, outcome)
                 return
             self._log_attempt('attempt_failed', job, replica, outcome)
+            if isinstance(outcome, outcomes.NotArrived):
+                # The key may be the reason; retries would hide that.
+                self._check_access(job)
             if not await self._handle_failure(job, outcome):
                 return
 
@@ -161,6 +175,12 @@
         self._metrics.note_answered(job, outcome.status, now)
         self._admitter.durations.note(job.route.name, now - job.received_at)
 
+    def _check_access(self, job: Job) -> None:
+        """Raise the refusal of a request whose key was removed."""
+        refusal = self._cluster_state.access.find_refusal(job)
+        if refusal is not None:
+            raise RequestRefusedError(refusal)
+
     def _check_quarantine(self, job: Job) -> None:
         """Raise the refusal of a request that crashes replicas."""
         refusal = self._cluster_state.suspects.find_refusal(job)
@@ -252,6 +272,7 @@
             sends=job.sends,
             model=job.facts.model,
             adapter=job.facts.adapter,
+            workspace=job.workspace_name,
             wait_end=job.queue_exit,
             age_s=round(self._directory.now() - job.received_at, 3),
             **self._directory.describe_state(),
@@ -260,3 +281,7 @@
             job.connection.abort_response()
             return
         answer_refusal(job.facts.request_id, job.connection, refusal)
+
+
+async def _charge_nothing(_job: Job) -> None:
+    """Charge a request in a deployment without quotas."""
--- a/bramleybeam/gateway/_job.py
+++ b/bramleybeam/gateway/_job.py
@@ -13,6 +13,7 @@
 from bramleybeam.limits import max_queue_wait
 from bramleybeam.orders import Target
 from bramleybeam.platform import RequestFacts
+from bramleybeam.quotas import Charge
 from bramleybeam.relay import CallerConnection, InboundRequest, find_header
 
 
@@ -59,8 +60,11 @@
     ``excluded_replicas`` are the names of those on which an attempt failed.
     ``queue_exit`` is the reason why it was refused while it waited. ``is_trial``
     is set for one attempt of a request that otherwise would be quarantined.
-    ``workspace`` is the workspace that the caller's key opens. ``blocks``
-    are hashes of the prompt's parts, for the estimate of the tokens that a
+    ``workspace`` is the workspace that the caller's key opens, ``hides_keys``
+    whether the configuration requires keys, ``checked_version`` the version of
+    the configuration that the key was checked against, and ``charge`` what the
+    request was charged of its quota. ``blocks`` are hashes of the prompt's
+    parts, for the estimate of the tokens that a
     replica has cached.
     """
 
@@ -82,6 +86,9 @@
     queue_exit: QueueExitReason | None = None
     is_trial: bool = False
     workspace: Workspace | None = None
+    hides_keys: bool = False
+    checked_version: int | None = None
+    charge: Charge | None = None
     blocks: tuple[int, ...] = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -107,10 +114,14 @@
     def fingerprint(self) -> str:
         """Hash of what repeats of a request share: target, caller and body.
 
-        Each repeat has another request id.
+        Each repeat has another request id. The caller's key is not part of it,
+        because neighbours and the store learn the fingerprint.
         """
         request = self.request
-        caller = find_header(request.headers, b'authorization') or b''
+        if self.hides_keys:
+            caller = self.workspace_name.encode()
+        else:
+            caller = find_header(request.headers, b'authorization') or b''
         first_line = b'%s %s' % (request.method, request.target)
         described = (first_line, request.host.encode(), caller, request.body)
         return xxhash.xxh64_hexdigest(b'\n'.join(described))
@@ -144,6 +155,11 @@
             return self.route.priority
         return self.workspace.priority
 
+    @property
+    def workspace_name(self) -> str:
+        """Name of the workspace; empty if there is none."""
+        return self.workspace.name if self.workspace else ''
+
     @property
     def target(self) -> Target:
         """The requested model and adapter; empty for plain services."""
--- a/bramleybeam/gateway/_reply_observer.py
+++ b/bramleybeam/gateway/_reply_observer.py
@@ -37,16 +37,22 @@
     def find_obstacle(self) -> str | None:
         """Return why the request may not be sent, ``None`` if it may.
 
-        Since the replica was chosen, it may have begun to leave, and the request
-        may have been found to crash replicas.
+        Since the replica was chosen, it may have begun to leave, the caller's key
+        may have been removed, the request may have been found to crash replicas,
+        and the reservation of its quota may have expired.
         """
         directory = self.cluster_state.directory
         if not directory.departures.accepts_requests(
             self.replica, is_fresh=directory.freshness.is_fresh
         ):
             return 'the replica is leaving'
+        if self.cluster_state.access.find_refusal(self.job):
+            return 'the key is not valid any more'
         if self.cluster_state.suspects.find_refusal(self.job):
             return 'the request is quarantined'
+        charge = self.job.charge
+        if charge is not None and not charge.is_valid:
+            return 'the reservation of its quota has expired'
         return None
 
     async def is_alive(self) -> bool:
