--- a/bramleybeam/gateway/_daemon.py
+++ b/bramleybeam/gateway/_daemon.py
@@ -25,7 +25,6 @@
 from bramleybeam.gateway._metrics import GatewayMetrics
 from bramleybeam.gateway._order_history import OrderHistory
 from bramleybeam.gateway._parent import ParentSelector
-from bramleybeam.gateway._peer_messages import PeerMessage
 from bramleybeam.gateway._peers import PeerPort
 from bramleybeam.gateway._planner import Planner
 from bramleybeam.gateway._planner_lease import PlannerLease
@@ -132,7 +131,6 @@
         self._peers = PeerPort(
             self._directory,
             self._local_peer.address,
-            self._receive,
             self._traffic,
         )
         self._coalescer = Coalescer(self._replan_or_send_pending)
@@ -147,6 +145,13 @@
         self._work_notifier = WorkNotifier(
             cluster_state, self._peers, self._exchange, rng
         )
+        self._peers.receivers.extend(
+            (
+                self._work_notifier.receive,
+                self._quotas.receive,
+                self._exchange.receive,
+            )
+        )
         self._chooser.work.on_sent.append(self._work_notifier.notify)
         self._status = StatusReporter(
             self._directory, self._traffic, self._timers.take_lateness
@@ -272,12 +277,6 @@
             bounds = attrs.evolve(bounds, revocation_s=None)
         self._directory.freshness.pace = make_pace(bounds)
 
-    def _receive(self, message: PeerMessage, sender: str) -> None:
-        if self._work_notifier.receive(message):
-            return
-        if not self._quotas.receive(message, sender):
-            self._exchange.receive(message, sender)
-
     def _replan_or_send_pending(self) -> None:
         """Replan now if this is the planner, otherwise send pending demand."""
         if self._planner.epoch:
--- a/bramleybeam/gateway/_peers.py
+++ b/bramleybeam/gateway/_peers.py
@@ -22,22 +22,22 @@
 
 
 class PeerPort(asyncio.DatagramProtocol):
-    """Sends datagrams, and passes on the messages of listed gateways."""
+    """Sends datagrams, and passes on the messages of listed gateways.
+
+    ``receivers`` are called in their order with a message and the sender's
+    address, until one returns ``True`` because the message was for it.
+    """
 
     def __init__(
         self,
         directory: Directory,
         address: str,
-        on_message: Callable[[PeerMessage, str], None],
         traffic: Traffic,
     ) -> None:
-        """Store the local address ``IP:PORT`` and the message handler.
-
-        ``on_message`` is called with a message and the sender's address.
-        """
+        """Store the local address ``IP:PORT``."""
+        self.receivers: list[Callable[[PeerMessage, str], bool | None]] = []
         self.address = address
         self._directory = directory
-        self._on_message = on_message
         self._traffic = traffic
         self._transport: asyncio.DatagramTransport | None = None
 
@@ -77,7 +77,9 @@
                 'peer_message_unreadable', sender=sender, error=str(error)
             )
             return
-        self._on_message(message, sender)
+        for receive in self.receivers:
+            if receive(message, sender):
+                return
 
     def error_received(self, exc: Exception) -> None:
         """Log that a datagram could not be delivered."""
--- a/bramleybeam/gateway/_work_notices.py
+++ b/bramleybeam/gateway/_work_notices.py
@@ -60,7 +60,7 @@
                 return
             self._peers.send(address, datagram)
 
-    def receive(self, message: PeerMessage) -> bool:
+    def receive(self, message: PeerMessage, _sender: str) -> bool:
         """Record a notice of another gateway; return whether it is one."""
         if not isinstance(message, WorkNotice):
             return False
