--- a/tests/platform_workspaces.py
+++ b/tests/platform_workspaces.py
@@ -158,6 +158,15 @@
                     return request
                 await asyncio.sleep(_PAUSE_S)
 
+    async def wait_for_events(self, number: int, name: str, count: int) -> list:
+        """Wait for at least some log lines of one event, and return them."""
+        async with asyncio.timeout(_WARM_UP_S):
+            while True:
+                lines = self.fleet.gateways[number].events(name)
+                if len(lines) >= count:
+                    return lines
+                await asyncio.sleep(_PAUSE_S)
+
     async def find_planner(self) -> int:
         """Return the number of the gateway that was elected last."""
         async with asyncio.timeout(_WARM_UP_S):
