Leave the planner's lease to gateways that know all others

After an outage of the store for some gateways, one of these was elected planner. Such a gateway now delays its attempt, where there are quotas.

--- a/bramleybeam/gateway/_planner_lease.py
+++ b/bramleybeam/gateway/_planner_lease.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 from typing import Final
 
 import structlog
@@ -28,6 +29,9 @@
 # tree.
 _NARROW_LINK_DELAY_S: Final = 0.3
 _WIDER_LINK_RATIO: Final = 2
+# A gateway that may not know all others delays its attempt by this many seconds,
+# because as the coordinator of quotas it would have to wait before it grants.
+_UNKNOWN_GATEWAYS_DELAY_S: Final = 0.3
 _log = structlog.get_logger('planner')
 
 
@@ -69,6 +73,8 @@
         self._refused_at_revision = -1
         self._active_from = 0.0
         self._renewed_at = float('-inf')
+        # Whether all gateways are known here that may hold balances of quotas.
+        self.knows_gateways: Callable[[], bool] = lambda: True
         # Times of the election, and at which the last renewal was sent that the
         # store has confirmed.
         self.elected_at = float('-inf')
@@ -189,6 +195,8 @@
             delay_s += _INCOMPLETE_HISTORY_DELAY_S
         if self._has_wider_peers():
             delay_s += _NARROW_LINK_DELAY_S
+        if not self.knows_gateways():
+            delay_s += _UNKNOWN_GATEWAYS_DELAY_S
         await asyncio.sleep(delay_s)
         if self._is_closed or not self._seems_free():
             return False
--- a/bramleybeam/gateway/_quotas.py
+++ b/bramleybeam/gateway/_quotas.py
@@ -84,6 +84,7 @@
         self._logged_at = float('-inf')
         self._logged_totals: dict[str, dict[str, float]] = {}
         directory.on_change.append(self._apply_configuration)
+        lease.knows_gateways = self._knows_gateways
 
     async def charge(self, job: Job) -> None:
         """Reserve what a request costs, unless that is done already.
@@ -165,6 +166,11 @@
         if self._pump_handle is not None:
             self._pump_handle.cancel()
 
+    def _knows_gateways(self) -> bool:
+        """Whether this gateway could grant soon after its election."""
+        now = platform.boot_clock()
+        return not self._quotas or self._contact.knows_gateways(now)
+
     def _is_charged(self, job: Job) -> bool:
         return job.charge is not None and job.charge.is_valid
 
--- a/bramleybeam/gateway/tests/test_planner_lease.py
+++ b/bramleybeam/gateway/tests/test_planner_lease.py
@@ -1,5 +1,6 @@
 """When a gateway may send orders, by the store and by other gateways."""
 
+import asyncio
 import random
 
 import attrs
@@ -154,3 +155,18 @@
     await renew(lease)
     assert store.released
     assert (lease.epoch, store.calls) == (0, calls)
+
+
+async def test_gateway_that_may_not_know_all_others_leaves_them_the_lease():
+    """Guards against a coordinator of quotas that has to wait for seconds."""
+    stores = {is_sure: Store() for is_sure in (False, True)}
+    order = []
+
+    async def keep(*, is_sure):
+        lease, _directory = make_lease(stores[is_sure])
+        lease.knows_gateways = lambda: is_sure
+        await lease.keep()
+        order.append(is_sure)
+
+    await asyncio.gather(keep(is_sure=False), keep(is_sure=True))
+    assert order == [True, False]
