Record where late answers lose their time

A share of the streams is late although the median time to the first event is far below the objective, and neither the log nor the metrics show whether the first event or a pause in the stream is the cause.

Each answer without a server error is now counted by route and by where it lost most time: in the queue before its first send, at the replica (with repeated attempts) up to its first event, in a pause of the stream, or nowhere. The log line `answered` has the same value and its inputs.

--- a/bramleybeam/gateway/_answers.py
+++ b/bramleybeam/gateway/_answers.py
@@ -14,6 +14,7 @@
 from bramleybeam.errors import ErrorKind, Execution, Refusal, refuse
 from bramleybeam.gateway import _outcomes as outcomes
 from bramleybeam.gateway._job import Job
+from bramleybeam.gateway._lateness import find_lateness
 from bramleybeam.relay import CallerConnection
 
 # Retry-After of a request that was not run.
@@ -50,8 +51,10 @@
 ) -> dict[str, object]:
     """Return the log fields of an attempt; times are in seconds.
 
-    The lines of failed attempts also show what requests have in common.
+    Delivered answers show where they lost time if they are late. Failed
+    attempts show what requests have in common.
     """
+    now = asyncio.get_running_loop().time()
     fields: dict[str, object] = {
         'request': job.facts.request_id,
         'route': job.route.name,
@@ -61,13 +64,17 @@
         'sends': job.sends,
         'outcome': type(outcome).__name__,
         'detail': getattr(outcome, 'reason', getattr(outcome, 'status', '')),
+        'first_sent_s': _seconds_after_arrival(job, job.first_sent_at),
         'waited_s': _seconds_after_arrival(job, job.sent_at),
         'first_event_s': _seconds_after_arrival(job, job.first_event_at),
         'events': job.events,
         'longest_gap_s': round(job.longest_gap_s, 3),
-        'age_s': _seconds_after_arrival(job, asyncio.get_running_loop().time()),
+        'age_s': _seconds_after_arrival(job, now),
     }
-    if not isinstance(outcome, outcomes.Delivered):
+    if isinstance(outcome, outcomes.Delivered):
+        fields['lateness'] = find_lateness(job, now)
+        fields['objective_s'] = job.route.objective_s
+    else:
         fields['keys'] = list(job.suspect_keys)
         fields['parts'] = [part.name for part in job.facts.parts]
     return fields
--- a/bramleybeam/gateway/_attempt.py
+++ b/bramleybeam/gateway/_attempt.py
@@ -140,9 +140,7 @@
             )
         except BrokenReplyError as error:
             return NotArrived(str(error))
-        job.sends += 1
-        job.runs += 1
-        job.sent_at = _now()
+        job.note_sent(_now())
         head, facts = await self._read_matching_head(peer_connection)
         self._observer.note_reply(facts)
         if facts.never_ran:
--- a/bramleybeam/gateway/_job.py
+++ b/bramleybeam/gateway/_job.py
@@ -51,8 +51,9 @@
     """State of one request; times are in seconds of the event loop's clock.
 
     ``sends`` counts the attempts in which it was sent to a replica, ``runs``
-    those in which it may have run. ``sent_at`` is the time of the last send,
-    ``first_event_at`` that of the first event of a stream; both are 0 before.
+    those in which it may have run. ``first_sent_at`` and ``sent_at`` are the
+    times of the first and the last send, ``first_event_at`` that of the first
+    event of a stream; they are 0 before.
     ``last_event`` is the id of the last event sent to the caller,
     ``last_event_at`` the time of it, ``events`` the number of events and
     ``longest_gap_s`` the longest time between two of them.
@@ -73,6 +74,7 @@
     sends: int = 0
     runs: int = 0
     last_event: str = ''
+    first_sent_at: float = 0
     sent_at: float = 0
     first_event_at: float = 0
     last_event_at: float = 0
@@ -92,6 +94,13 @@
             for part in self.facts.parts
         )
 
+    def note_sent(self, now: float) -> None:
+        """Record that the request was sent to a replica and may run there."""
+        self.sends += 1
+        self.runs += 1
+        self.first_sent_at = self.first_sent_at or now
+        self.sent_at = now
+
     def note_events(self, count: int, last_event: str, now: float) -> None:
         """Record ``count`` events sent to the caller at ``now``, in seconds."""
         if self.first_event_at:
--- a/bramleybeam/gateway/_metrics.py
+++ b/bramleybeam/gateway/_metrics.py
@@ -1,12 +1,14 @@
 """Counters, gauges and latency histograms of a gateway, for Prometheus."""
 
 from collections.abc import Callable
+from http import HTTPStatus
 from typing import Final
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
 from bramleybeam.gateway._cluster_state import ClusterState
 from bramleybeam.gateway._job import Job
+from bramleybeam.gateway._lateness import find_lateness
 
 # Path at which the metrics are served.
 METRICS_PATH: Final = '/metrics'
@@ -48,6 +50,11 @@
             registry=registry,
             buckets=_LATENCY_BUCKETS_S,
         )
+        self._lateness = Counter(
+            'bramleybeam_gateway_lateness_total',
+            'Answers by route and by where late ones lost most of their time.',
+            registry=registry,
+        )
         self._store_calls = Counter(
             'bramleybeam_gateway_store_calls_total',
             'Calls to the store by result.',
@@ -65,6 +72,9 @@
         self._requests.inc({**route, 'outcome': str(status)})
         first_at = job.first_event_at or now
         self._first_event.observe(route, first_at - job.received_at)
+        if status < HTTPStatus.INTERNAL_SERVER_ERROR:
+            lateness = find_lateness(job, now)
+            self._lateness.inc({**route, 'lateness': str(lateness)})
 
     def note_refused(self, route: str, kind: str) -> None:
         """Count a request that this gateway refused."""
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -51,6 +51,15 @@
     return {name: float(number) for name, number in rows}
 
 
+def count_answers(metrics, route):
+    """Return the answers on a route, on time or late for any reason."""
+    return sum(
+        number
+        for name, number in metrics.items()
+        if name.startswith('lateness_total') and f'route="{route}"' in name
+    )
+
+
 def set_fault(site, request_id, *faults):
     """Set a fault for the request's next run at each replica."""
     for replica in site.replicas.values():
@@ -373,6 +382,8 @@
     assert metrics['requests_total{outcome="unknown_service",route=""}'] == 1
     assert metrics['attempts_total{outcome="NotRun",service="ledger"}'] >= 1
     assert metrics['first_event_seconds_count{route="ask"}'] == 1
+    assert 'lateness' in site.gateway.events('answered')[-1]
+    assert count_answers(metrics, 'ask') == 1
     assert metrics['store_calls_total{outcome="answered"}'] > 1
     assert metrics['state{name="replicas_paused"}'] == 1
     assert 20 < metrics['state{name="longest_pause_s"}'] <= 36
