Queue all requests that share replicas together

A gateway had a queue for each model and adapter, and a new request did not look at any of them. The first one to wake took a free place, also from a more urgent one that waited for the same replica with another model.

The waiting requests of a service are now one queue, in the order of their slack. After a change, places are assigned once for all of them in that order, and a request that arrives takes its turn.

The order itself is not changed here: it serves late requests first.

--- a/bramleybeam/decisions/__init__.py
+++ b/bramleybeam/decisions/__init__.py
@@ -5,10 +5,8 @@
 """
 
 from bramleybeam.decisions._admission import (
-    QueuedRequest,
     cannot_meet_deadline,
     expected_wait,
-    is_next,
     limit_share_of,
     priority_of,
 )
@@ -93,7 +91,6 @@
     'PlannedOrder',
     'Policy',
     'PrefixHistory',
-    'QueuedRequest',
     'RandomPolicy',
     'RefusedByAgent',
     'RetryAttempt',
@@ -119,7 +116,6 @@
     'estimate_first_token',
     'expected_wait',
     'hash_blocks',
-    'is_next',
     'limit_share_of',
     'plan_placement',
     'priority_of',
--- a/bramleybeam/decisions/_admission.py
+++ b/bramleybeam/decisions/_admission.py
@@ -1,10 +1,8 @@
-"""Queue order, priority and early refusal of requests."""
+"""Priority and early refusal of requests."""
 
 from collections.abc import Iterable
 from typing import Final
 
-import attrs
-
 from bramleybeam.decisions._routing import Candidate, estimate_first_token
 from bramleybeam.documents import WorkClass
 
@@ -16,31 +14,6 @@
 _URGENT_WITHIN_S: Final = 60.0
 
 
-@attrs.frozen
-class QueuedRequest:
-    """A request that waits for an upstream.
-
-    ``received_at`` is monotonic time, in seconds. ``answer_within_s`` is the
-    latency target and ``longest_wait_s`` the queue time limit.
-    """
-
-    received_at: float
-    answer_within_s: float
-    longest_wait_s: float
-
-    def slack(self, now: float) -> float:
-        """Return the seconds left until the latency target is missed.
-
-        The slack is negative once the target is missed. It is also negative
-        once the request has waited for half of its queue time limit, which
-        prevents starvation of requests with a distant target.
-        """
-        waited = now - self.received_at
-        if waited > self.longest_wait_s / 2:
-            return -waited
-        return self.answer_within_s - waited
-
-
 def priority_of(work_class: WorkClass) -> int:
     """Return the engine priority of a work class; higher runs first."""
     highest = len(_PRIORITY_LIMITS_S)
@@ -61,14 +34,6 @@
     return 1
 
 
-def is_next(
-    queued: QueuedRequest, others: Iterable[QueuedRequest], now: float
-) -> bool:
-    """Whether no other queued request has less slack than ``queued``."""
-    slack_s = queued.slack(now)
-    return all(slack_s <= other.slack(now) for other in others)
-
-
 def expected_wait(candidates: Iterable[Candidate], ahead: int) -> float | None:
     """Estimate the seconds until a request gets a slot on a full upstream.
 
--- a/bramleybeam/decisions/tests/test_admission.py
+++ b/bramleybeam/decisions/tests/test_admission.py
@@ -1,43 +1,23 @@
-"""Tests of queue order, early refusal and the token bucket."""
+"""Tests of early refusal and the token bucket."""
 
 import pytest
 
 from bramleybeam.decisions import (
     Candidate,
-    QueuedRequest,
     TokenBucket,
     cannot_meet_deadline,
     expected_wait,
-    is_next,
     limit_share_of,
     priority_of,
 )
 from bramleybeam.documents import WorkClass
 
-QUESTION = QueuedRequest(received_at=0, answer_within_s=0.4, longest_wait_s=5)
-DIGEST = QueuedRequest(received_at=0, answer_within_s=600, longest_wait_s=7200)
-
 
 def make_class(within, longest=100):
     """Return a work class with a latency target of ``within`` seconds."""
     return WorkClass('c', within, longest, idempotent=True)
 
 
-@pytest.mark.parametrize(
-    ('mine', 'other', 'now', 'expected'),
-    [
-        (QUESTION, DIGEST, 0, True),
-        (DIGEST, QUESTION, 0, False),
-        (QueuedRequest(0, 0.4, 5), QueuedRequest(0.2, 0.4, 5), 0.3, True),
-        (QueuedRequest(0, 600, 700), QueuedRequest(399, 0.4, 5), 400, True),
-    ],
-    ids=['urgent first', 'tolerant later', 'older first', 'no starvation'],
-)
-def test_request_with_least_slack_is_next(mine, other, now, expected):
-    """The order of queued requests follows their slack."""
-    assert is_next(mine, [mine, other], now) == expected
-
-
 @pytest.mark.parametrize(
     ('within', 'priority', 'share'),
     [(0.36, 3, 1), (2, 2, 1), (30, 1, 1), (600, 0, 0.7)],
--- a/bramleybeam/entry/_chooser.py
+++ b/bramleybeam/entry/_chooser.py
@@ -15,16 +15,15 @@
     EstimatePolicy,
     Policy,
     PrefixHistory,
-    QueuedRequest,
     cannot_meet_deadline,
     expected_wait,
     hash_blocks,
-    is_next,
     limit_share_of,
 )
 from bramleybeam.entry._directory import Directory
 from bramleybeam.entry._exchange import Exchange, RequestRefusedError
 from bramleybeam.errors import ErrorKind, Execution, Refusal, refuse
+from bramleybeam.queueing import QueuedRequest, RequestQueue
 
 # Longest time between two checks of a queued request. Its slack and its queue
 # time limit change without a notification.
@@ -48,7 +47,7 @@
         self._rng = rng
         self._policy = policy or EstimatePolicy()
         self._prefixes = PrefixHistory()
-        self._queues: dict[str, list[QueuedRequest]] = defaultdict(list)
+        self._queues: dict[str, RequestQueue] = defaultdict(RequestQueue)
 
     async def choose(self, exchange: Exchange) -> Candidate:
         """Return the upstream for a request, once one has capacity.
@@ -59,7 +58,7 @@
         queue = self._queues[exchange.base_model or exchange.target]
         queued = _make_queued_request(exchange)
         blocks = _hash_prompt(exchange)
-        queue.append(queued)
+        queue.add(queued)
         try:
             while True:
                 candidates = self._list_candidates(exchange, blocks)
@@ -71,25 +70,25 @@
                 wait_s = min(_MAX_WAIT_STEP_S, exchange.time_left)
                 await self._directory.wait_for_change(wait_s)
         finally:
-            queue.remove(queued)
+            queue.discard(queued)
             self._directory.notify_change()
 
     def _try_choose(
         self,
         queued: QueuedRequest,
-        queue: list[QueuedRequest],
+        queue: RequestQueue,
         candidates: list[Candidate],
     ) -> Candidate | None:
         """Return an upstream with capacity if it is the request's turn."""
         now = time.monotonic()
-        if self._policy.uses_slack and not is_next(queued, queue, now):
+        if self._policy.uses_slack and not queue.is_next(queued, now):
             return None
         return self._policy.choose(candidates, self._rng)
 
     def _check_queue_time(
         self,
         exchange: Exchange,
-        queue: list[QueuedRequest],
+        queue: RequestQueue,
         candidates: list[Candidate],
     ) -> None:
         """Refuse a request whose queue time limit is or will be exceeded."""
--- a/bramleybeam/gateway/_change_notifier.py
+++ b/bramleybeam/gateway/_change_notifier.py
@@ -4,14 +4,19 @@
 
 
 class ChangeNotifier:
-    """Wakes all waiting coroutines, in the order in which they began."""
+    """Wakes all waiting coroutines, in the order in which they began.
+
+    ``count`` is the number of changes so far.
+    """
 
     def __init__(self) -> None:
         """Create a notifier without waiters."""
+        self.count = 0
         self._waiters: dict[asyncio.Future[None], None] = {}
 
     def notify(self) -> None:
         """Wake all coroutines that are waiting now."""
+        self.count += 1
         for waiter in self._waiters:
             if not waiter.done():
                 waiter.set_result(None)
--- a/bramleybeam/gateway/_choose.py
+++ b/bramleybeam/gateway/_choose.py
@@ -1,23 +1,17 @@
 """Chooses the replica for each request.
 
-Requests that find no replica with free capacity wait in a queue for each target
-(model and adapter). The request with the least slack is served first.
+Requests that find no replica with free capacity wait in one queue for each
+service, whatever model and adapter they are for, because the replicas share
+their capacity between them. Free places are assigned in the order of the queue.
 """
 
 import random
-from collections import defaultdict
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from typing import Final, Self
 
 from bramleybeam.catalog import EngineSpec, Replica
-from bramleybeam.decisions import (
-    Candidate,
-    PrefixHistory,
-    QueuedRequest,
-    choose_upstream,
-    is_next,
-)
+from bramleybeam.decisions import Candidate, PrefixHistory, choose_upstream
 from bramleybeam.gateway._change_notifier import ChangeNotifier
 from bramleybeam.gateway._cluster_state import ClusterState
 from bramleybeam.gateway._holders import HolderFinder
@@ -29,6 +23,7 @@
     find_wait_refusal,
     refuse_for_shutdown,
 )
+from bramleybeam.gateway._waiters import Assignment, Waiter, WaiterQueue
 from bramleybeam.limits import Incarnation
 from bramleybeam.orders import PREFILL_TOKENS_PER_S, Target
 
@@ -46,6 +41,9 @@
 # randomly drawn candidates, and their number.
 _CROWD_FACTOR: Final = 4
 _CROWD_SAMPLE: Final = 2
+# Time in seconds after which places are assigned without a known change, because
+# pauses and reports of other gateways end without a notification.
+_REASSIGN_S: Final = 0.05
 
 
 class Chooser:
@@ -76,7 +74,7 @@
         self._is_connected = is_connected or _always_connected
         self._rng = rng
         self._prefixes = PrefixHistory()
-        self._queues: dict[Target, list[QueuedRequest]] = defaultdict(list)
+        self._queues: dict[str, WaiterQueue] = {}
         self._directory.on_change.append(self.changed.notify)
         self._loads.on_remote.append(self.changed.notify)
         self._suspects.on_quarantined.append(self.changed.notify)
@@ -89,11 +87,10 @@
         Waits for a replica if none is free; ``now`` is in seconds. Raises
         ``RequestRefusedError`` when none gets free in time.
         """
-        chosen = self._choose_now(job, now)
-        if chosen is None:
-            chosen = await self._wait(job)
-        replica = self._directory.replicas[chosen.name]
-        return replica, self._make_in_flight(job, replica)
+        with self._enqueue(job) as (queue, waiter):
+            self._assign_places(queue, now)
+            assignment = waiter.assignment or await self._wait(queue, waiter)
+        return assignment.replica, assignment.in_flight
 
     def stop(self) -> None:
         """Refuse all requests that wait or would have to, for shutdown."""
@@ -121,11 +118,9 @@
         cached_parts = self._prefixes.count_leading(replica.name, job.blocks)
         return sum(part.tokens for part in job.facts.parts[:cached_parts])
 
-    async def _wait(self, job: Job) -> Candidate:
-        with (
-            self._enqueue(job) as (queue, queued),
-            self._count_pending() as pending_request,
-        ):
+    async def _wait(self, queue: WaiterQueue, waiter: Waiter) -> Assignment:
+        job = waiter.job
+        with self._count_pending() as pending_request:
             while True:
                 holders = self._finder.list_holders(job)
                 if job.service.engine is not None and not holders:
@@ -137,34 +132,57 @@
                 )
                 self._check_wait(job, state)
                 await self.changed.wait(state.recheck_s)
-                now = self._directory.now()
-                if is_next(queued, queue, now):
-                    chosen = self._choose_now(job, now)
-                    if chosen is not None:
-                        return chosen
+                self._assign_places(queue, self._directory.now())
+                if waiter.assignment is not None:
+                    return waiter.assignment
+
+    def _assign_places(self, queue: WaiterQueue, now: float) -> None:
+        """Assign free places to waiting requests, in the order of the queue.
+
+        Does nothing if that was done since the last change. All requests that
+        get a place are woken.
+        """
+        is_recent = now - queue.served_at < _REASSIGN_S
+        if queue.seen_changes == self.changed.count and is_recent:
+            return
+        without_place: set[Target] = set()
+        assigned = 0
+        for waiter in queue.in_order(now):
+            job = waiter.job
+            if job.target in without_place:
+                continue
+            chosen = self._choose_now(job, now)
+            if chosen is not None:
+                replica = self._directory.replicas[chosen.name]
+                in_flight = self._make_in_flight(job, replica)
+                waiter.assign(replica, in_flight, self._loads)
+                queue.discard(waiter)
+                assigned += 1
+            elif not job.excluded_replicas:
+                without_place.add(job.target)
+        if assigned and queue:
+            self.changed.notify()
+        queue.seen_changes = self.changed.count
+        queue.served_at = now
 
     def _count_pending(self) -> '_PendingRequest':
         return _PendingRequest(self._demand.pending, self._directory.now)
 
     @contextmanager
-    def _enqueue(
-        self, job: Job
-    ) -> Iterator[tuple[list[QueuedRequest], QueuedRequest]]:
-        """Queue a request with those for the same target within the context."""
-        queue = self._queues[job.target]
-        queued = job.waiting
-        queue.append(queued)
+    def _enqueue(self, job: Job) -> Iterator[tuple[WaiterQueue, Waiter]]:
+        """Queue a request for the replicas of its service in the context."""
+        name = job.service.name
+        queue = self._queues.setdefault(name, WaiterQueue())
+        waiter = queue.add(job)
         try:
-            yield queue, queued
+            yield queue, waiter
+        except BaseException:
+            # Another request can have the place that it was assigned.
+            self.changed.notify()
+            raise
         finally:
-            self._leave_queue(job.target, queued)
-
-    def _leave_queue(self, target: Target, queued: QueuedRequest) -> None:
-        queue = self._queues[target]
-        queue.remove(queued)
-        if not queue:
-            self._queues.pop(target)
-        self.changed.notify()
+            queue.discard(waiter)
+            waiter.release()
 
     def _check_wait(self, job: Job, state: WaitState) -> None:
         """Raise a refusal if the wait took too long or can't succeed."""
--- a/bramleybeam/gateway/_job.py
+++ b/bramleybeam/gateway/_job.py
@@ -8,11 +8,11 @@
 import xxhash
 
 from bramleybeam.catalog import Route, Service, Workspace
-from bramleybeam.decisions import QueuedRequest
 from bramleybeam.errors import Refusal
 from bramleybeam.limits import max_queue_wait
 from bramleybeam.orders import Target
 from bramleybeam.platform import RequestFacts
+from bramleybeam.queueing import QueuedRequest
 from bramleybeam.relay import CallerConnection, InboundRequest, find_header
 
 
--- /dev/null
+++ b/bramleybeam/gateway/_waiters.py
@@ -0,0 +1,83 @@
+"""Requests of this gateway that wait for the replicas of a service."""
+
+from collections.abc import Iterator
+from contextlib import AbstractContextManager
+
+import attrs
+
+from bramleybeam.catalog import Replica
+from bramleybeam.gateway._job import Job
+from bramleybeam.gateway._loads import InFlightRequest, LoadTable
+from bramleybeam.queueing import QueuedRequest, RequestQueue
+
+
+@attrs.frozen
+class Assignment:
+    """The replica for a request, and its entry for the load table.
+
+    ``reservation`` counts it in the load table until it is sent.
+    """
+
+    replica: Replica
+    in_flight: InFlightRequest
+    reservation: AbstractContextManager[None]
+
+
+@attrs.define(eq=False)
+class Waiter:
+    """A request in the queue, and what it was assigned."""
+
+    job: Job
+    queued: QueuedRequest
+    assignment: Assignment | None = None
+
+    def assign(
+        self, replica: Replica, in_flight: InFlightRequest, loads: LoadTable
+    ) -> None:
+        """Reserve a place at a replica."""
+        reservation = loads.track(replica.name, in_flight)
+        reservation.__enter__()  # noqa: WPS609, PLC2801
+        self.assignment = Assignment(replica, in_flight, reservation)
+
+    def release(self) -> None:
+        """End the reservation, if there is one."""
+        if self.assignment is not None:
+            self.assignment.reservation.__exit__(None, None, None)  # noqa: WPS609
+
+
+class WaiterQueue:
+    """The waiting requests for the replicas of one service.
+
+    ``seen_changes`` and ``served_at`` tell when places were last assigned: the
+    count of changes that was taken into account, and the time in seconds.
+    """
+
+    def __init__(self) -> None:
+        """Start without requests."""
+        self.seen_changes = -1
+        self.served_at = 0.0
+        self._order = RequestQueue()
+        self._waiters: dict[QueuedRequest, Waiter] = {}
+
+    def __len__(self) -> int:
+        """Return the number of requests without an assignment."""
+        return len(self._order)
+
+    def add(self, job: Job) -> Waiter:
+        """Add a request that begins to wait."""
+        waiter = Waiter(job, job.waiting)
+        self._order.add(waiter.queued)
+        self._waiters[waiter.queued] = waiter
+        # A place may be free for a request of this kind.
+        self.seen_changes = -1
+        return waiter
+
+    def discard(self, waiter: Waiter) -> None:
+        """Remove a request that has an assignment or stops waiting."""
+        self._order.discard(waiter.queued)
+        self._waiters.pop(waiter.queued, None)
+
+    def in_order(self, now: float) -> Iterator[Waiter]:
+        """Return the requests, the next one to be served first."""
+        for queued in self._order.in_order(now):
+            yield self._waiters[queued]
--- /dev/null
+++ b/bramleybeam/gateway/tests/test_shared_queue.py
@@ -0,0 +1,155 @@
+"""Requests for several models that wait for the same replica."""
+
+import asyncio
+import random
+
+import attrs
+import pytest
+
+from bramleybeam.catalog import Holdings, RequestKind
+from bramleybeam.gateway import Chooser, RequestRefusedError
+from bramleybeam.gateway._loads import LoadReport
+from bramleybeam.gateway.tests.test_choose import (
+    MODEL,
+    ROUTE,
+    make_job,
+    make_state,
+    report,
+    run,
+)
+
+OTHER_MODEL = 'm2'
+PATIENT_ROUTE = attrs.evolve(
+    ROUTE, kind=RequestKind.IDEMPOTENT, objective_s=10, timeout_s=30
+)
+FULL = LoadReport(40)
+
+
+def make_shared_state(loop):
+    """Return a state with one full replica that holds two models."""
+    cluster_state = make_state(loop, 1)
+    replicas = cluster_state.directory.replicas
+    replicas['e0'] = attrs.evolve(
+        replicas['e0'],
+        holdings=Holdings(0, {MODEL: frozenset(), OTHER_MODEL: frozenset()}),
+    )
+    report(cluster_state, e0=FULL)
+    return cluster_state
+
+
+def make_patient_job(loop, model=OTHER_MODEL):
+    job = make_job(loop)
+    job.route = PATIENT_ROUTE
+    job.deadline_at = loop.time() + PATIENT_ROUTE.timeout_s
+    job.facts = attrs.evolve(job.facts, model=model)
+    return job
+
+
+class Requests:
+    """Sends requests through one gateway and records who was served."""
+
+    def __init__(self, loop, cluster_state):
+        self.served = []
+        self._loop = loop
+        self._state = cluster_state
+        self._chooser = Chooser(cluster_state, 'a', random.Random(2))
+        self._tasks = []
+
+    def send(self, name, job):
+        """Start a request that keeps its place once it has one."""
+        task = asyncio.create_task(self._run(name, job))
+        self._tasks.append(task)
+        return task
+
+    async def end(self):
+        """End all requests."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _run(self, name, job):
+        replica, in_flight = await self._chooser.choose(job, self._loop.time())
+        self.served.append(name)
+        with self._state.loads.track(replica.name, in_flight):
+            await asyncio.sleep(100)
+
+
+def test_urgent_request_gets_the_place_before_patient_ones_of_another_model():
+    """Load: one place gets free, patient requests wait for longer.
+
+    Each model had a queue of its own, so that the first one to wake took it.
+    """
+
+    async def scenario(loop):
+        cluster_state = make_shared_state(loop)
+        requests = Requests(loop, cluster_state)
+        for _ in range(5):
+            requests.send('patient', make_patient_job(loop))
+        await asyncio.sleep(0.1)
+        requests.send('urgent', make_job(loop))
+        await asyncio.sleep(0.1)
+        # One place is free.
+        report(cluster_state, e0=LoadReport(14))
+        await asyncio.sleep(0.1)
+        served = list(requests.served)
+        await requests.end()
+        return served
+
+    assert run(scenario) == ['urgent']
+
+
+def test_newcomer_does_not_take_the_place_of_a_waiting_request():
+    """Load: a place gets free at the moment at which a request arrives."""
+
+    async def scenario(loop):
+        cluster_state = make_shared_state(loop)
+        requests = Requests(loop, cluster_state)
+        requests.send('urgent', make_job(loop))
+        await asyncio.sleep(0.1)
+        requests.send('newcomer', make_patient_job(loop))
+        report(cluster_state, e0=LoadReport(14))
+        await asyncio.sleep(0.1)
+        served = list(requests.served)
+        await requests.end()
+        return served
+
+    assert run(scenario) == ['urgent']
+
+
+def test_place_of_a_request_whose_caller_leaves_is_assigned_again():
+    """A place that was assigned, but not used, must not stay reserved."""
+
+    async def scenario(loop):
+        cluster_state = make_shared_state(loop)
+        requests = Requests(loop, cluster_state)
+        leaving = requests.send('leaving', make_job(loop))
+        await asyncio.sleep(0.1)
+        staying = requests.send('staying', make_patient_job(loop))
+        await asyncio.sleep(0.1)
+        report(cluster_state, e0=LoadReport(14))
+        leaving.cancel()
+        await asyncio.sleep(0.1)
+        assert not staying.done()
+        load = cluster_state.loads.total('e0', loop.time())
+        served = list(requests.served)
+        await requests.end()
+        return served, load.requests
+
+    assert run(scenario) == (['staying'], 15)
+
+
+def test_refused_requests_leave_the_queue():
+    """A request that is refused must not be assigned a place later."""
+
+    async def scenario(loop):
+        cluster_state = make_shared_state(loop)
+        requests = Requests(loop, cluster_state)
+        refused = requests.send('refused', make_job(loop))
+        await asyncio.sleep(3)
+        with pytest.raises(RequestRefusedError):
+            refused.result()
+        report(cluster_state, e0=LoadReport(14))
+        await asyncio.sleep(0.1)
+        assert cluster_state.loads.total('e0', loop.time()).requests == 14
+
+    run(scenario)
