Serve requests that can be on time before late ones

By slack alone, a free place goes to the request that is late already, and by the time the next one is free the others are late too.

Requests that can still be on time are served first, by slack and priority, where the time to read the prompt counts as spent. While both kinds wait, one of four places goes to a late request, the one with the least share of its queue time left, so that late requests are answered and no class starves.

--- a/bramleybeam/entry/_chooser.py
+++ b/bramleybeam/entry/_chooser.py
@@ -61,7 +61,7 @@
         queue.add(queued)
         try:
             while True:
-                candidates = self._list_candidates(exchange, blocks)
+                candidates = self._list_candidates(exchange, queued, blocks)
                 chosen = self._try_choose(queued, queue, candidates)
                 if chosen is not None:
                     self._prefixes.note(chosen.name, blocks, time.monotonic())
@@ -83,7 +83,10 @@
         now = time.monotonic()
         if self._policy.uses_slack and not queue.is_next(queued, now):
             return None
-        return self._policy.choose(candidates, self._rng)
+        chosen = self._policy.choose(candidates, self._rng)
+        if chosen is not None:
+            queue.note_served(queued, now)
+        return chosen
 
     def _check_queue_time(
         self,
@@ -111,6 +114,7 @@
     def _list_candidates(
         self,
         exchange: Exchange,
+        queued: QueuedRequest,
         blocks: list[int],
     ) -> list[Candidate]:
         if exchange.kind == 'service':
@@ -119,8 +123,11 @@
             exchange.base_model,
             exchange.target,
         )
-        share = limit_share_of(exchange.assigned_class)
         now = time.monotonic()
+        share = limit_share_of(exchange.assigned_class)
+        if queued.slack(now) < 0:
+            # When its turn has come, it must not block the others.
+            share = 1
         return [
             attrs.evolve(
                 candidate,
--- a/bramleybeam/gateway/_choose.py
+++ b/bramleybeam/gateway/_choose.py
@@ -156,7 +156,7 @@
                 replica = self._directory.replicas[chosen.name]
                 in_flight = self._make_in_flight(job, replica)
                 waiter.assign(replica, in_flight, self._loads)
-                queue.discard(waiter)
+                queue.note_served(waiter, now)
                 assigned += 1
             elif not job.excluded_replicas:
                 without_place.add(job.target)
--- a/bramleybeam/gateway/_job.py
+++ b/bramleybeam/gateway/_job.py
@@ -10,7 +10,7 @@
 from bramleybeam.catalog import Route, Service, Workspace
 from bramleybeam.errors import Refusal
 from bramleybeam.limits import max_queue_wait
-from bramleybeam.orders import Target
+from bramleybeam.orders import PREFILL_TOKENS_PER_S, Target
 from bramleybeam.platform import RequestFacts
 from bramleybeam.queueing import QueuedRequest
 from bramleybeam.relay import CallerConnection, InboundRequest, find_header
@@ -171,8 +171,12 @@
     @property
     def waiting(self) -> QueuedRequest:
         """The request as an entry of the queue, with its slack."""
+        engine = self.service.engine
+        prefill_s = self.facts.prompt_tokens / PREFILL_TOKENS_PER_S
         return QueuedRequest(
             self.received_at,
             self.route.objective_s,
-            self.deadline_at - self.received_at,
+            self.max_queue_wait_s,
+            self.priority,
+            prefill_s if engine else 0,
         )
--- a/bramleybeam/gateway/_waiters.py
+++ b/bramleybeam/gateway/_waiters.py
@@ -73,10 +73,15 @@
         return waiter
 
     def discard(self, waiter: Waiter) -> None:
-        """Remove a request that has an assignment or stops waiting."""
+        """Remove a request that stops waiting."""
         self._order.discard(waiter.queued)
         self._waiters.pop(waiter.queued, None)
 
+    def note_served(self, waiter: Waiter, now: float) -> None:
+        """Remove a request that was assigned a place."""
+        self._order.note_served(waiter.queued, now)
+        self._waiters.pop(waiter.queued)
+
     def in_order(self, now: float) -> Iterator[Waiter]:
         """Return the requests, the next one to be served first."""
         for queued in self._order.in_order(now):
--- a/bramleybeam/queueing/_request_queue.py
+++ b/bramleybeam/queueing/_request_queue.py
@@ -3,36 +3,64 @@
 Handles this load: requests for several models and adapters wait for the same
 replicas. With a queue for each of them, a request that could wait takes the
 place that an urgent one in another queue needs.
+
+At a load that can't be served, an order by slack alone makes every request
+late: the place goes to the one that is late already. Requests that can be on
+time are therefore served first, and late ones get a share of the places, so
+that they are answered too.
 """
 
 from collections.abc import Iterator
+from typing import Final
 
 import attrs
 
 
+# Seconds of slack that outweigh one level of priority.
+_PRIORITY_STEP_S: Final = 0.5
+# Of this number of places that are assigned while both kinds wait, one goes to
+# the requests that can't be on time any more.
+_LATE_EVERY: Final = 4
+
+
 @attrs.frozen(eq=False)
 class QueuedRequest:
     """A request that waits for an upstream.
 
     ``received_at`` is monotonic time, in seconds. ``answer_within_s`` is the
-    latency target and ``longest_wait_s`` the queue time limit.
+    latency target and ``longest_wait_s`` the queue time limit. ``service_s``
+    is the least time from the end of the wait to the answer. ``priority`` 0 is
+    the most urgent.
     """
 
     received_at: float
     answer_within_s: float
     longest_wait_s: float
+    priority: int = 0
+    service_s: float = 0
 
     def slack(self, now: float) -> float:
-        """Return the seconds left until the latency target is missed.
+        """Return for how many seconds it can still wait and be on time.
+
+        The slack is negative if it can't be on time any more.
+        """
+        waited_s = now - self.received_at
+        return self.answer_within_s - self.service_s - waited_s
 
-        The slack is negative once the target is missed. It is also negative
-        once the request has waited for half of its queue time limit, which
-        prevents starvation of requests with a distant target.
+    def time_left(self, now: float) -> float:
+        """Return the seconds until its queue time limit is exceeded."""
+        return self.received_at + self.longest_wait_s - now
+
+    def urgency(self, now: float) -> float:
+        """Return the sort key among requests that are all late, or all not.
+
+        Late ones are served in proportion to their number, whatever their
+        priority: the next is the one with the least share of its time left.
         """
-        waited = now - self.received_at
-        if waited > self.longest_wait_s / 2:
-            return -waited
-        return self.answer_within_s - waited
+        slack_s = self.slack(now)
+        if slack_s < 0:
+            return self.time_left(now) / self.longest_wait_s
+        return slack_s + _PRIORITY_STEP_S * self.priority
 
 
 class RequestQueue:
@@ -41,6 +69,9 @@
     def __init__(self) -> None:
         """Start without requests."""
         self._requests: dict[QueuedRequest, None] = {}
+        # Places that went to requests that could be on time, since the last
+        # one that went to a late request.
+        self._timely_places = 0
 
     def __len__(self) -> int:
         """Return the number of waiting requests."""
@@ -55,13 +86,31 @@
         self._requests[queued] = None
 
     def discard(self, queued: QueuedRequest) -> None:
-        """Remove a request that was served or has left."""
+        """Remove a request that has left, if it is in the queue."""
         self._requests.pop(queued, None)
 
+    def note_served(self, queued: QueuedRequest, now: float) -> None:
+        """Remove a request that was assigned a place."""
+        self.discard(queued)
+        if queued.slack(now) < 0:
+            self._timely_places = 0
+        elif any(other.slack(now) < 0 for other in self._requests):
+            self._timely_places += 1
+
     def in_order(self, now: float) -> list[QueuedRequest]:
         """Return the requests, the next one to be served first."""
-        return sorted(self._requests, key=lambda queued: queued.slack(now))
+        late_first = self._timely_places >= _LATE_EVERY - 1
+        ranked = [
+            ((queued.slack(now) < 0) != late_first, queued.urgency(now), queued)
+            for queued in self._requests
+        ]
+        ranked.sort(key=_sort_key)
+        return [queued for _, _, queued in ranked]
 
     def is_next(self, queued: QueuedRequest, now: float) -> bool:
         """Whether no other request is to be served before ``queued``."""
         return self.in_order(now)[0] is queued
+
+
+def _sort_key(row: tuple[bool, float, QueuedRequest]) -> tuple[bool, float]:
+    return row[0], row[1]
