Leave places of replicas free while urgent requests come

Patient requests fill all places of a replica, also those in its own queue. An urgent one that arrives then waits until one of them ends, which takes longer than its objective.

Without urgent requests they use all places. Late ones get any place when it is the turn of a late request, so that they don't starve while urgent ones take everything.

--- a/bramleybeam/gateway/_choose.py
+++ b/bramleybeam/gateway/_choose.py
@@ -26,6 +26,7 @@
 from bramleybeam.gateway._waiters import Assignment, Waiter, WaiterQueue
 from bramleybeam.limits import Incarnation
 from bramleybeam.orders import PREFILL_TOKENS_PER_S, Target
+from bramleybeam.queueing import patient_places
 
 # Time that each request in a batch adds to the next token of all of them.
 _STEP_PER_REQUEST_S: Final = 0.0004
@@ -88,6 +89,7 @@
         ``RequestRefusedError`` when none gets free in time.
         """
         with self._enqueue(job) as (queue, waiter):
+            queue.urgent_work.note(job.route.objective_s, now)
             self._assign_places(queue, now)
             assignment = waiter.assignment or await self._wait(queue, waiter)
         return assignment.replica, assignment.in_flight
@@ -145,11 +147,13 @@
         is_recent = now - queue.served_at < _REASSIGN_S
         if queue.seen_changes == self.changed.count and is_recent:
             return
-        without_place: set[Target] = set()
+        without_place: set[tuple[Target, float, bool]] = set()
         assigned = 0
         for waiter in queue.in_order(now):
             job = waiter.job
-            if job.target in without_place:
+            is_late = waiter.queued.slack(now) < 0
+            kind = (job.target, job.route.objective_s, is_late)
+            if kind in without_place:
                 continue
             chosen = self._choose_now(job, now)
             if chosen is not None:
@@ -159,7 +163,7 @@
                 queue.note_served(waiter, now)
                 assigned += 1
             elif not job.excluded_replicas:
-                without_place.add(job.target)
+                without_place.add(kind)
         if assigned and queue:
             self.changed.notify()
         queue.seen_changes = self.changed.count
@@ -216,12 +220,13 @@
     ) -> Candidate:
         load = self._loads.total(replica.name, now)
         engine = job.service.engine
+        max_patient = self._patient_limit(job, replica, now)
         is_same_zone = replica.zone == self._zone
         if engine is None:
             return Candidate(
                 replica.name,
                 load.requests,
-                replica.slots * _PLAIN_QUEUE_PER_SLOT,
+                min(replica.slots * _PLAIN_QUEUE_PER_SLOT, max_patient),
                 zone_distance=int(not is_same_zone),
                 failure_share=self._failures.share(replica.name, now),
                 is_connected=self._is_connected(replica.incarnation),
@@ -231,7 +236,7 @@
         return Candidate(
             replica.name,
             load.requests,
-            _engine_limit(replica, load, job, engine),
+            min(_engine_limit(replica, load, job, engine), max_patient),
             zone_distance=int(not is_same_zone),
             failure_share=self._failures.share(replica.name, now),
             is_connected=self._is_connected(replica.incarnation),
@@ -239,6 +244,20 @@
             first_token_s=uncached_tokens / PREFILL_TOKENS_PER_S,
         )
 
+    def _patient_limit(self, job: Job, replica: Replica, now: float) -> int:
+        """Return how many requests a replica may have for one more like this.
+
+        A patient request leaves places free for urgent ones. Once it is late,
+        it may take them when it is the turn of a late request.
+        """
+        queue = self._queues[job.service.name]
+        queued = job.waiting
+        if not queue.urgent_work.is_patient(queued.answer_within_s, now):
+            return _PLAIN_QUEUE_PER_SLOT * replica.slots
+        if queued.slack(now) < 0 and queue.is_turn_of_late:
+            return _PLAIN_QUEUE_PER_SLOT * replica.slots
+        return patient_places(replica.slots)
+
 
 class _PendingRequest:
     """Counts one request as pending demand while it waits for a load.
--- a/bramleybeam/gateway/_waiters.py
+++ b/bramleybeam/gateway/_waiters.py
@@ -8,7 +8,7 @@
 from bramleybeam.catalog import Replica
 from bramleybeam.gateway._job import Job
 from bramleybeam.gateway._loads import InFlightRequest, LoadTable
-from bramleybeam.queueing import QueuedRequest, RequestQueue
+from bramleybeam.queueing import QueuedRequest, RequestQueue, UrgentWork
 
 
 @attrs.frozen
@@ -50,12 +50,14 @@
 
     ``seen_changes`` and ``served_at`` tell when places were last assigned: the
     count of changes that was taken into account, and the time in seconds.
+    ``urgent_work`` is the shortest objective of the requests of late.
     """
 
     def __init__(self) -> None:
         """Start without requests."""
         self.seen_changes = -1
         self.served_at = 0.0
+        self.urgent_work = UrgentWork()
         self._order = RequestQueue()
         self._waiters: dict[QueuedRequest, Waiter] = {}
 
@@ -63,6 +65,11 @@
         """Return the number of requests without an assignment."""
         return len(self._order)
 
+    @property
+    def is_turn_of_late(self) -> bool:
+        """Whether the next place is for a late request."""
+        return self._order.is_turn_of_late
+
     def add(self, job: Job) -> Waiter:
         """Add a request that begins to wait."""
         waiter = Waiter(job, job.waiting)
--- a/bramleybeam/queueing/_request_queue.py
+++ b/bramleybeam/queueing/_request_queue.py
@@ -81,6 +81,11 @@
         """Return the requests by the time at which they were added."""
         return iter(self._requests)
 
+    @property
+    def is_turn_of_late(self) -> bool:
+        """Whether the next place is for a late request, if one waits."""
+        return self._timely_places >= _LATE_EVERY - 1
+
     def add(self, queued: QueuedRequest) -> None:
         """Add a request that begins to wait."""
         self._requests[queued] = None
@@ -99,7 +104,7 @@
 
     def in_order(self, now: float) -> list[QueuedRequest]:
         """Return the requests, the next one to be served first."""
-        late_first = self._timely_places >= _LATE_EVERY - 1
+        late_first = self.is_turn_of_late
         ranked = [
             ((queued.slack(now) < 0) != late_first, queued.urgency(now), queued)
             for queued in self._requests
