Refuse at once what can not begin within its time limit

The gateway held each request until its time limit and refused it then, with a fixed Retry-After, although the queue ahead of it was known. The older pipeline expected the wait, but the gateway did not use that code.

Both pipelines now use one implementation in `queueing`. The gateway measures how long requests take and expects the wait from that, from the places that others get before, and from its share of the requests in flight, since other gateways take free places too. A request is refused if it could not begin in time even if places got free twice as fast, unless it is next in line, may have run, or nothing has been measured. The refusal names the expectation, its inputs and their age, and its Retry-After lies between the earliest and the expected time, at random, so that callers don't return together.

--- a/bramleybeam/decisions/__init__.py
+++ b/bramleybeam/decisions/__init__.py
@@ -5,8 +5,6 @@
 """
 
 from bramleybeam.decisions._admission import (
-    cannot_meet_deadline,
-    expected_wait,
     limit_share_of,
     priority_of,
 )
@@ -109,12 +107,10 @@
     'TokenBucket',
     'Verdict',
     'assign_homes',
-    'cannot_meet_deadline',
     'choose_upstream',
     'count_ready',
     'decide_retry',
     'estimate_first_token',
-    'expected_wait',
     'hash_blocks',
     'limit_share_of',
     'plan_placement',
--- a/bramleybeam/decisions/tests/test_admission.py
+++ b/bramleybeam/decisions/tests/test_admission.py
@@ -1,12 +1,9 @@
-"""Tests of early refusal and the token bucket."""
+"""Tests of priorities and the token bucket."""
 
 import pytest
 
 from bramleybeam.decisions import (
-    Candidate,
     TokenBucket,
-    cannot_meet_deadline,
-    expected_wait,
     limit_share_of,
     priority_of,
 )
@@ -28,26 +25,6 @@
     assert limit_share_of(make_class(within)) == share
 
 
-@pytest.mark.parametrize(
-    ('ahead', 'time_left', 'expected'),
-    [(0, 5, False), (100, 5, True), (100, 500, False)],
-)
-def test_expected_wait_beyond_time_left_misses_deadline(
-    ahead, time_left, expected
-):
-    """Ten requests in flight of two seconds each finish five a second."""
-    candidates = [Candidate('u', 10, 10, service_s=2)]
-    wait = expected_wait(candidates, ahead)
-    assert wait == pytest.approx((ahead + 1) / 5)
-    assert cannot_meet_deadline(wait, candidates, time_left) == expected
-
-
-def test_unknown_wait_does_not_miss_deadline():
-    """A process without measurements lets requests wait."""
-    assert expected_wait([Candidate('u', 1, 1)], 5) is None
-    assert not cannot_meet_deadline(None, [], 0)
-
-
 def test_token_bucket_limits_rate_and_burst():
     """At most ``burst`` tokens are taken at one time, then ``rate`` a second."""
     bucket = TokenBucket(rate=2, burst=3)
--- a/bramleybeam/entry/_chooser.py
+++ b/bramleybeam/entry/_chooser.py
@@ -15,15 +15,19 @@
     EstimatePolicy,
     Policy,
     PrefixHistory,
-    cannot_meet_deadline,
-    expected_wait,
     hash_blocks,
     limit_share_of,
 )
 from bramleybeam.entry._directory import Directory
 from bramleybeam.entry._exchange import Exchange, RequestRefusedError
 from bramleybeam.errors import ErrorKind, Execution, Refusal, refuse
-from bramleybeam.queueing import QueuedRequest, RequestQueue
+from bramleybeam.queueing import (
+    QueuedRequest,
+    RequestQueue,
+    cannot_meet_deadline,
+    expected_wait,
+    spread_retry,
+)
 
 # Longest time between two checks of a queued request. Its slack and its queue
 # time limit change without a notification.
@@ -102,12 +106,14 @@
         if exchange.attempts or not self._policy.uses_slack:
             return
         wait_s = expected_wait(candidates, len(queue) - 1)
-        if cannot_meet_deadline(wait_s, candidates, exchange.time_left):
+        if wait_s is not None and cannot_meet_deadline(
+            wait_s, candidates, exchange.time_left
+        ):
             raise RequestRefusedError(
                 refuse(
                     ErrorKind.TARGET_UNREACHABLE,
-                    f'About {wait_s or 0:.1f} s of queue time are expected.',
-                    retry_after=wait_s,
+                    f'About {wait_s:.1f} s of queue time are expected.',
+                    retry_after=spread_retry(wait_s, self._rng.random()),
                 ),
             )
 
--- a/bramleybeam/gateway/_choose.py
+++ b/bramleybeam/gateway/_choose.py
@@ -6,10 +6,12 @@
 """
 
 import random
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Sequence
 from contextlib import contextmanager
 from typing import Final, Self
 
+import attrs
+
 from bramleybeam.catalog import EngineSpec, Replica
 from bramleybeam.decisions import Candidate, PrefixHistory, choose_upstream
 from bramleybeam.gateway._change_notifier import ChangeNotifier
@@ -19,14 +21,26 @@
 from bramleybeam.gateway._loads import InFlightRequest, LoadReport
 from bramleybeam.gateway._pending_demand import PendingDemandTable
 from bramleybeam.gateway._wait_limits import (
+    RECHECK_S,
+    QueueForecast,
     WaitState,
     find_wait_refusal,
     refuse_for_shutdown,
 )
-from bramleybeam.gateway._waiters import Assignment, Waiter, WaiterQueue
+from bramleybeam.gateway._waiters import (
+    AheadCounter,
+    Assignment,
+    Waiter,
+    WaiterQueue,
+)
 from bramleybeam.limits import Incarnation
 from bramleybeam.orders import PREFILL_TOKENS_PER_S, Target
-from bramleybeam.queueing import patient_places
+from bramleybeam.queueing import (
+    cannot_meet_deadline,
+    expected_wait,
+    patient_places,
+    spread_retry,
+)
 
 # Time that each request in a batch adds to the next token of all of them.
 _STEP_PER_REQUEST_S: Final = 0.0004
@@ -99,6 +113,12 @@
         self._is_stopping = True
         self.changed.notify()
 
+    def note_ended(self, job: Job, elapsed_s: float) -> None:
+        """Record that a request that ran has left its place."""
+        queue = self._queues.get(job.service.name)
+        if queue is not None:
+            queue.service_time.note(elapsed_s, self._directory.now())
+
     def note_missing(self, replica: Replica, job: Job) -> None:
         """Record that a replica refused a target that it doesn't hold."""
         self._finder.note_missing(replica, job.target, self._directory.now())
@@ -131,6 +151,7 @@
                     self._finder.shortest_pause_s(holders),
                     pending_request.is_counted,
                     bool(holders),
+                    self._forecast(queue, waiter, holders),
                 )
                 self._check_wait(job, state)
                 await self.changed.wait(state.recheck_s)
@@ -148,27 +169,86 @@
         if queue.seen_changes == self.changed.count and is_recent:
             return
         without_place: set[tuple[Target, float, bool]] = set()
+        counter = AheadCounter(self._finder.list_holders)
         assigned = 0
         for waiter in queue.in_order(now):
-            job = waiter.job
             is_late = waiter.queued.slack(now) < 0
-            kind = (job.target, job.route.objective_s, is_late)
-            if kind in without_place:
-                continue
-            chosen = self._choose_now(job, now)
-            if chosen is not None:
-                replica = self._directory.replicas[chosen.name]
-                in_flight = self._make_in_flight(job, replica)
-                waiter.assign(replica, in_flight, self._loads)
+            kind = (waiter.job.target, waiter.job.route.objective_s, is_late)
+            if kind not in without_place and self._assign(waiter, now):
                 queue.note_served(waiter, now)
                 assigned += 1
-            elif not job.excluded_replicas:
+                continue
+            counter.add(waiter, is_late=is_late)
+            if not waiter.job.excluded_replicas:
                 without_place.add(kind)
         if assigned and queue:
             self.changed.notify()
         queue.seen_changes = self.changed.count
         queue.served_at = now
 
+    def _forecast(
+        self, queue: WaiterQueue, waiter: Waiter, holders: Sequence[Replica]
+    ) -> QueueForecast | None:
+        """Return how long a request is expected to wait for its holders.
+
+        It is renewed only after some time, as its cost grows with the holders.
+        """
+        now = self._directory.now()
+        if now - waiter.forecast_at >= RECHECK_S:
+            waiter.forecast = self._make_forecast(queue, waiter, holders, now)
+            waiter.forecast_at = now
+        return waiter.forecast
+
+    def _make_forecast(
+        self,
+        queue: WaiterQueue,
+        waiter: Waiter,
+        holders: Sequence[Replica],
+        now: float,
+    ) -> QueueForecast | None:
+        """Return how long a request is expected to wait for its holders.
+
+        The places that get free are shared with the other gateways. Each is
+        expected to get as many as it has requests in flight.
+        """
+        names = [holder.name for holder in holders]
+        local = sum(map(self._loads.count_local, names))
+        candidates = [
+            attrs.evolve(
+                self._make_candidate(waiter.job, holder, now),
+                service_s=queue.service_time.mean_s,
+            )
+            for holder in holders
+        ]
+        in_flight = sum(candidate.in_flight for candidate in candidates)
+        share = (local + 1) / (in_flight + 1)
+        wait_s = expected_wait(candidates, waiter.ahead, share)
+        if wait_s is None:
+            return None
+        job = waiter.job
+        time_left_s = waiter.queued.time_left(now)
+        # The time limit leaves time for the first event after it.
+        is_too_long = cannot_meet_deadline(wait_s, (), time_left_s)
+        return QueueForecast(
+            wait_s,
+            spread_retry(wait_s, self._rng.random()),
+            waiter.ahead,
+            now - queue.service_time.noted_at,
+            # The next in line, and a stream that has begun, are not refused.
+            is_too_long and waiter.ahead > 0 and not job.runs,
+        )
+
+    def _assign(self, waiter: Waiter, now: float) -> bool:
+        """Assign a place to a request; return whether there is one."""
+        job = waiter.job
+        chosen = self._choose_now(job, now)
+        if chosen is None:
+            return False
+        replica = self._directory.replicas[chosen.name]
+        in_flight = self._make_in_flight(job, replica)
+        waiter.assign(replica, in_flight, self._loads)
+        return True
+
     def _count_pending(self) -> '_PendingRequest':
         return _PendingRequest(self._demand.pending, self._directory.now)
 
--- a/bramleybeam/gateway/_forward.py
+++ b/bramleybeam/gateway/_forward.py
@@ -160,6 +160,7 @@
         self._log_attempt('answered', job, replica, outcome)
         self._metrics.note_answered(job, outcome.status, now)
         self._admitter.durations.note(job.route.name, now - job.received_at)
+        self._chooser.note_ended(job, now - job.sent_at)
 
     def _check_quarantine(self, job: Job) -> None:
         """Raise the refusal of a request that crashes replicas."""
--- a/bramleybeam/gateway/_job.py
+++ b/bramleybeam/gateway/_job.py
@@ -44,6 +44,7 @@
     ARRIVES_LATER = 'arrives_later'
     REPLICAS_PAUSED = 'replicas_paused'
     WAITED_LONG = 'waited_long'
+    QUEUE_TOO_LONG = 'queue_too_long'
 
 
 @attrs.define(eq=False)
--- a/bramleybeam/gateway/_loads.py
+++ b/bramleybeam/gateway/_loads.py
@@ -149,6 +149,11 @@
                 targets.setdefault(code, Counter()).update(counts)
         return RemoteLoads(totals, targets)
 
+    def count_local(self, replica: str) -> int:
+        """Return the requests of this gateway in flight at a replica."""
+        local = self._local.get(replica)
+        return local.requests if local else 0
+
     def total(self, replica: str, now: float) -> LoadReport:
         """Return the load of a replica from all gateways."""
         local = self._local.get(replica, _LocalLoad())
--- a/bramleybeam/gateway/_wait_limits.py
+++ b/bramleybeam/gateway/_wait_limits.py
@@ -25,6 +25,32 @@
 _PLAIN_RETRY_AFTER_S: Final = 0.1
 
 
+@attrs.frozen
+class QueueForecast:
+    """How long a request is expected to wait for a place.
+
+    ``wait_s`` is the expected time, and ``retry_after_s`` the Retry-After of a
+    refusal because of it. ``is_too_long`` is whether the request can't begin
+    within its time limit. The expectation follows from ``ahead``, the places
+    that others get before, and from the durations of requests, the newest of
+    which is ``age_s`` old. Times are in seconds.
+    """
+
+    wait_s: float
+    retry_after_s: float
+    ahead: int
+    age_s: float
+    is_too_long: bool
+
+    def describe(self) -> str:
+        """Return the expectation and its inputs, for a refusal."""
+        return (
+            f'About {self.wait_s:.1f} s of queue time are expected, with'
+            f' {self.ahead} requests ahead and durations measured until'
+            f' {self.age_s:.1f} s ago.'
+        )
+
+
 @attrs.frozen
 class WaitState:
     """What a waiting request has found.
@@ -32,12 +58,13 @@
     ``pause_s`` is the time in seconds until one of the replicas that hold its
     target takes requests again, 0 if one does. ``had_no_holder`` is whether, at
     some time of the wait, no replica held the target, and ``has_holder`` whether
-    one does now.
+    one does now. ``forecast`` is ``None`` while nothing is known of the wait.
     """
 
     pause_s: float = 0
     had_no_holder: bool = False
     has_holder: bool = True
+    forecast: QueueForecast | None = None
 
     @property
     def recheck_s(self) -> float:
@@ -69,9 +96,25 @@
         job.queue_exit = QueueExitReason.ARRIVES_LATER
         return _make_refusal(job, eta_s + _ARRIVAL_MARGIN_S)
     if wait_left_s > 0:
-        return None
+        return _refuse_long_queue(job, state.forecast)
     job.queue_exit = QueueExitReason.WAITED_LONG
-    return _make_refusal(job, None if state.has_holder else _load_time_s(job))
+    if not state.has_holder:
+        return _make_refusal(job, _load_time_s(job))
+    if state.forecast is None:
+        return _make_refusal(job)
+    # It was not served within the time expected before.
+    retry_after_s = max(_shortest_retry_s(job), state.forecast.retry_after_s)
+    return _make_refusal(job, retry_after_s, state.forecast.describe())
+
+
+def _refuse_long_queue(
+    job: Job, forecast: QueueForecast | None
+) -> Refusal | None:
+    """Return the refusal of a request that can't begin in time."""
+    if forecast is None or not forecast.is_too_long:
+        return None
+    job.queue_exit = QueueExitReason.QUEUE_TOO_LONG
+    return _make_refusal(job, forecast.retry_after_s, forecast.describe())
 
 
 def _load_time_s(job: Job) -> float | None:
@@ -85,14 +128,21 @@
     return model.load_s + _ARRIVAL_MARGIN_S if model else None
 
 
-def _make_refusal(job: Job, retry_after_s: float | None = None) -> Refusal:
+def _shortest_retry_s(job: Job) -> float:
+    return (
+        _PLAIN_RETRY_AFTER_S if job.service.engine is None else _RETRY_AFTER_S
+    )
+
+
+def _make_refusal(
+    job: Job, retry_after_s: float | None = None, detail: str = ''
+) -> Refusal:
+    retry_after_s = retry_after_s or _shortest_retry_s(job)
     if job.service.engine is None:
         return refuse(
-            ErrorKind.TARGET_UNREACHABLE,
-            retry_after=retry_after_s or _PLAIN_RETRY_AFTER_S,
+            ErrorKind.TARGET_UNREACHABLE, detail, retry_after=retry_after_s
         )
+    asked = f'Asked: {job.facts.model} {job.facts.adapter}. {detail}'
     return refuse(
-        ErrorKind.NO_READY_UPSTREAM,
-        f'Asked: {job.facts.model} {job.facts.adapter}.',
-        retry_after=retry_after_s or _RETRY_AFTER_S,
+        ErrorKind.NO_READY_UPSTREAM, asked.strip(), retry_after=retry_after_s
     )
--- a/bramleybeam/gateway/_waiters.py
+++ b/bramleybeam/gateway/_waiters.py
@@ -1,6 +1,8 @@
 """Requests of this gateway that wait for the replicas of a service."""
 
-from collections.abc import Iterator
+import math
+from collections import Counter
+from collections.abc import Callable, Iterator
 from contextlib import AbstractContextManager
 
 import attrs
@@ -8,7 +10,15 @@
 from bramleybeam.catalog import Replica
 from bramleybeam.gateway._job import Job
 from bramleybeam.gateway._loads import InFlightRequest, LoadTable
-from bramleybeam.queueing import QueuedRequest, RequestQueue, UrgentWork
+from bramleybeam.gateway._wait_limits import QueueForecast
+from bramleybeam.orders import Target
+from bramleybeam.queueing import (
+    QueuedRequest,
+    RequestQueue,
+    ServiceTime,
+    UrgentWork,
+    count_places_before,
+)
 
 
 @attrs.frozen
@@ -25,11 +35,18 @@
 
 @attrs.define(eq=False)
 class Waiter:
-    """A request in the queue, and what it was assigned."""
+    """A request in the queue, and what it was assigned.
+
+    ``ahead`` is the number of places that others get before it, ``forecast``
+    what was expected of its wait at ``forecast_at``, in seconds.
+    """
 
     job: Job
     queued: QueuedRequest
     assignment: Assignment | None = None
+    ahead: int = 0
+    forecast: QueueForecast | None = None
+    forecast_at: float = -math.inf
 
     def assign(
         self, replica: Replica, in_flight: InFlightRequest, loads: LoadTable
@@ -50,7 +67,8 @@
 
     ``seen_changes`` and ``served_at`` tell when places were last assigned: the
     count of changes that was taken into account, and the time in seconds.
-    ``urgent_work`` is the shortest objective of the requests of late.
+    ``urgent_work`` is the shortest objective of the requests of late, and
+    ``service_time`` how long requests take at the replicas.
     """
 
     def __init__(self) -> None:
@@ -58,6 +76,7 @@
         self.seen_changes = -1
         self.served_at = 0.0
         self.urgent_work = UrgentWork()
+        self.service_time = ServiceTime()
         self._order = RequestQueue()
         self._waiters: dict[QueuedRequest, Waiter] = {}
 
@@ -93,3 +112,39 @@
         """Return the requests, the next one to be served first."""
         for queued in self._order.in_order(now):
             yield self._waiters[queued]
+
+
+class AheadCounter:
+    """Counts the places that go to others before each request of a queue.
+
+    Only those requests count that can use no other replicas than it can.
+    """
+
+    def __init__(self, list_holders: Callable[[Job], list[Replica]]) -> None:
+        """Store what returns the replicas that can serve a request."""
+        self._list_holders = list_holders
+        self._holders: dict[Target, frozenset[str]] = {}
+        self._timely: Counter[Target] = Counter()
+        self._late: Counter[Target] = Counter()
+
+    def add(self, waiter: Waiter, *, is_late: bool) -> None:
+        """Set the number ahead of a request, and count it for the next ones."""
+        target = waiter.job.target
+        if target not in self._holders:
+            holders = self._list_holders(waiter.job)
+            self._holders[target] = frozenset(holder.name for holder in holders)
+        waiter.ahead = count_places_before(
+            self._count(self._timely, target),
+            self._count(self._late, target),
+            is_late=is_late,
+        )
+        counts = self._late if is_late else self._timely
+        counts[target] += 1
+
+    def _count(self, counts: Counter[Target], target: Target) -> int:
+        holders = self._holders[target]
+        return sum(
+            count
+            for other, count in counts.items()
+            if self._holders[other] <= holders
+        )
--- a/bramleybeam/gateway/tests/test_shared_queue.py
+++ b/bramleybeam/gateway/tests/test_shared_queue.py
@@ -9,6 +9,7 @@
 
 from bramleybeam.catalog import Holdings, RequestKind
 from bramleybeam.gateway import Chooser, RequestRefusedError
+from bramleybeam.gateway._job import QueueExitReason
 from bramleybeam.gateway._loads import LoadReport
 from bramleybeam.gateway.tests.test_choose import (
     MODEL,
@@ -55,7 +56,7 @@
         self._run_s = run_s
         self._loop = loop
         self._state = cluster_state
-        self._chooser = Chooser(cluster_state, 'a', random.Random(2))
+        self.chooser = Chooser(cluster_state, 'a', random.Random(2))
         self._tasks = []
 
     def send(self, name, job):
@@ -71,11 +72,11 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
     async def _run(self, name, job):
-        replica, in_flight = await self._chooser.choose(job, self._loop.time())
+        replica, in_flight = await self.chooser.choose(job, self._loop.time())
         self.served.append(name)
         with self._state.loads.track(replica.name, in_flight):
             await asyncio.sleep(self._run_s)
-        self._chooser.changed.notify()
+        self.chooser.changed.notify()
 
 
 def test_urgent_request_gets_the_place_before_patient_ones_of_another_model():
@@ -218,3 +219,74 @@
     counts = run(scenario)
     assert counts['patient'] >= 5
     assert counts['urgent'] >= 250
+
+
+async def send_beyond_capacity(loop, ended_s):
+    """Send 40 requests to a full replica; return their jobs after 0.1 s.
+
+    ``ended_s`` is how long an earlier request has taken, 0 if none has ended.
+    """
+    cluster_state = make_shared_state(loop)
+    # All requests in flight are those of this gateway.
+    report(cluster_state, e0=LoadReport(0))
+    requests = Requests(loop, cluster_state)
+    for _ in range(int(SLOTS * 1.25)):
+        requests.send('running', make_job(loop))
+    await asyncio.sleep(0)
+    jobs = [make_job(loop) for _ in range(40)]
+    if ended_s:
+        requests.chooser.note_ended(jobs[0], ended_s)
+    tasks = [requests.send('waiting', job) for job in jobs]
+    await asyncio.sleep(0.1)
+    refusals = [
+        task.exception().refusal if task.done() else None for task in tasks
+    ]
+    await requests.end()
+    return jobs, refusals
+
+
+def test_requests_that_can_not_begin_in_time_are_refused_at_once():
+    """Load: 15 requests of 2 s run, 40 others wait for at most 1.5 s.
+
+    They were held until their time limit and refused then, with a fixed
+    Retry-After, after which all of them returned together.
+    """
+
+    async def scenario(loop):
+        return await send_beyond_capacity(loop, ended_s=2)
+
+    jobs, refusals = run(scenario)
+    refused = [refusal for refusal in refusals if refusal is not None]
+    # 7.5 requests end in a second, twice as many if all goes well.
+    assert 15 <= len(refused) <= 25
+    exits = {job.queue_exit for job in jobs}
+    assert exits == {None, QueueExitReason.QUEUE_TOO_LONG}
+    assert all(1.4 < refusal.retry_after < 6 for refusal in refused)
+    assert len({refusal.retry_after for refusal in refused}) > 10
+    assert 'requests ahead' in refused[0].message
+
+
+def test_requests_are_not_refused_at_once_without_a_measurement():
+    async def scenario(loop):
+        return await send_beyond_capacity(loop, ended_s=0)
+
+    _, refusals = run(scenario)
+    assert refusals == [None] * 40
+
+
+def test_request_that_is_next_is_not_refused_before_its_time_limit():
+    """Load: a replica that is slower than any request may wait."""
+
+    async def scenario(loop):
+        cluster_state = make_shared_state(loop)
+        requests = Requests(loop, cluster_state)
+        job = make_job(loop)
+        requests.send('waiting', job)
+        requests.chooser.note_ended(job, 100)
+        await asyncio.sleep(1)
+        assert job.queue_exit is None
+        await asyncio.sleep(1)
+        await requests.end()
+        return job.queue_exit
+
+    assert run(scenario) == QueueExitReason.WAITED_LONG
--- a/bramleybeam/queueing/_request_queue.py
+++ b/bramleybeam/queueing/_request_queue.py
@@ -117,5 +117,16 @@
         return self.in_order(now)[0] is queued
 
 
+def count_places_before(timely: int, late: int, *, is_late: bool) -> int:
+    """Return how many places are assigned before it is a request's turn.
+
+    ``timely`` and ``late`` are the numbers of requests before it that can and
+    can't be on time.
+    """
+    if is_late:
+        return min(timely + late, _LATE_EVERY * (late + 1) - 1)
+    return timely
+
+
 def _sort_key(row: tuple[bool, float, QueuedRequest]) -> tuple[bool, float]:
     return row[0], row[1]
--- a/bramleybeam/simulation/_callers.py
+++ b/bramleybeam/simulation/_callers.py
@@ -144,6 +144,9 @@
             self._chooser.note_missing(replica, job)
         self._chooser.changed.notify()
         if is_complete:
+            self._chooser.note_ended(
+                job, loop.time() - started_at - assigned_after_s
+            )
             self._demand.pending.note_served(job.target, loop.time())
         if not is_complete:
             return _CallResult('failed', assigned_after_s)
