Let a workspace beyond its usual load delay itself

Among requests of the same urgency, places went to workspaces by the number of their requests: one that sent ten times its usual load took nearly all.

The cost in tokens of each request that arrives is counted by workspace. Without workspaces nothing changes.

--- a/bramleybeam/gateway/_choose.py
+++ b/bramleybeam/gateway/_choose.py
@@ -257,7 +257,7 @@
         """Queue a request for the replicas of its service in the context."""
         name = job.service.name
         queue = self._queues.setdefault(name, WaiterQueue())
-        waiter = queue.add(job)
+        waiter = queue.add(job, self._directory.now())
         try:
             yield queue, waiter
         except BaseException:
--- a/bramleybeam/gateway/_job.py
+++ b/bramleybeam/gateway/_job.py
@@ -173,6 +173,7 @@
     def waiting(self) -> QueuedRequest:
         """The request as an entry of the queue, with its slack."""
         engine = self.service.engine
+        tokens = self.facts.prompt_tokens + self.facts.output_tokens
         prefill_s = self.facts.prompt_tokens / PREFILL_TOKENS_PER_S
         return QueuedRequest(
             self.received_at,
@@ -180,4 +181,6 @@
             self.max_queue_wait_s,
             self.priority,
             prefill_s if engine else 0,
+            self.workspace.name if self.workspace else '',
+            0 if self.sends else max(1, tokens),
         )
--- a/bramleybeam/gateway/_waiters.py
+++ b/bramleybeam/gateway/_waiters.py
@@ -89,10 +89,10 @@
         """Whether the next place is for a late request."""
         return self._order.is_turn_of_late
 
-    def add(self, job: Job) -> Waiter:
+    def add(self, job: Job, now: float) -> Waiter:
         """Add a request that begins to wait."""
         waiter = Waiter(job, job.waiting)
-        self._order.add(waiter.queued)
+        self._order.add(waiter.queued, now)
         self._waiters[waiter.queued] = waiter
         # A place may be free for a request of this kind.
         self.seen_changes = -1
--- a/bramleybeam/queueing/_request_queue.py
+++ b/bramleybeam/queueing/_request_queue.py
@@ -15,6 +15,8 @@
 
 import attrs
 
+from bramleybeam.queueing._shares import MAX_DELAY_S, WorkspaceShares
+
 
 # Seconds of slack that outweigh one level of priority.
 _PRIORITY_STEP_S: Final = 0.5
@@ -30,7 +32,7 @@
     ``received_at`` is monotonic time, in seconds. ``answer_within_s`` is the
     latency target and ``longest_wait_s`` the queue time limit. ``service_s``
     is the least time from the end of the wait to the answer. ``priority`` 0 is
-    the most urgent.
+    the most urgent. ``tokens`` is the cost to ``workspace``.
     """
 
     received_at: float
@@ -38,6 +40,8 @@
     longest_wait_s: float
     priority: int = 0
     service_s: float = 0
+    workspace: str = ''
+    tokens: float = 0
 
     def slack(self, now: float) -> float:
         """Return for how many seconds it can still wait and be on time.
@@ -51,16 +55,17 @@
         """Return the seconds until its queue time limit is exceeded."""
         return self.received_at + self.longest_wait_s - now
 
-    def urgency(self, now: float) -> float:
+    def urgency(self, now: float, delay_s: float = 0) -> float:
         """Return the sort key among requests that are all late, or all not.
 
-        Late ones are served in proportion to their number, whatever their
+        ``delay_s`` is the delay of its workspace, in seconds of slack. Late ones are served in proportion to their number, whatever their
         priority: the next is the one with the least share of its time left.
         """
         slack_s = self.slack(now)
         if slack_s < 0:
-            return self.time_left(now) / self.longest_wait_s
-        return slack_s + _PRIORITY_STEP_S * self.priority
+            left_share = self.time_left(now) / self.longest_wait_s
+            return left_share + delay_s / MAX_DELAY_S
+        return slack_s + _PRIORITY_STEP_S * self.priority + delay_s
 
 
 class RequestQueue:
@@ -69,6 +74,7 @@
     def __init__(self) -> None:
         """Start without requests."""
         self._requests: dict[QueuedRequest, None] = {}
+        self._shares = WorkspaceShares()
         # Places that went to requests that could be on time, since the last
         # one that went to a late request.
         self._timely_places = 0
@@ -86,9 +92,15 @@
         """Whether the next place is for a late request, if one waits."""
         return self._timely_places >= _LATE_EVERY - 1
 
-    def add(self, queued: QueuedRequest) -> None:
-        """Add a request that begins to wait."""
+    def add(self, queued: QueuedRequest, now: float | None = None) -> None:
+        """Add a request that begins to wait ``now``, or else on arrival.
+
+        Its cost is counted. It is 0 if the request has waited before.
+        """
         self._requests[queued] = None
+        if queued.tokens:
+            now = queued.received_at if now is None else now
+            self._shares.note(queued.workspace, queued.tokens, now)
 
     def discard(self, queued: QueuedRequest) -> None:
         """Remove a request that has left, if it is in the queue."""
@@ -106,7 +118,13 @@
         """Return the requests, the next one to be served first."""
         late_first = self.is_turn_of_late
         ranked = [
-            ((queued.slack(now) < 0) != late_first, queued.urgency(now), queued)
+            (
+                (queued.slack(now) < 0) != late_first,
+                queued.urgency(
+                    now, self._shares.delay_s(queued.workspace, now)
+                ),
+                queued,
+            )
             for queued in self._requests
         ]
         ranked.sort(key=_sort_key)
