--- a/bramleybeam/gateway/_choose.py
+++ b/bramleybeam/gateway/_choose.py
@@ -38,7 +38,7 @@
 from bramleybeam.queueing import (
     cannot_meet_deadline,
     expected_wait,
-    patient_places,
+    tolerant_places,
     spread_retry,
 )
 
@@ -300,13 +300,13 @@
     ) -> Candidate:
         load = self._loads.total(replica.name, now)
         engine = job.service.engine
-        max_patient = self._patient_limit(job, replica, now)
+        max_tolerant = self._tolerant_limit(job, replica, now)
         is_same_zone = replica.zone == self._zone
         if engine is None:
             return Candidate(
                 replica.name,
                 load.requests,
-                min(replica.slots * _PLAIN_QUEUE_PER_SLOT, max_patient),
+                min(replica.slots * _PLAIN_QUEUE_PER_SLOT, max_tolerant),
                 zone_distance=int(not is_same_zone),
                 failure_share=self._failures.share(replica.name, now),
                 is_connected=self._is_connected(replica.incarnation),
@@ -316,7 +316,7 @@
         return Candidate(
             replica.name,
             load.requests,
-            min(_engine_limit(replica, load, job, engine), max_patient),
+            min(_engine_limit(replica, load, job, engine), max_tolerant),
             zone_distance=int(not is_same_zone),
             failure_share=self._failures.share(replica.name, now),
             is_connected=self._is_connected(replica.incarnation),
@@ -324,19 +324,19 @@
             first_token_s=uncached_tokens / PREFILL_TOKENS_PER_S,
         )
 
-    def _patient_limit(self, job: Job, replica: Replica, now: float) -> int:
+    def _tolerant_limit(self, job: Job, replica: Replica, now: float) -> int:
         """Return how many requests a replica may have for one more like this.
 
-        A patient request leaves places free for urgent ones. Once it is late,
+        A tolerant request leaves places free for urgent ones. Once it is late,
         it may take them when it is the turn of a late request.
         """
         queue = self._queues[job.service.name]
         queued = job.waiting
-        if not queue.urgent_work.is_patient(queued.answer_within_s, now):
+        if not queue.urgent_work.is_tolerant(queued.answer_within_s, now):
             return _PLAIN_QUEUE_PER_SLOT * replica.slots
         if queued.slack(now) < 0 and queue.is_turn_of_late:
             return _PLAIN_QUEUE_PER_SLOT * replica.slots
-        return patient_places(replica.slots)
+        return tolerant_places(replica.slots)
 
 
 class _PendingRequest:
--- a/bramleybeam/gateway/tests/test_shared_queue.py
+++ b/bramleybeam/gateway/tests/test_shared_queue.py
@@ -22,7 +22,7 @@
 )
 
 OTHER_MODEL = 'm2'
-PATIENT_ROUTE = attrs.evolve(
+TOLERANT_ROUTE = attrs.evolve(
     ROUTE, kind=RequestKind.IDEMPOTENT, objective_s=10, timeout_s=30
 )
 FULL = LoadReport(40)
@@ -40,10 +40,10 @@
     return cluster_state
 
 
-def make_patient_job(loop, model=OTHER_MODEL):
+def make_tolerant_job(loop, model=OTHER_MODEL):
     job = make_job(loop)
-    job.route = PATIENT_ROUTE
-    job.deadline_at = loop.time() + PATIENT_ROUTE.timeout_s
+    job.route = TOLERANT_ROUTE
+    job.deadline_at = loop.time() + TOLERANT_ROUTE.timeout_s
     job.facts = attrs.evolve(job.facts, model=model)
     return job
 
@@ -79,8 +79,8 @@
         self.chooser.changed.notify()
 
 
-def test_urgent_request_gets_the_place_before_patient_ones_of_another_model():
-    """Load: one place gets free, patient requests wait for longer.
+def test_urgent_request_gets_the_place_before_tolerant_ones_of_another_model():
+    """Load: one place gets free, tolerant requests wait for longer.
 
     Each model had a queue of its own, so that the first one to wake took it.
     """
@@ -89,7 +89,7 @@
         cluster_state = make_shared_state(loop)
         requests = Requests(loop, cluster_state)
         for _ in range(5):
-            requests.send('patient', make_patient_job(loop))
+            requests.send('tolerant', make_tolerant_job(loop))
         await asyncio.sleep(0.1)
         requests.send('urgent', make_job(loop))
         await asyncio.sleep(0.1)
@@ -111,7 +111,7 @@
         requests = Requests(loop, cluster_state)
         requests.send('urgent', make_job(loop))
         await asyncio.sleep(0.1)
-        requests.send('newcomer', make_patient_job(loop))
+        requests.send('newcomer', make_tolerant_job(loop))
         report(cluster_state, e0=LoadReport(14))
         await asyncio.sleep(0.1)
         served = list(requests.served)
@@ -160,8 +160,8 @@
     run(scenario)
 
 
-def test_patient_requests_leave_places_while_urgent_ones_come():
-    """Load: more patient requests than places, and an urgent one at times.
+def test_tolerant_requests_leave_places_while_urgent_ones_come():
+    """Load: more tolerant requests than places, and an urgent one at times.
 
     With all places taken, the urgent one would wait for one of them to end.
     """
@@ -172,7 +172,7 @@
         requests = Requests(loop, cluster_state)
         requests.send('urgent', make_job(loop))
         for _ in range(30):
-            requests.send('patient', make_patient_job(loop))
+            requests.send('tolerant', make_tolerant_job(loop))
         await asyncio.sleep(1)
         requests.send('urgent', make_job(loop))
         await asyncio.sleep(0)
@@ -180,10 +180,10 @@
         await requests.end()
         return counts
 
-    assert run(scenario) == {'urgent': 2, 'patient': 9}
+    assert run(scenario) == {'urgent': 2, 'tolerant': 9}
 
 
-def test_patient_requests_use_all_places_when_no_urgent_ones_come():
+def test_tolerant_requests_use_all_places_when_no_urgent_ones_come():
     async def scenario(loop):
         cluster_state = make_shared_state(loop)
         report(cluster_state, e0=LoadReport(0))
@@ -191,7 +191,7 @@
         requests.send('urgent', make_job(loop))
         await asyncio.sleep(2)
         for _ in range(30):
-            requests.send('patient', make_patient_job(loop))
+            requests.send('tolerant', make_tolerant_job(loop))
         await asyncio.sleep(5)
         served = len(requests.served)
         await requests.end()
@@ -200,7 +200,7 @@
     assert run(scenario) == int(SLOTS * 1.25)
 
 
-def test_patient_requests_do_not_starve_while_urgent_ones_take_all_places():
+def test_tolerant_requests_do_not_starve_while_urgent_ones_take_all_places():
     """Load: urgent requests alone keep all places of the replica busy."""
 
     async def scenario(loop):
@@ -209,7 +209,7 @@
         requests = Requests(loop, cluster_state, run_s=1)
         for tick in range(400):
             if tick % 20 == 0:
-                requests.send('patient', make_patient_job(loop))
+                requests.send('tolerant', make_tolerant_job(loop))
             requests.send('urgent', make_job(loop))
             await asyncio.sleep(0.06)
         counts = Counter(requests.served)
@@ -217,7 +217,7 @@
         return counts
 
     counts = run(scenario)
-    assert counts['patient'] >= 5
+    assert counts['tolerant'] >= 5
     assert counts['urgent'] >= 250
 
 
--- a/bramleybeam/queueing/__init__.py
+++ b/bramleybeam/queueing/__init__.py
@@ -15,7 +15,7 @@
     RequestQueue,
     count_places_before,
 )
-from bramleybeam.queueing._urgent_places import UrgentWork, patient_places
+from bramleybeam.queueing._urgent_places import UrgentWork, tolerant_places
 
 __all__ = [
     'QueuedRequest',
@@ -25,6 +25,6 @@
     'cannot_meet_deadline',
     'count_places_before',
     'expected_wait',
-    'patient_places',
+    'tolerant_places',
     'spread_retry',
 ]
--- a/bramleybeam/queueing/_urgent_places.py
+++ b/bramleybeam/queueing/_urgent_places.py
@@ -1,8 +1,8 @@
 """Keeps places of replicas free for urgent requests.
 
-Handles this load: patient requests fill every place, and an urgent one that
+Handles this load: tolerant requests fill every place, and an urgent one that
 arrives has to wait until one of them ends, which takes longer than its latency
-target. While urgent requests come, patient ones use only some of the places;
+target. While urgent requests come, tolerant ones use only some of the places;
 while none come, they use all of them.
 """
 
@@ -14,10 +14,10 @@
 # Time for which a request's latency target counts as that of urgent work, in
 # seconds.
 _RECENT_S: Final = 5.0
-# A request is patient if its latency target is more than this multiple of the
+# A request is tolerant if its latency target is more than this multiple of the
 # shortest one of late.
-_PATIENT_FACTOR: Final = 3
-# Share of a replica's places that patient requests leave free.
+_TOLERANT_FACTOR: Final = 3
+# Share of a replica's places that tolerant requests leave free.
 _FREE_SHARE: Final = 0.15
 
 
@@ -34,18 +34,18 @@
             self._target_s = answer_within_s
             self._seen_at = now
 
-    def is_patient(self, answer_within_s: float, now: float) -> bool:
+    def is_tolerant(self, answer_within_s: float, now: float) -> bool:
         """Whether a request leaves places free for others of late."""
         if self._is_old(now):
             return False
-        return answer_within_s > _PATIENT_FACTOR * self._target_s
+        return answer_within_s > _TOLERANT_FACTOR * self._target_s
 
     def _is_old(self, now: float) -> bool:
         return now - self._seen_at > _RECENT_S
 
 
-def patient_places(slots: int) -> int:
-    """Return the places that patient requests use while urgent ones come.
+def tolerant_places(slots: int) -> int:
+    """Return the places that tolerant requests use while urgent ones come.
 
     None of them waits in a replica's own queue, and at least one place is left
     free, unless there is only one.
