Wake a request that was assigned a place by another one

A request that arrives assigns places to those that waited before it. If none was left in the queue after that, they were not woken, and their places stayed reserved and unused for up to 0.25 s.

The new test fails on the code before: of two requests only the newcomer was served.

--- a/bramleybeam/gateway/_choose.py
+++ b/bramleybeam/gateway/_choose.py
@@ -181,7 +181,8 @@
             counter.add(waiter, is_late=is_late)
             if not waiter.job.excluded_replicas:
                 without_place.add(kind)
-        if assigned and queue:
+        if assigned > 1 or (assigned and queue):
+            # At least one of them belongs to another request than this one.
             self.changed.notify()
         queue.seen_changes = self.changed.count
         queue.served_at = now
--- a/bramleybeam/gateway/tests/test_shared_queue.py
+++ b/bramleybeam/gateway/tests/test_shared_queue.py
@@ -10,7 +10,8 @@
 from bramleybeam.catalog import Holdings, RequestKind
 from bramleybeam.gateway import Chooser, RequestRefusedError
 from bramleybeam.gateway._job import QueueExitReason
-from bramleybeam.gateway._loads import LoadReport
+from bramleybeam.gateway._loads import LoadReport, RemoteLoads
+from bramleybeam.gateway._packed_loads import PackedLoad, replica_code
 from bramleybeam.gateway.tests.test_choose import (
     MODEL,
     ROUTE,
@@ -221,6 +222,29 @@
     assert counts['urgent'] >= 250
 
 
+def test_request_that_another_one_assigns_a_place_is_woken():
+    """A waiting request gets a place when a newcomer looks for one.
+
+    Otherwise the place is reserved, but unused, until it looks by itself.
+    """
+
+    async def scenario(loop):
+        cluster_state = make_shared_state(loop)
+        full = RemoteLoads({replica_code('e0'): PackedLoad(40, 0, 0)})
+        cluster_state.loads.update_remote('n1', full, loop.time() + 0.1)
+        requests = Requests(loop, cluster_state)
+        requests.send('waiting', make_job(loop))
+        # The report of other gateways expires without a notification.
+        await asyncio.sleep(0.11)
+        requests.send('newcomer', make_job(loop))
+        await asyncio.sleep(0.01)
+        served = set(requests.served)
+        await requests.end()
+        return served
+
+    assert run(scenario) == {'waiting', 'newcomer'}
+
+
 async def send_beyond_capacity(loop, ended_s):
     """Send 40 requests to a full replica; return their jobs after 0.1 s.
 
