--- a/bramleybeam/decisions/__init__.py
+++ b/bramleybeam/decisions/__init__.py
@@ -5,10 +5,6 @@
 """
 
 from bramleybeam.decisions._admission import (
-    QueuedRequest,
-    cannot_meet_deadline,
-    expected_wait,
-    is_next,
     limit_share_of,
     priority_of,
 )
@@ -93,7 +89,6 @@
     'PlannedOrder',
     'Policy',
     'PrefixHistory',
-    'QueuedRequest',
     'RandomPolicy',
     'RefusedByAgent',
     'RetryAttempt',
@@ -112,14 +107,11 @@
     'TokenBucket',
     'Verdict',
     'assign_homes',
-    'cannot_meet_deadline',
     'choose_upstream',
     'count_ready',
     'decide_retry',
     'estimate_first_token',
-    'expected_wait',
     'hash_blocks',
-    'is_next',
     'limit_share_of',
     'plan_placement',
     'priority_of',
