--- a/bramleybeam/decisions/_admission.py
+++ b/bramleybeam/decisions/_admission.py
@@ -1,11 +1,7 @@
-"""Queue order, priority and early refusal of requests."""
+"""Priority of requests at upstreams."""
 
-from collections.abc import Iterable
 from typing import Final
 
-import attrs
-
-from bramleybeam.decisions._routing import Candidate, estimate_first_token
 from bramleybeam.documents import WorkClass
 
 # Longest latency target, in seconds, of each priority, highest first.
@@ -16,31 +12,6 @@
 _URGENT_WITHIN_S: Final = 60.0
 
 
-@attrs.frozen
-class QueuedRequest:
-    """A request that waits for an upstream.
-
-    ``received_at`` is monotonic time, in seconds. ``answer_within_s`` is the
-    latency target and ``longest_wait_s`` the queue time limit.
-    """
-
-    received_at: float
-    answer_within_s: float
-    longest_wait_s: float
-
-    def slack(self, now: float) -> float:
-        """Return the seconds left until the latency target is missed.
-
-        The slack is negative once the target is missed. It is also negative
-        once the request has waited for half of its queue time limit, which
-        prevents starvation of requests with a distant target.
-        """
-        waited = now - self.received_at
-        if waited > self.longest_wait_s / 2:
-            return -waited
-        return self.answer_within_s - waited
-
-
 def priority_of(work_class: WorkClass) -> int:
     """Return the engine priority of a work class; higher runs first."""
     highest = len(_PRIORITY_LIMITS_S)
@@ -59,45 +30,3 @@
     if work_class.answer_within_s > _URGENT_WITHIN_S:
         return _TOLERANT_SHARE
     return 1
-
-
-def is_next(
-    queued: QueuedRequest, others: Iterable[QueuedRequest], now: float
-) -> bool:
-    """Whether no other queued request has less slack than ``queued``."""
-    slack_s = queued.slack(now)
-    return all(slack_s <= other.slack(now) for other in others)
-
-
-def expected_wait(candidates: Iterable[Candidate], ahead: int) -> float | None:
-    """Estimate the seconds until a request gets a slot on a full upstream.
-
-    ``ahead`` is the number of requests before this one in the queue. The
-    estimate is the time in which the upstreams together finish ``ahead + 1``
-    requests, if each takes as long as the recent ones of its upstream. Returns
-    ``None`` if there is no measurement yet.
-    """
-    requests_per_s = 0.0
-    for candidate in candidates:
-        if candidate.service_s > 0:
-            requests_per_s += (
-                min(candidate.in_flight, candidate.limit) / candidate.service_s
-            )
-    return (ahead + 1) / requests_per_s if requests_per_s else None
-
-
-def cannot_meet_deadline(
-    wait: float | None,
-    candidates: Iterable[Candidate],
-    time_left: float,
-) -> bool:
-    """Whether a request would exceed its queue time limit.
-
-    ``wait`` is the expected wait, ``None`` if unknown, and ``time_left`` the
-    rest of the queue time limit, both in seconds. The estimated time to the
-    first token counts as part of the wait.
-    """
-    if wait is None:
-        return False
-    first_token_s = min(map(estimate_first_token, candidates), default=0)
-    return wait + first_token_s > time_left
--- a/bramleybeam/decisions/tests/test_admission.py
+++ b/bramleybeam/decisions/tests/test_admission.py
@@ -1,43 +1,20 @@
-"""Tests of queue order, early refusal and the token bucket."""
+"""Tests of priorities and the token bucket."""
 
 import pytest
 
 from bramleybeam.decisions import (
-    Candidate,
-    QueuedRequest,
     TokenBucket,
-    cannot_meet_deadline,
-    expected_wait,
-    is_next,
     limit_share_of,
     priority_of,
 )
 from bramleybeam.documents import WorkClass
 
-QUESTION = QueuedRequest(received_at=0, answer_within_s=0.4, longest_wait_s=5)
-DIGEST = QueuedRequest(received_at=0, answer_within_s=600, longest_wait_s=7200)
-
 
 def make_class(within, longest=100):
     """Return a work class with a latency target of ``within`` seconds."""
     return WorkClass('c', within, longest, idempotent=True)
 
 
-@pytest.mark.parametrize(
-    ('mine', 'other', 'now', 'expected'),
-    [
-        (QUESTION, DIGEST, 0, True),
-        (DIGEST, QUESTION, 0, False),
-        (QueuedRequest(0, 0.4, 5), QueuedRequest(0.2, 0.4, 5), 0.3, True),
-        (QueuedRequest(0, 600, 700), QueuedRequest(399, 0.4, 5), 400, True),
-    ],
-    ids=['urgent first', 'tolerant later', 'older first', 'no starvation'],
-)
-def test_request_with_least_slack_is_next(mine, other, now, expected):
-    """The order of queued requests follows their slack."""
-    assert is_next(mine, [mine, other], now) == expected
-
-
 @pytest.mark.parametrize(
     ('within', 'priority', 'share'),
     [(0.36, 3, 1), (2, 2, 1), (30, 1, 1), (600, 0, 0.7)],
@@ -48,26 +25,6 @@
     assert limit_share_of(make_class(within)) == share
 
 
-@pytest.mark.parametrize(
-    ('ahead', 'time_left', 'expected'),
-    [(0, 5, False), (100, 5, True), (100, 500, False)],
-)
-def test_expected_wait_beyond_time_left_misses_deadline(
-    ahead, time_left, expected
-):
-    """Ten requests in flight of two seconds each finish five a second."""
-    candidates = [Candidate('u', 10, 10, service_s=2)]
-    wait = expected_wait(candidates, ahead)
-    assert wait == pytest.approx((ahead + 1) / 5)
-    assert cannot_meet_deadline(wait, candidates, time_left) == expected
-
-
-def test_unknown_wait_does_not_miss_deadline():
-    """A process without measurements lets requests wait."""
-    assert expected_wait([Candidate('u', 1, 1)], 5) is None
-    assert not cannot_meet_deadline(None, [], 0)
-
-
 def test_token_bucket_limits_rate_and_burst():
     """At most ``burst`` tokens are taken at one time, then ``rate`` a second."""
     bucket = TokenBucket(rate=2, burst=3)
--- a/bramleybeam/entry/_chooser.py
+++ b/bramleybeam/entry/_chooser.py
@@ -15,16 +15,19 @@
     EstimatePolicy,
     Policy,
     PrefixHistory,
-    QueuedRequest,
-    cannot_meet_deadline,
-    expected_wait,
     hash_blocks,
-    is_next,
     limit_share_of,
 )
 from bramleybeam.entry._directory import Directory
 from bramleybeam.entry._exchange import Exchange, RequestRefusedError
 from bramleybeam.errors import ErrorKind, Execution, Refusal, refuse
+from bramleybeam.queueing import (
+    QueuedRequest,
+    RequestQueue,
+    cannot_meet_deadline,
+    expected_wait,
+    spread_retry,
+)
 
 # Longest time between two checks of a queued request. Its slack and its queue
 # time limit change without a notification.
@@ -48,7 +51,7 @@
         self._rng = rng
         self._policy = policy or EstimatePolicy()
         self._prefixes = PrefixHistory()
-        self._queues: dict[str, list[QueuedRequest]] = defaultdict(list)
+        self._queues: dict[str, RequestQueue] = defaultdict(RequestQueue)
 
     async def choose(self, exchange: Exchange) -> Candidate:
         """Return the upstream for a request, once one has capacity.
@@ -59,10 +62,10 @@
         queue = self._queues[exchange.base_model or exchange.target]
         queued = _make_queued_request(exchange)
         blocks = _hash_prompt(exchange)
-        queue.append(queued)
+        queue.add(queued)
         try:
             while True:
-                candidates = self._list_candidates(exchange, blocks)
+                candidates = self._list_candidates(exchange, queued, blocks)
                 chosen = self._try_choose(queued, queue, candidates)
                 if chosen is not None:
                     self._prefixes.note(chosen.name, blocks, time.monotonic())
@@ -71,25 +74,28 @@
                 wait_s = min(_MAX_WAIT_STEP_S, exchange.time_left)
                 await self._directory.wait_for_change(wait_s)
         finally:
-            queue.remove(queued)
+            queue.discard(queued)
             self._directory.notify_change()
 
     def _try_choose(
         self,
         queued: QueuedRequest,
-        queue: list[QueuedRequest],
+        queue: RequestQueue,
         candidates: list[Candidate],
     ) -> Candidate | None:
         """Return an upstream with capacity if it is the request's turn."""
         now = time.monotonic()
-        if self._policy.uses_slack and not is_next(queued, queue, now):
+        if self._policy.uses_slack and not queue.is_next(queued, now):
             return None
-        return self._policy.choose(candidates, self._rng)
+        chosen = self._policy.choose(candidates, self._rng)
+        if chosen is not None:
+            queue.note_served(queued, now)
+        return chosen
 
     def _check_queue_time(
         self,
         exchange: Exchange,
-        queue: list[QueuedRequest],
+        queue: RequestQueue,
         candidates: list[Candidate],
     ) -> None:
         """Refuse a request whose queue time limit is or will be exceeded."""
@@ -100,18 +106,21 @@
         if exchange.attempts or not self._policy.uses_slack:
             return
         wait_s = expected_wait(candidates, len(queue) - 1)
-        if cannot_meet_deadline(wait_s, candidates, exchange.time_left):
+        if wait_s is not None and cannot_meet_deadline(
+            wait_s, candidates, exchange.time_left
+        ):
             raise RequestRefusedError(
                 refuse(
                     ErrorKind.TARGET_UNREACHABLE,
-                    f'About {wait_s or 0:.1f} s of queue time are expected.',
-                    retry_after=wait_s,
+                    f'About {wait_s:.1f} s of queue time are expected.',
+                    retry_after=spread_retry(wait_s, self._rng.random()),
                 ),
             )
 
     def _list_candidates(
         self,
         exchange: Exchange,
+        queued: QueuedRequest,
         blocks: list[int],
     ) -> list[Candidate]:
         if exchange.kind == 'service':
@@ -120,8 +129,11 @@
             exchange.base_model,
             exchange.target,
         )
-        share = limit_share_of(exchange.assigned_class)
         now = time.monotonic()
+        share = limit_share_of(exchange.assigned_class)
+        if queued.slack(now) < 0:
+            # When its turn has come, it must not block the others.
+            share = 1
         return [
             attrs.evolve(
                 candidate,
--- a/bramleybeam/gateway/_attempt.py
+++ b/bramleybeam/gateway/_attempt.py
@@ -145,9 +145,7 @@
             )
         except BrokenReplyError as error:
             return NotArrived(str(error))
-        job.sends += 1
-        job.runs += 1
-        job.sent_at = _now()
+        job.note_sent(_now())
         if job.charge is not None:
             job.charge.note_sent()
         head, facts = await self._read_matching_head(peer_connection)
--- a/bramleybeam/gateway/_choose.py
+++ b/bramleybeam/gateway/_choose.py
@@ -1,25 +1,21 @@
 """Chooses the replica for each request.
 
-Requests that find no replica with free capacity wait in a queue for each target
-(model and adapter). The request with the least slack is served first.
+Requests that find no replica with free capacity wait in one queue for each
+service, whatever model and adapter they are for, because the replicas share
+their capacity between them. Free places are assigned in the order of the queue.
 """
 
 import asyncio
 import random
-from collections import defaultdict
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Sequence
 from contextlib import contextmanager
 from typing import Final, Self
 
+import attrs
+
 from bramleybeam.catalog import EngineSpec, Replica
 from bramleybeam.costs import can_wait, would_stall_streams
-from bramleybeam.decisions import (
-    Candidate,
-    PrefixHistory,
-    QueuedRequest,
-    choose_upstream,
-    is_next,
-)
+from bramleybeam.decisions import Candidate, PrefixHistory, choose_upstream
 from bramleybeam.gateway._change_notifier import ChangeNotifier
 from bramleybeam.gateway._cluster_state import ClusterState
 from bramleybeam.gateway._holders import HolderFinder
@@ -27,13 +23,27 @@
 from bramleybeam.gateway._loads import InFlightRequest, LoadReport
 from bramleybeam.gateway._pending_demand import PendingDemandTable
 from bramleybeam.gateway._wait_limits import (
+    RECHECK_S,
+    QueueForecast,
     WaitState,
     find_wait_refusal,
     refuse_for_shutdown,
 )
+from bramleybeam.gateway._waiters import (
+    AheadCounter,
+    Assignment,
+    Waiter,
+    WaiterQueue,
+)
 from bramleybeam.gateway._work import WorkTracker
 from bramleybeam.limits import Incarnation
 from bramleybeam.orders import Target
+from bramleybeam.queueing import (
+    cannot_meet_deadline,
+    expected_wait,
+    spread_retry,
+    tolerant_places,
+)
 
 # Time that each request in a batch adds to the next token of all of them.
 _STEP_PER_REQUEST_S: Final = 0.0004
@@ -54,6 +64,9 @@
 # randomly drawn candidates, and their number.
 _CROWD_FACTOR: Final = 4
 _CROWD_SAMPLE: Final = 2
+# Time in seconds after which places are assigned without a known change, because
+# pauses and reports of other gateways end without a notification.
+_REASSIGN_S: Final = 0.05
 
 
 class Chooser:
@@ -88,7 +101,7 @@
         self._prefixes = PrefixHistory()
         self.work = WorkTracker(cluster_state, self._count_uncached_tokens)
         self._pacing_timer: asyncio.TimerHandle | None = None
-        self._queues: dict[Target, list[QueuedRequest]] = defaultdict(list)
+        self._queues: dict[str, WaiterQueue] = {}
         self._directory.on_change.append(self.changed.notify)
         self._loads.on_remote.append(self.changed.notify)
         self._suspects.on_quarantined.append(self.changed.notify)
@@ -101,17 +114,23 @@
         Waits for a replica if none is free; ``now`` is in seconds. Raises
         ``RequestRefusedError`` when none gets free in time.
         """
-        chosen = self._choose_now(job, now)
-        if chosen is None:
-            chosen = await self._wait(job)
-        replica = self._directory.replicas[chosen.name]
-        return replica, self._make_in_flight(job, replica)
+        with self._enqueue(job) as (queue, waiter):
+            queue.urgent_work.note(job.route.objective_s, now)
+            self._assign_places(queue, now)
+            assignment = waiter.assignment or await self._wait(queue, waiter)
+        return assignment.replica, assignment.in_flight
 
     def stop(self) -> None:
         """Refuse all requests that wait or would have to, for shutdown."""
         self._is_stopping = True
         self.changed.notify()
 
+    def note_ended(self, job: Job, elapsed_s: float) -> None:
+        """Record that a request that ran has left its place."""
+        queue = self._queues.get(job.service.name)
+        if queue is not None:
+            queue.service_time.note(elapsed_s, self._directory.now())
+
     def note_missing(self, replica: Replica, job: Job) -> None:
         """Record that a replica refused a target that it doesn't hold."""
         self._finder.note_missing(replica, job.target, self._directory.now())
@@ -138,11 +157,9 @@
         cached_parts = self._prefixes.count_leading(replica.name, job.blocks)
         return sum(part.tokens for part in job.facts.parts[:cached_parts])
 
-    async def _wait(self, job: Job) -> Candidate:
-        with (
-            self._enqueue(job) as (queue, queued),
-            self._count_pending() as pending_request,
-        ):
+    async def _wait(self, queue: WaiterQueue, waiter: Waiter) -> Assignment:
+        job = waiter.job
+        with self._count_pending() as pending_request:
             while True:
                 holders = self._finder.list_holders(job)
                 if job.service.engine is not None and not holders:
@@ -151,37 +168,123 @@
                     self._finder.shortest_pause_s(holders),
                     pending_request.is_counted,
                     bool(holders),
+                    self._forecast(queue, waiter, holders),
                 )
                 self._check_wait(job, state)
                 await self.changed.wait(state.recheck_s)
-                now = self._directory.now()
-                if is_next(queued, queue, now):
-                    chosen = self._choose_now(job, now)
-                    if chosen is not None:
-                        return chosen
+                self._assign_places(queue, self._directory.now())
+                if waiter.assignment is not None:
+                    return waiter.assignment
+
+    def _assign_places(self, queue: WaiterQueue, now: float) -> None:
+        """Assign free places to waiting requests, in the order of the queue.
+
+        Does nothing if that was done since the last change. All requests that
+        get a place are woken.
+        """
+        is_recent = now - queue.served_at < _REASSIGN_S
+        if queue.seen_changes == self.changed.count and is_recent:
+            return
+        without_place: set[tuple[Target, float, bool]] = set()
+        counter = AheadCounter(self._finder.list_holders)
+        assigned = 0
+        for waiter in queue.in_order(now):
+            is_late = waiter.queued.slack(now) < 0
+            kind = (waiter.job.target, waiter.job.route.objective_s, is_late)
+            if kind not in without_place and self._assign(waiter, now):
+                queue.note_served(waiter, now)
+                assigned += 1
+                continue
+            counter.add(waiter, is_late=is_late)
+            if not waiter.job.excluded_replicas:
+                without_place.add(kind)
+        if assigned > 1 or (assigned and queue):
+            # At least one of them belongs to another request than this one.
+            self.changed.notify()
+        queue.seen_changes = self.changed.count
+        queue.served_at = now
+
+    def _forecast(
+        self, queue: WaiterQueue, waiter: Waiter, holders: Sequence[Replica]
+    ) -> QueueForecast | None:
+        """Return how long a request is expected to wait for its holders.
+
+        It is renewed only after some time, as its cost grows with the holders.
+        """
+        now = self._directory.now()
+        if now - waiter.forecast_at >= RECHECK_S:
+            waiter.forecast = self._make_forecast(queue, waiter, holders, now)
+            waiter.forecast_at = now
+        return waiter.forecast
+
+    def _make_forecast(
+        self,
+        queue: WaiterQueue,
+        waiter: Waiter,
+        holders: Sequence[Replica],
+        now: float,
+    ) -> QueueForecast | None:
+        """Return how long a request is expected to wait for its holders.
+
+        The places that get free are shared with the other gateways. Each is
+        expected to get as many as it has requests in flight.
+        """
+        names = [holder.name for holder in holders]
+        local = sum(map(self._loads.count_local, names))
+        candidates = [
+            attrs.evolve(
+                self._make_candidate(waiter.job, holder, now),
+                service_s=queue.service_time.mean_s,
+            )
+            for holder in holders
+        ]
+        in_flight = sum(candidate.in_flight for candidate in candidates)
+        share = (local + 1) / (in_flight + 1)
+        wait_s = expected_wait(candidates, waiter.ahead, share)
+        if wait_s is None:
+            return None
+        job = waiter.job
+        time_left_s = waiter.queued.time_left(now)
+        # The time limit leaves time for the first event after it.
+        is_too_long = cannot_meet_deadline(wait_s, (), time_left_s)
+        return QueueForecast(
+            wait_s,
+            spread_retry(wait_s, self._rng.random()),
+            waiter.ahead,
+            now - queue.service_time.noted_at,
+            # The next in line, and a stream that has begun, are not refused.
+            is_too_long and waiter.ahead > 0 and not job.runs,
+        )
+
+    def _assign(self, waiter: Waiter, now: float) -> bool:
+        """Assign a place to a request; return whether there is one."""
+        job = waiter.job
+        chosen = self._choose_now(job, now)
+        if chosen is None:
+            return False
+        replica = self._directory.replicas[chosen.name]
+        in_flight = self._make_in_flight(job, replica)
+        waiter.assign(replica, in_flight, self._loads)
+        return True
 
     def _count_pending(self) -> '_PendingRequest':
         return _PendingRequest(self._demand.pending, self._directory.now)
 
     @contextmanager
-    def _enqueue(
-        self, job: Job
-    ) -> Iterator[tuple[list[QueuedRequest], QueuedRequest]]:
-        """Queue a request with those for the same target within the context."""
-        queue = self._queues[job.target]
-        queued = job.waiting
-        queue.append(queued)
+    def _enqueue(self, job: Job) -> Iterator[tuple[WaiterQueue, Waiter]]:
+        """Queue a request for the replicas of its service in the context."""
+        name = job.service.name
+        queue = self._queues.setdefault(name, WaiterQueue())
+        waiter = queue.add(job, self._directory.now())
         try:
-            yield queue, queued
+            yield queue, waiter
+        except BaseException:
+            # Another request can have the place that it was assigned.
+            self.changed.notify()
+            raise
         finally:
-            self._leave_queue(job.target, queued)
-
-    def _leave_queue(self, target: Target, queued: QueuedRequest) -> None:
-        queue = self._queues[target]
-        queue.remove(queued)
-        if not queue:
-            self._queues.pop(target)
-        self.changed.notify()
+            queue.discard(waiter)
+            waiter.release()
 
     def _check_wait(self, job: Job, state: WaitState) -> None:
         """Raise a refusal if the wait took too long or can't succeed."""
@@ -256,13 +359,14 @@
     ) -> Candidate:
         load = self._loads.total(replica.name, now)
         engine = job.service.engine
+        max_tolerant = self._tolerant_limit(job, replica, now)
         is_same_zone = replica.zone == self._zone
         work = self.work.estimate(job, replica, now)
         if engine is None:
             return Candidate(
                 replica.name,
                 load.requests,
-                replica.slots * _PLAIN_QUEUE_PER_SLOT,
+                min(replica.slots * _PLAIN_QUEUE_PER_SLOT, max_tolerant),
                 zone_distance=int(not is_same_zone),
                 failure_share=self._failures.share(replica.name, now),
                 is_connected=self._is_connected(replica.incarnation),
@@ -273,7 +377,7 @@
         return Candidate(
             replica.name,
             load.requests,
-            _engine_limit(replica, load, job, engine),
+            min(_engine_limit(replica, load, job, engine), max_tolerant),
             zone_distance=int(not is_same_zone),
             failure_share=self._failures.share(replica.name, now),
             is_connected=self._is_connected(replica.incarnation),
@@ -282,6 +386,20 @@
             ahead_s=work.ahead_s,
         )
 
+    def _tolerant_limit(self, job: Job, replica: Replica, now: float) -> int:
+        """Return how many requests a replica may have for one more like this.
+
+        A tolerant request leaves places free for urgent ones. Once it is late,
+        it may take them when it is the turn of a late request.
+        """
+        queue = self._queues[job.service.name]
+        queued = job.waiting
+        if not queue.urgent_work.is_tolerant(queued.answer_within_s, now):
+            return _PLAIN_QUEUE_PER_SLOT * replica.slots
+        if queued.slack(now) < 0 and queue.is_turn_of_late:
+            return _PLAIN_QUEUE_PER_SLOT * replica.slots
+        return tolerant_places(replica.slots)
+
 
 class _PendingRequest:
     """Counts one request as pending demand while it waits for a load.
--- a/bramleybeam/gateway/_job.py
+++ b/bramleybeam/gateway/_job.py
@@ -9,11 +9,11 @@
 
 from bramleybeam.catalog import Route, Service, Workspace
 from bramleybeam.costs import RequestWork
-from bramleybeam.decisions import QueuedRequest
 from bramleybeam.errors import Refusal
 from bramleybeam.limits import max_queue_wait
-from bramleybeam.orders import Target
+from bramleybeam.orders import PREFILL_TOKENS_PER_S, Target
 from bramleybeam.platform import RequestFacts
+from bramleybeam.queueing import QueuedRequest
 from bramleybeam.quotas import Charge
 from bramleybeam.relay import CallerConnection, InboundRequest, find_header
 
@@ -46,6 +46,7 @@
     ARRIVES_LATER = 'arrives_later'
     REPLICAS_PAUSED = 'replicas_paused'
     WAITED_LONG = 'waited_long'
+    QUEUE_TOO_LONG = 'queue_too_long'
 
 
 @attrs.define(eq=False)
@@ -53,8 +54,9 @@
     """State of one request; times are in seconds of the event loop's clock.
 
     ``sends`` counts the attempts in which it was sent to a replica, ``runs``
-    those in which it may have run. ``sent_at`` is the time of the last send,
-    ``first_event_at`` that of the first event of a stream; both are 0 before.
+    those in which it may have run. ``first_sent_at`` and ``sent_at`` are the
+    times of the first and the last send, ``first_event_at`` that of the first
+    event of a stream; they are 0 before.
     ``last_event`` is the id of the last event sent to the caller,
     ``last_event_at`` the time of it, ``events`` the number of events and
     ``longest_gap_s`` the longest time between two of them.
@@ -79,6 +81,7 @@
     sends: int = 0
     runs: int = 0
     last_event: str = ''
+    first_sent_at: float = 0
     sent_at: float = 0
     first_event_at: float = 0
     last_event_at: float = 0
@@ -102,6 +105,13 @@
             for part in self.facts.parts
         )
 
+    def note_sent(self, now: float) -> None:
+        """Record that the request was sent to a replica and may run there."""
+        self.sends += 1
+        self.runs += 1
+        self.first_sent_at = self.first_sent_at or now
+        self.sent_at = now
+
     def note_events(self, count: int, last_event: str, now: float) -> None:
         """Record ``count`` events sent to the caller at ``now``, in seconds."""
         if self.first_event_at:
@@ -181,8 +191,15 @@
     @property
     def waiting(self) -> QueuedRequest:
         """The request as an entry of the queue, with its slack."""
+        engine = self.service.engine
+        tokens = self.facts.prompt_tokens + self.facts.output_tokens
+        prefill_s = self.facts.prompt_tokens / PREFILL_TOKENS_PER_S
         return QueuedRequest(
             self.received_at,
             self.route.objective_s,
-            self.deadline_at - self.received_at,
+            self.max_queue_wait_s,
+            self.priority,
+            prefill_s if engine else 0,
+            self.workspace.name if self.workspace else '',
+            0 if self.sends else max(1, tokens),
         )
