--- a/bramleybeam/gateway/tests/test_quotas.py
+++ b/bramleybeam/gateway/tests/test_quotas.py
@@ -65,6 +65,7 @@
     held_epoch: int = 0
     elected_at: float = 0
     confirmed_at: float = 0
+    knows_gateways: object = None
 
 
 class Site:
