Log refusals at admission and stalls of a gateway

A request that was refused before it had a route left no line unless its key was the reason, so that the age of the configuration behind a 404 could not be seen; and a process that had stood still showed only as late timers in its next status line. Both have a line now. No change of what is answered.

--- a/bramleybeam/gateway/_cluster_state.py
+++ b/bramleybeam/gateway/_cluster_state.py
@@ -50,13 +50,15 @@
     rng: random.Random | None = None,
     pace: FollowerPace = DEFAULT_PACE,
     keys: KeyAge | None = None,
+    boot_clock: Callable[[], float] | None = None,
 ) -> ClusterState:
     """Return empty tables.
 
     ``clock`` returns seconds, ``rng`` draws pauses, and ``pace`` is how often
     the changes in the store are read. ``keys`` is the age of callers' keys.
+    ``boot_clock`` includes suspension of the host; ``clock`` by default.
     """
-    directory = Directory(clock, pace, keys)
+    directory = Directory(clock, pace, keys, boot_clock)
     suspects = CrashSuspects(clock)
     directory.stored_suspects.on_read.append(
         partial(suspects.learn, source='store')
--- a/bramleybeam/gateway/_daemon.py
+++ b/bramleybeam/gateway/_daemon.py
@@ -79,7 +79,9 @@
         keys = KeyAge(
             platform.boot_clock, max_key_age_s(settings.bounds.revocation_s)
         )
-        cluster_state = make_cluster_state(time.monotonic, rng, keys=keys)
+        cluster_state = make_cluster_state(
+            time.monotonic, rng, keys=keys, boot_clock=platform.boot_clock
+        )
         self._access = cluster_state.access
         self._directory = cluster_state.directory
         self._apply_pace()
@@ -326,5 +328,6 @@
         return pace.batch_delay_s
 
     async def _tick(self) -> None:
+        self._directory.stalls.note_activity()
         self._access.note_age()
         self._exchange.tick()
--- a/bramleybeam/gateway/_directory.py
+++ b/bramleybeam/gateway/_directory.py
@@ -24,6 +24,7 @@
 from bramleybeam.gateway._freshness import StoreFreshness
 from bramleybeam.gateway._placement import PlacementTable, ReplicaPlacement
 from bramleybeam.gateway._reachability import ReachabilityTable
+from bramleybeam.gateway._stalls import StallDetector
 from bramleybeam.gateway._stored_suspects import (
     SUSPECT_PREFIX,
     StoredSuspects,
@@ -48,7 +49,8 @@
     """The view of one gateway; ``clock`` returns monotonic seconds.
 
     ``pace`` is how often it reads the changes in the store. ``keys`` is the age
-    of callers' keys, which is not limited by default.
+    of callers' keys, which is not limited by default. ``boot_clock`` includes
+    suspension of the host; by default it is ``clock``.
     ``planner`` is the planner's key as last read from the store, and
     ``newest_planner`` the newest one that this or another gateway has read.
     ``has_listing`` is set once the store was read completely. The callbacks in
@@ -60,6 +62,7 @@
         clock: Callable[[], float],
         pace: FollowerPace = DEFAULT_PACE,
         keys: KeyAge | None = None,
+        boot_clock: Callable[[], float] | None = None,
     ) -> None:
         """Create a directory for which the store was never read."""
         self.configuration: RoutingConfiguration | None = None
@@ -75,6 +78,7 @@
         self.freshness = StoreFreshness(clock, pace)
         self.stored_suspects = StoredSuspects()
         self.keys = keys or KeyAge(clock)
+        self.stalls = StallDetector(boot_clock or clock)
         self._clock = clock
         self._lapsed: dict[str, float] = {}
         self._lost_peers: dict[str, float] = {}
--- a/bramleybeam/gateway/_forward.py
+++ b/bramleybeam/gateway/_forward.py
@@ -42,6 +42,10 @@
 # Time after a request's deadline in which the replica's own final answer may
 # still arrive.
 _FINAL_ANSWER_GRACE_S: Final = 0.1
+# Kinds of refusals that are logged with the reason when a key is checked.
+_ACCESS_KINDS: Final = frozenset(
+    (ErrorKind.UNAUTHENTICATED, ErrorKind.KEYS_OUTDATED)
+)
 _log = structlog.get_logger('requests')
 
 
@@ -95,6 +99,7 @@
             job = self._admitter.admit(request, facts, connection)
         except RequestRefusedError as error:
             self._metrics.note_refused('', error.refusal.kind)
+            self._log_unadmitted(request_id, error.refusal)
             answer_refusal(request_id, connection, error.refusal)
             return
         try:
@@ -176,6 +181,22 @@
         self._admitter.durations.note(job.route.name, now - job.received_at)
         self._chooser.note_ended(job, now - job.sent_at)
 
+    def _log_unadmitted(self, request_id: str, refusal: Refusal) -> None:
+        """Log a refusal at admission, and how old the configuration is.
+
+        Refused keys have a line of their own.
+        """
+        if refusal.kind in _ACCESS_KINDS:
+            return
+        _log.warning(
+            'refused_at_admission',
+            request=request_id,
+            kind=refusal.kind,
+            status=refusal.status,
+            newest_version=self._directory.freshness.newest_version,
+            **self._directory.describe_state(),
+        )
+
     def _check_access(self, job: Job) -> None:
         """Raise the refusal of a request whose key was removed."""
         refusal = self._cluster_state.access.find_refusal(job)
