Ask callers to return after a new planner and a load

Without a planner, requests for a model that no replica holds were refused with a Retry-After of 2.5 s, the time in which a new planner is expected.

The case of the test that asked for 2.5 s stated the fault; it now asks for the time of the planner and of the load, and failed on the code before.

--- a/bramleybeam/gateway/_wait_limits.py
+++ b/bramleybeam/gateway/_wait_limits.py
@@ -17,8 +17,8 @@
 RECHECK_S: Final = 0.25
 # Retry-After of a refusal when no replica got free in time.
 _RETRY_AFTER_S: Final = 1.0
-# Retry-After without a planner; time in which a new one is expected.
-_NO_PLANNER_RETRY_AFTER_S: Final = 2.5
+# Time in which a new planner is expected.
+_PLANNER_CHANGE_S: Final = 2.5
 # Added to the time until a model is expected, for the Retry-After of a refusal.
 _ARRIVAL_MARGIN_S: Final = 0.2
 # Retry-After of a plain service, and while this process shuts down.
@@ -90,7 +90,7 @@
         return _make_refusal(job, state.pause_s)
     if state.had_no_holder and not directory.placement.has_live_planner:
         job.queue_exit = QueueExitReason.NO_PLANNER
-        return _make_refusal(job, _NO_PLANNER_RETRY_AFTER_S)
+        return _make_refusal(job, _PLANNER_CHANGE_S + (_load_time_s(job) or 0))
     eta_s = directory.placement.arrival_eta_s(job.facts.model)
     if state.had_no_holder and eta_s is not None and eta_s > wait_left_s:
         job.queue_exit = QueueExitReason.ARRIVES_LATER
--- a/bramleybeam/gateway/tests/test_wait_limits.py
+++ b/bramleybeam/gateway/tests/test_wait_limits.py
@@ -55,11 +55,12 @@
             QueueExitReason.ARRIVES_LATER,
             3.2,
         ),
+        # The new planner comes first, and the load after it.
         (
             NO_HOLDER,
             make_directory(0.5, has_live_planner=False),
             QueueExitReason.NO_PLANNER,
-            2.5,
+            2.5 + 2.4,
         ),
         (
             WaitState(pause_s=4),
