Let a stream go on only at the software version that began it

Where replicas of two versions served one service, streams held events of both: a gateway resumed a stream at any replica that held the model, and callers resumed theirs at any gateway, which did not know what had begun it.

The version of the replica that sends the first event is now the origin of a stream, and only replicas of that version may go on with it. While the streams of a service may have begun on several versions, gateways write the origins to the store, so that any gateway finds them, also after a loss of all. A stream of unknown origin is refused with 503, not run.

--- a/bramleybeam/catalog/_replicas.py
+++ b/bramleybeam/catalog/_replicas.py
@@ -39,7 +39,8 @@
 
     ``holdings`` are those of the replica's last entry in the store, which
     has no order count. ``leaves_in_s`` is the time until the replica ends,
-    ``None`` unless its end has been announced.
+    ``None`` unless its end has been announced. ``software_version`` is that of
+    its program; replicas of several versions may serve side by side.
     """
 
     name: str
@@ -51,6 +52,7 @@
     started_ms: int
     holdings: Holdings
     leaves_in_s: float | None = None
+    software_version: str = ''
 
     @property
     def incarnation(self) -> tuple[str, int]:
--- a/bramleybeam/gateway/_choose.py
+++ b/bramleybeam/gateway/_choose.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Hashable, Iterator, Sequence
 from contextlib import contextmanager
 from typing import Final, Self
 
@@ -185,12 +185,13 @@
         is_recent = now - queue.served_at < _REASSIGN_S
         if queue.seen_changes == self.changed.count and is_recent:
             return
-        without_place: set[tuple[Target, float, bool]] = set()
+        without_place: set[Hashable] = set()
         counter = AheadCounter(self._finder.list_holders)
         assigned = 0
         for waiter in queue.in_order(now):
             is_late = waiter.queued.slack(now) < 0
-            kind = (waiter.job.target, waiter.job.route.objective_s, is_late)
+            objective_s = waiter.job.route.objective_s
+            kind = (waiter.job.requirement, objective_s, is_late)
             if kind not in without_place and self._assign(waiter, now):
                 queue.note_served(waiter, now)
                 assigned += 1
--- a/bramleybeam/gateway/_daemon.py
+++ b/bramleybeam/gateway/_daemon.py
@@ -29,11 +29,11 @@
 from bramleybeam.gateway._planner import Planner
 from bramleybeam.gateway._planner_lease import PlannerLease
 from bramleybeam.gateway._quotas import QuotaKeeper
+from bramleybeam.gateway._record_keepers import RecordKeepers
 from bramleybeam.gateway._registration import RENEW_S, make_registration
 from bramleybeam.gateway._reply_observer import note_leaving
 from bramleybeam.gateway._settings_reload import SettingsReloader
 from bramleybeam.gateway._status import StatusReporter, Traffic
-from bramleybeam.gateway._suspect_keeper import SuspectKeeper
 from bramleybeam.gateway._tree import Peer
 from bramleybeam.gateway._work_notices import WorkNotifier
 from bramleybeam.relay import CallerServer, ConnectionPool
@@ -52,8 +52,6 @@
 # Period at which balances of quotas are checked; requests that wait for one are
 # reported at once.
 _QUOTAS_S: Final = 0.1
-# Period at which the planner compares its suspects with those in the store.
-_SUSPECTS_S: Final = 0.5
 # Period at which the settings file is read, because it may change without a signal.
 _SETTINGS_S: Final = 5.0
 # Time until the load balancer has stopped sending requests to a gateway whose
@@ -123,7 +121,9 @@
             self._store, self._directory, rng, self._batch_delay_s
         )
         cluster_state.suspects.may_try = self._is_planner
-        self._suspect_keeper = SuspectKeeper(cluster_state, self._store)
+        self._record_keepers = RecordKeepers(
+            cluster_state, self._store, settings.name, self._is_planner
+        )
         self._local_peer = Peer(
             f'{settings.ip_address}:{settings.peer_port}',
             settings.name,
@@ -241,7 +241,7 @@
         subscribe('idle', _DROP_IDLE_S, self._forwarder.drop_idle)
         subscribe('plan', _PLAN_S, self._plan)
         subscribe('settings', _SETTINGS_S, self._reloader.reload)
-        subscribe('suspects', _SUSPECTS_S, self._suspect_keeper.keep)
+        self._record_keepers.subscribe(self._timers)
         subscribe('quotas', _QUOTAS_S, self._quotas.keep)
         subscribe('status', _STATUS_S, self._status.report)
 
--- a/bramleybeam/gateway/_directory.py
+++ b/bramleybeam/gateway/_directory.py
@@ -8,8 +8,8 @@
 """
 
 import math
-from collections.abc import Callable
-from typing import Final
+from collections.abc import Callable, Mapping
+from typing import Final, Protocol
 
 import structlog
 
@@ -28,6 +28,7 @@
     SUSPECT_PREFIX,
     StoredSuspects,
 )
+from bramleybeam.gateway._stream_origins import ORIGIN_PREFIX, StreamOrigins
 from bramleybeam.gateway._tree import ObservedPlanner, Peer, decode_peer
 from bramleybeam.keyvalue import Changes, Item, Listing, Removal
 from bramleybeam.workspaces import KeyAge
@@ -44,6 +45,16 @@
 _log = structlog.get_logger('directory')
 
 
+class _StoreRecords(Protocol):
+    """What gateways write to the store under one prefix."""
+
+    def update(self, store_key: str, content: bytes) -> None:
+        """Read an entry of the store."""
+
+    def remove(self, store_key: str) -> None:
+        """Record that an entry was removed from the store."""
+
+
 class Directory:
     """The view of one gateway; ``clock`` returns monotonic seconds.
 
@@ -76,6 +87,11 @@
         self.departures = DepartureTable(clock)
         self.freshness = StoreFreshness(boot_clock or clock, pace)
         self.stored_suspects = StoredSuspects()
+        self.origins = StreamOrigins(clock)
+        self._records: dict[str, _StoreRecords] = {
+            SUSPECT_PREFIX: self.stored_suspects,
+            ORIGIN_PREFIX: self.origins,
+        }
         self.keys = keys or KeyAge(clock)
         self._clock = clock
         self._lapsed: dict[str, float] = {}
@@ -166,6 +182,7 @@
             *(platform.REPLICA_PREFIX + name for name in self.replicas),
             *(PEER_PREFIX + name for name in self.peers),
             *self.stored_suspects.store_keys,
+            *self.origins.store_keys,
         ]
         for key in current_keys:
             if key not in present:
@@ -212,8 +229,9 @@
 
     def _apply_item(self, item: Item) -> None:
         key = item.key
-        if key.startswith(SUSPECT_PREFIX):
-            self.stored_suspects.update(key, item.content)
+        records = _find_records(self._records, key)
+        if records is not None:
+            records.update(key, item.content)
             return
         if key == platform.CONFIGURATION_KEY:
             self._update_configuration(item.content)
@@ -266,6 +284,8 @@
         if replica is None:
             return
         previous = self.replicas.get(replica.name)
+        if previous and previous.software_version != replica.software_version:
+            self.origins.note_gone(previous)
         self._lapsed.pop(replica.name, None)
         self.replicas[replica.name] = replica
         if previous is None or previous.incarnation != replica.incarnation:
@@ -281,15 +301,16 @@
             self.departures.forget(replica)
 
     def _remove(self, key: str) -> None:
-        if key == GATEWAY_PREFIX + PLANNER_NAME:
+        records = _find_records(self._records, key)
+        if records is not None:
+            records.remove(key)
+        elif key == GATEWAY_PREFIX + PLANNER_NAME:
             self.note_planner(ObservedPlanner())
         elif key.startswith(PEER_PREFIX):
             name = key.removeprefix(PEER_PREFIX)
             self._lost_peers.setdefault(name, self._clock())
         elif key.startswith(platform.REPLICA_PREFIX):
             self._remove_replica(key.removeprefix(platform.REPLICA_PREFIX))
-        elif key.startswith(SUSPECT_PREFIX):
-            self.stored_suspects.remove(key)
 
     def _remove_replica(self, name: str) -> None:
         replica = self.replicas.get(name)
@@ -306,6 +327,21 @@
         replica = self.replicas.pop(name, None)
         self.placement.drop(name)
         if replica is not None:
+            self.origins.note_gone(replica)
             departure = Departure(replica.started_ms, is_gone=True)
             self.departures.learn({name: departure})
         _log.info('replica_gone', replica=name, **reason)
+
+
+def _find_records(
+    tables: Mapping[str, _StoreRecords], key: str
+) -> _StoreRecords | None:
+    """Return the table of the prefix of a key, ``None`` for any other key."""
+    return next(
+        (
+            records
+            for prefix, records in tables.items()
+            if key.startswith(prefix)
+        ),
+        None,
+    )
--- a/bramleybeam/gateway/_forward.py
+++ b/bramleybeam/gateway/_forward.py
@@ -36,6 +36,7 @@
 from bramleybeam.gateway._outcome_recorder import OutcomeRecorder
 from bramleybeam.gateway._replica_liveness import ReplicaLiveness
 from bramleybeam.gateway._reply_observer import ReplyObserver
+from bramleybeam.gateway._resumption import Resumption
 from bramleybeam.limits import RetryBudgets
 from bramleybeam.relay import CallerConnection, ConnectionPool, InboundRequest
 
@@ -85,6 +86,7 @@
         self._pool = pool
         self._retries = RetryBudgets(settings)
         self._admitter = Admitter(cluster_state, self._retries, rng)
+        self._resumption = Resumption(cluster_state.directory, chooser.changed)
         self._ends_at = math.inf
 
     async def handle(
@@ -118,6 +120,10 @@
         finally:
             if job.charge is not None:
                 job.charge.release()
+            if job.origin is not None:
+                self._directory.origins.note_ended(
+                    job.stream_id, is_whole=job.is_delivered
+                )
 
     def apply_settings(self, settings: HostSettings) -> None:
         """Apply changed settings from the next request on."""
@@ -146,11 +152,13 @@
         self._pool.drop_idle()
 
     async def _deliver(self, job: Job) -> None:
+        await self._resumption.find_origin(job)
         while True:
             now = self._directory.now()
             gateways = len(self._directory.peers)
             self._check_access(job)
             self._check_quarantine(job)
+            self._resumption.check(job)
             await self.charge(job)
             if job.sends and not self._retries.take(
                 job.service.name, now, gateways
@@ -176,6 +184,7 @@
         self, job: Job, replica: Replica, outcome: outcomes.Delivered
     ) -> None:
         now = self._directory.now()
+        job.is_delivered = True
         self._log_attempt('answered', job, replica, outcome)
         self._metrics.note_answered(job, outcome.status, now)
         self._admitter.durations.note(job.route.name, now - job.received_at)
--- a/bramleybeam/gateway/_holders.py
+++ b/bramleybeam/gateway/_holders.py
@@ -35,7 +35,8 @@
         return [
             replica
             for replica in self._directory.replicas_of(job.service.name)
-            if self._holds(replica, job.target, now)
+            if job.may_go_on_at(replica)
+            and self._holds(replica, job.target, now)
             and not is_backing_off(replica.name)
         ]
 
--- a/bramleybeam/gateway/_job.py
+++ b/bramleybeam/gateway/_job.py
@@ -7,9 +7,10 @@
 import attrs
 import xxhash
 
-from bramleybeam.catalog import Route, Service, Workspace
+from bramleybeam.catalog import Replica, Route, Service, Workspace
 from bramleybeam.costs import RequestWork
 from bramleybeam.errors import Refusal
+from bramleybeam.gateway._stream_origins import StreamOrigin
 from bramleybeam.limits import max_queue_wait
 from bramleybeam.orders import PREFILL_TOKENS_PER_S, Target
 from bramleybeam.platform import RequestFacts
@@ -67,7 +68,9 @@
     whether the configuration requires keys, ``checked_version`` the version of
     the configuration that the key was checked against, and ``charge`` what the
     request was charged of its quota. ``work`` is what it was estimated to cost
-    when it was last sent, until that was compared with what it took. ``blocks``
+    when it was last sent, until that was compared with what it took. ``origin``
+    is the software that began the stream, once that matters, and
+    ``is_delivered`` whether the whole answer was sent. ``blocks``
     are hashes of the prompt's parts, for the estimate of the tokens that a
     replica has cached.
     """
@@ -95,6 +98,8 @@
     checked_version: int | None = None
     charge: Charge | None = None
     work: RequestWork | None = None
+    origin: StreamOrigin | None = None
+    is_delivered: bool = False
     blocks: tuple[int, ...] = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -178,6 +183,21 @@
         """The requested model and adapter; empty for plain services."""
         return self.facts.model, self.facts.adapter
 
+    @property
+    def requirement(self) -> tuple[Target, StreamOrigin | None]:
+        """What a replica needs to serve this request."""
+        return self.target, self.origin
+
+    @property
+    def stream_id(self) -> str:
+        """The id of the request that began the stream."""
+        return self.facts.resumed_id or self.facts.request_id
+
+    def may_go_on_at(self, replica: Replica) -> bool:
+        """Whether a replica has the software that began the stream, if any."""
+        origin = self.origin
+        return origin is None or origin.version == replica.software_version
+
     @property
     def received_at(self) -> float:
         """Time at which the request began to arrive, in seconds."""
--- a/bramleybeam/gateway/_reply_observer.py
+++ b/bramleybeam/gateway/_reply_observer.py
@@ -12,6 +12,7 @@
 from bramleybeam.gateway._job import Job
 from bramleybeam.gateway._loads import InFlightRequest
 from bramleybeam.gateway._replica_liveness import ReplicaLiveness
+from bramleybeam.gateway._stream_origins import StreamOrigin
 from bramleybeam.gateway._work import learn_from_answer
 from bramleybeam.relay import Liveness
 
@@ -80,12 +81,25 @@
 
     def note_event(self) -> None:
         """Record that the answer has begun; repeats have no effect."""
+        self._note_origin()
         now = self.cluster_state.directory.now()
         learn_from_answer(self.cluster_state.costs, self.job, now)
         self.cluster_state.loads.note_prefill_done(
             self.replica.name, self.in_flight
         )
 
+    def _note_origin(self) -> None:
+        """Record which software the stream has begun on."""
+        if self.job.origin is not None:
+            return
+        origin = StreamOrigin(
+            self.replica.service, self.replica.software_version
+        )
+        self.job.origin = origin
+        self.cluster_state.directory.origins.note_begun(
+            self.job.stream_id, origin
+        )
+
     def _note_overload(self, retry_after_s: float | None) -> None:
         pause_s = self.cluster_state.pauses.note_refusal(
             self.replica.incarnation,
--- a/bramleybeam/gateway/_waiters.py
+++ b/bramleybeam/gateway/_waiters.py
@@ -10,6 +10,7 @@
 from bramleybeam.catalog import Replica
 from bramleybeam.gateway._job import Job
 from bramleybeam.gateway._loads import InFlightRequest, LoadTable
+from bramleybeam.gateway._stream_origins import StreamOrigin
 from bramleybeam.gateway._wait_limits import QueueForecast
 from bramleybeam.orders import Target
 from bramleybeam.queueing import (
@@ -20,6 +21,8 @@
     count_places_before,
 )
 
+_Requirement = tuple[Target, StreamOrigin | None]
+
 
 @attrs.frozen
 class Assignment:
@@ -123,26 +126,30 @@
     def __init__(self, list_holders: Callable[[Job], list[Replica]]) -> None:
         """Store what returns the replicas that can serve a request."""
         self._list_holders = list_holders
-        self._holders: dict[Target, frozenset[str]] = {}
-        self._timely: Counter[Target] = Counter()
-        self._late: Counter[Target] = Counter()
+        self._holders: dict[_Requirement, frozenset[str]] = {}
+        self._timely: Counter[_Requirement] = Counter()
+        self._late: Counter[_Requirement] = Counter()
 
     def add(self, waiter: Waiter, *, is_late: bool) -> None:
         """Set the number ahead of a request, and count it for the next ones."""
-        target = waiter.job.target
-        if target not in self._holders:
+        requirement = waiter.job.requirement
+        if requirement not in self._holders:
             holders = self._list_holders(waiter.job)
-            self._holders[target] = frozenset(holder.name for holder in holders)
+            self._holders[requirement] = frozenset(
+                holder.name for holder in holders
+            )
         waiter.ahead = count_places_before(
-            self._count(self._timely, target),
-            self._count(self._late, target),
+            self._count(self._timely, requirement),
+            self._count(self._late, requirement),
             is_late=is_late,
         )
         counts = self._late if is_late else self._timely
-        counts[target] += 1
+        counts[requirement] += 1
 
-    def _count(self, counts: Counter[Target], target: Target) -> int:
-        holders = self._holders[target]
+    def _count(
+        self, counts: Counter[_Requirement], requirement: _Requirement
+    ) -> int:
+        holders = self._holders[requirement]
         return sum(
             count
             for other, count in counts.items()
--- a/bramleybeam/platform/_entries.py
+++ b/bramleybeam/platform/_entries.py
@@ -182,9 +182,17 @@
         # not the orders that it carried out.
         holdings=attrs.evolve(_decode_holdings(raw), sequence=0),
         leaves_in_s=None if remaining_ms is None else remaining_ms / _MS_PER_S,
+        software_version=_decode_software_version(raw.get('version', '')),
     )
 
 
+def _decode_software_version(raw: Any) -> str:
+    """Return the version of a replica's program, a text or a number."""
+    if isinstance(raw, str):
+        return raw
+    return str(_require_integer(raw))
+
+
 def _decode_holdings(raw: dict[str, Any]) -> Holdings:
     cached = raw.get('at-hand') or {}
     return Holdings(
--- a/bramleybeam/platform/_requests.py
+++ b/bramleybeam/platform/_requests.py
@@ -24,6 +24,7 @@
 _TOKENS: Final = b'bramleybeam-token-counts'
 _PROMPT_PARTS: Final = b'bramleybeam-prompt-prefix'
 _LAST_EVENT: Final = b'Last-Event-Id'
+_RESUMED_ID: Final = b'resumes'
 _WORKSPACE: Final = b'Bramleybeam-Tenant'
 _AUTHORIZATION: Final = b'authorization'
 _SEAL: Final = b'bramleybeam-response-seal'
@@ -78,7 +79,8 @@
     for a request to the base model. ``output_tokens`` is the expected length
     of the output. ``counted_tokens`` is the sum of the stated numbers of prompt
     tokens and of output tokens, 0 if none are stated. ``last_event`` is the id of
-    the last event that the caller received, if it resumes a stream, else empty.
+    the last event that the caller received, if it resumes a stream, else empty;
+    ``resumed_id`` is then the id of the request that began the stream.
     ``credentials`` is the value of the first ``Authorization`` header; it is
     never logged.
     """
@@ -93,6 +95,7 @@
     last_event: str = ''
     credentials: bytes = attrs.field(default=b'', repr=False)
     counted_tokens: int = 0
+    resumed_id: str = ''
 
 
 @attrs.frozen
@@ -135,6 +138,7 @@
         last_event=_text(headers, _LAST_EVENT.lower()),
         credentials=find_header(headers, _AUTHORIZATION) or b'',
         counted_tokens=_number(counts[0]) + _number(counts[2]),
+        resumed_id=_text(headers, _RESUMED_ID),
     )
 
 
