Reject replies whose status HTTP does not define

A replica's answer with status 600 and all marks of one was passed on as it was, and one with status 000, 099 or 999 left the request without an answer until its time was over: statuses below 200 were taken for interim replies, and nothing limited them above. A status outside 100 to 599 now makes the reply invalid at once, for gateways and agents, which share the parser.

test_bytes_that_are_no_answer_are_not_passed_on has these statuses; the new cases of 000, 099, 600 and 999 failed before.

--- a/bramleybeam/relay/_reply_parser.py
+++ b/bramleybeam/relay/_reply_parser.py
@@ -15,6 +15,8 @@
 
 _NO_BODY_STATUSES: Final = frozenset((204, 304))
 _MIN_FINAL_STATUS: Final = 200
+# The statuses that HTTP defines classes for (RFC 9110, 15).
+_VALID_STATUSES: Final = range(100, 600)
 
 
 @attrs.define
@@ -55,6 +57,7 @@
         self._headers: list[tuple[bytes, bytes]] = []
         self._received_bytes = 0
         self._body_bytes = 0
+        self._invalid_status: int | None = None
 
     def start_next(self) -> None:
         """Discard the last reply and expect another."""
@@ -75,6 +78,9 @@
         ) as error:
             self.is_unusable = True
             return None if self.reply.is_complete else repr(error)
+        if self._invalid_status is not None:
+            self.is_unusable = True
+            return f'the status {self._invalid_status} is not valid'
         self._received_bytes += len(received)
         return self._check_framing()
 
@@ -98,6 +104,9 @@
         status = self._parser.get_status_code()
         headers = tuple(self._headers)
         self._headers.clear()
+        if status not in _VALID_STATUSES and not self.reply.is_complete:
+            self._invalid_status = status
+            return
         if status >= _MIN_FINAL_STATUS and not self.reply.is_complete:
             is_self_delimited = (
                 status in _NO_BODY_STATUSES or _has_body_framing(headers)
--- a/tests/platform_replica.py
+++ b/tests/platform_replica.py
@@ -16,7 +16,9 @@
 _NOT_EXECUTED = b'Bramleybeam-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n'
 _PAGE = b'under maintenance\n'
 _LENGTH = b'Content-Length: %d\r\n\r\n' % len(_PAGE)
-# Replies that do not have the id of a request, after the version of HTTP.
+# The id of the request is filled in when a reply is written.
+_MARKS = b'Bramleybeam-Request-Id: %b\r\nBramleybeam-Response-Seal: seal-1\r\n'
+# Replies that are no answer to a request, after the version of HTTP.
 STRAY_REPLIES = {
     'stray_200': b'200 OK\r\n' + _LENGTH + _PAGE,
     'stray_200_by_close': b'200 OK\r\n\r\n' + _PAGE,
@@ -28,6 +30,11 @@
     'stray_500': b'500 Error\r\n' + _LENGTH + _PAGE,
     'stray_refusal': b'503 Busy\r\n' + _NOT_EXECUTED,
     'stray_421': b'421 Misdirected\r\nContent-Length: 0\r\n\r\n',
+    # Statuses that HTTP does not define, in an answer with all marks of one.
+    'status_000': b'000 Odd\r\n' + _MARKS + _LENGTH + _PAGE,
+    'status_099': b'099 Odd\r\n' + _MARKS + _LENGTH + _PAGE,
+    'status_600': b'600 Odd\r\n' + _MARKS + _LENGTH + _PAGE,
+    'status_999': b'999 Odd\r\n' + _MARKS + _LENGTH + _PAGE,
     'stray_leaving': b'200 OK\r\nServer-Leaving: 1\r\n' + _LENGTH + _PAGE,
 }
 
@@ -103,7 +110,7 @@
     - ``unmarked_503``: 503 without a header that states whether it has run
     - ``other_id``: the answer has the id of another request
     - ``unsealed``: the answer has no seal
-    - the keys of ``STRAY_REPLIES``: that reply, without the id of the request
+    - the keys of ``STRAY_REPLIES``: that reply, which is no answer
     - ``cut``, ``cut_in_event``: a stream ends between two events or within one
     - ``unframed``: the body's length is not given; the connection is closed
     - ``extra``: a second answer follows the first
@@ -333,7 +340,7 @@
             await _write_endless_reply(fault, head, connection)
         stray = STRAY_REPLIES.get(fault)
         if stray:
-            _write_stray(stray, connection)
+            _write_stray(stray, run, connection)
             return
         if fault == 'unsealed':
             head = head[:1]
@@ -458,9 +465,10 @@
     connection._write(b'HTTP/1.1 200 OK\r\n' + lines + b'\r\n')
 
 
-def _write_stray(stray: bytes, connection) -> None:
+def _write_stray(stray: bytes, run: Run, connection) -> None:
     """Write a stray reply; close the connection if that ends its body."""
-    connection._write(b'HTTP/1.1 ' + stray)
+    marked = stray.replace(b'%b', run.request_id.encode())
+    connection._write(b'HTTP/1.1 ' + marked)
     if stray == STRAY_REPLIES['stray_200_by_close']:
         connection._transport.close()
 
