Load what resumed streams wait for at the version that began them

It loaded it where that cost least, mostly at the new replicas, or not at all, because another version held it.

Requests that wait for a target at one version are now counted apart (PinnedTarget), and planned first among the replicas of that version. The new cases of test_plan_orders are about demand that could not be expressed before.

--- a/bramleybeam/gateway/_choose.py
+++ b/bramleybeam/gateway/_choose.py
@@ -21,7 +21,10 @@
 from bramleybeam.gateway._holders import HolderFinder
 from bramleybeam.gateway._job import Job, RequestRefusedError
 from bramleybeam.gateway._loads import InFlightRequest, LoadReport
-from bramleybeam.gateway._pending_demand import PendingDemandTable
+from bramleybeam.gateway._pending_demand import (
+    PendingDemandTable,
+    PendingTarget,
+)
 from bramleybeam.gateway._wait_limits import (
     RECHECK_S,
     QueueForecast,
@@ -37,7 +40,6 @@
 )
 from bramleybeam.gateway._work import WorkTracker
 from bramleybeam.limits import Incarnation
-from bramleybeam.orders import Target
 from bramleybeam.queueing import (
     cannot_meet_deadline,
     expected_wait,
@@ -163,7 +165,7 @@
             while True:
                 holders = self._finder.list_holders(job)
                 if job.service.engine is not None and not holders:
-                    pending_request.count(job.target)
+                    pending_request.count(self._finder.pending_target(job))
                 state = WaitState(
                     self._finder.shortest_pause_s(holders),
                     pending_request.is_counted,
@@ -413,7 +415,7 @@
     ) -> None:
         self._pending = pending
         self._clock = clock
-        self._target: Target | None = None
+        self._target: PendingTarget | None = None
 
     def __enter__(self) -> Self:
         return self
@@ -437,7 +439,7 @@
     def is_counted(self) -> bool:
         return self._target is not None
 
-    def count(self, target: Target) -> None:
+    def count(self, target: PendingTarget) -> None:
         if self._target is None:
             self._target = target
             self._pending.begin(target, self._clock())
--- a/bramleybeam/gateway/_demand.py
+++ b/bramleybeam/gateway/_demand.py
@@ -1,7 +1,7 @@
 """Request rates by model, as exponentially decaying averages."""
 
 import math
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from functools import partial
 from typing import Final
 
@@ -10,8 +10,15 @@
 from bramleybeam.gateway._pending_demand import (
     PendingDemand,
     PendingDemandTable,
+    PendingTarget,
+)
+from bramleybeam.orders import (
+    NO_DEMAND,
+    Demand,
+    ModelDemand,
+    PinnedTarget,
+    Target,
 )
-from bramleybeam.orders import NO_DEMAND, Demand, ModelDemand, Target
 
 # Time constants of the rates, in seconds: a slow one for a steady rate, and a
 # fast one that soon shows that demand has moved to a model.
@@ -142,8 +149,7 @@
             for name, model_demand in demand.models.items()
             if model_demand.was_urgent
         )
-        pending = PendingDemand(demand.waiting, demand.unserved_s)
-        return self.pending.update_remote(child, pending, expires_at)
+        return self.pending.update_remote(child, pending_of(demand), expires_at)
 
     def update_remote_pending(self, child: str, pending: PendingDemand) -> None:
         """Replace the pending demand of a child that has sent a report.
@@ -176,7 +182,7 @@
             current = models.get(name, NO_DEMAND)
             models[name] = attrs.evolve(current, was_urgent=True)
         pending = self.pending.total(now, excluded_child)
-        return Demand(models, pending.waiting, pending.unserved_s)
+        return make_demand(models, pending)
 
     def report_for(self, now: float, parent: str) -> Demand:
         """Return the demand to report to a parent, without idle models."""
@@ -192,3 +198,35 @@
         for child, record in self._remote.items():
             if child != excluded_child and now < record.expires_at:
                 yield record.demand
+
+
+def make_demand(
+    models: Mapping[str, ModelDemand], pending: PendingDemand
+) -> Demand:
+    """Return the demand for models, with the requests that wait for targets."""
+    unpinned = {
+        target: count
+        for target, count in pending.waiting.items()
+        if not isinstance(target, PinnedTarget)
+    }
+    return Demand(
+        models,
+        unpinned,
+        {target: pending.unserved_s.get(target, 0) for target in unpinned},
+        {
+            target: count
+            for target, count in pending.waiting.items()
+            if isinstance(target, PinnedTarget)
+        },
+    )
+
+
+def pending_of(demand: Demand) -> PendingDemand:
+    """Return the requests of a demand that wait for targets."""
+    waiting: dict[PendingTarget, int] = {
+        target: count for target, count in demand.pinned.items()
+    }
+    waiting.update((target, count) for target, count in demand.waiting.items())
+    return PendingDemand(
+        waiting, {target: age_s for target, age_s in demand.unserved_s.items()}
+    )
--- a/bramleybeam/gateway/_holders.py
+++ b/bramleybeam/gateway/_holders.py
@@ -6,7 +6,8 @@
 from bramleybeam.catalog import Replica
 from bramleybeam.gateway._cluster_state import ClusterState
 from bramleybeam.gateway._job import Job
-from bramleybeam.orders import Target
+from bramleybeam.gateway._pending_demand import PendingTarget
+from bramleybeam.orders import PinnedTarget, Target
 
 # Time for which a replica is not asked again for a target that it refused
 # because it doesn't hold it.
@@ -40,6 +41,19 @@
             and not is_backing_off(replica.name)
         ]
 
+    def pending_target(self, job: Job) -> PendingTarget:
+        """Return what a request without a holder waits for.
+
+        A stream that goes on needs a replica of its version, if there are others.
+        """
+        versions = {
+            replica.software_version
+            for replica in self._directory.replicas_of(job.service.name)
+        }
+        if job.origin is None or len(versions) < 2:
+            return job.target
+        return PinnedTarget(*job.target, job.origin.version)
+
     def list_open(self, job: Job, holders: Sequence[Replica]) -> list[Replica]:
         """Return those of the holders to choose from.
 
--- a/bramleybeam/gateway/_peer_codec.py
+++ b/bramleybeam/gateway/_peer_codec.py
@@ -13,8 +13,13 @@
 
 from bramleybeam.costs import WorkNotice
 from bramleybeam.gateway import _peer_codec_parts as parts
+from bramleybeam.gateway._demand import make_demand, pending_of
 from bramleybeam.gateway._loads import RemoteLoads
 from bramleybeam.gateway._packed_loads import pack_loads, unpack_loads
+from bramleybeam.gateway._peer_codec_pending import (
+    decode_pending,
+    encode_pending,
+)
 from bramleybeam.gateway._peer_codec_quotas import (
     QUOTA_TOPICS,
     decode_quota_message,
@@ -42,7 +47,7 @@
     Notice,
     encode_frame,
 )
-from bramleybeam.orders import Demand, ModelDemand
+from bramleybeam.orders import ModelDemand
 from bramleybeam.quotas import QuotaGrant, QuotaRequest
 
 # Maximum size of a body after decompression.
@@ -101,7 +106,7 @@
         case ParentUpdate():
             return 'summary', _encode_parent_update(message)
         case PendingDemand():
-            return 'wants', parts.encode_pending(message)
+            return 'wants', encode_pending(message)
         case DepartureUpdate(rows=rows):
             return 'departures', parts.encode_departures(rows)
         case SuspectUpdate(report=report):
@@ -145,7 +150,7 @@
         case 'summary':
             return _decode_parent_update(fields)
         case 'wants':
-            return parts.decode_pending(fields)
+            return decode_pending(fields)
         case 'departures':
             return DepartureUpdate(parts.decode_departures(fields))
         case 'suspects':
@@ -176,9 +181,7 @@
             name: _encode_demand(model_demand)
             for name, model_demand in report.demand.models.items()
         },
-        'wants': parts.encode_pending(
-            PendingDemand(report.demand.waiting, report.demand.unserved_s)
-        ),
+        'wants': encode_pending(pending_of(report.demand)),
         'unreachable': list(report.unreachable),
         'departures': parts.encode_departures(report.departures),
         'pauses': parts.encode_pauses(report.pauses),
@@ -189,7 +192,7 @@
 
 
 def _decode_report(fields: dict[str, Any]) -> SubtreeReport:
-    pending = parts.decode_pending(fields['wants'])
+    pending = decode_pending(fields['wants'])
     return SubtreeReport(
         float(fields['period']),
         int(fields['depth']),
@@ -199,10 +202,9 @@
             unpack_loads(fields.get('packed', '')),
             parts.decode_targets(fields.get('targets', {})),
         ),
-        Demand(
+        make_demand(
             {name: ModelDemand(*row) for name, row in fields['demand'].items()},
-            pending.waiting,
-            pending.unserved_s,
+            pending,
         ),
         tuple(map(str, fields['unreachable'])),
         parts.decode_departures(fields['departures']),
--- a/bramleybeam/gateway/_peer_codec_parts.py
+++ b/bramleybeam/gateway/_peer_codec_parts.py
@@ -14,7 +14,6 @@
 from bramleybeam.gateway._departures import Departure
 from bramleybeam.gateway._failures import OutcomeCounts
 from bramleybeam.gateway._peer_messages import ObservedStoreState
-from bramleybeam.gateway._pending_demand import PendingDemand
 from bramleybeam.gateway._placement import PlacementVersion, ReplicaPlacement
 from bramleybeam.gateway._suspect_report import SuspectCrash, SuspectReport
 from bramleybeam.gateway._tree import ObservedPlanner
@@ -150,27 +149,6 @@
     return {str(name): float(age) for name, age in fields.items()}
 
 
-def encode_pending(pending: PendingDemand) -> dict[str, list[float]]:
-    """Return the count and the unserved time in seconds of each target."""
-    return {
-        _encode_target(target): [
-            count,
-            round(pending.unserved_s.get(target, 0), 1),
-        ]
-        for target, count in pending.waiting.items()
-    }
-
-
-def decode_pending(fields: dict[str, Any]) -> PendingDemand:
-    waiting = {}
-    unserved_s = {}
-    for key, (count, age_s) in fields.items():
-        target = _decode_target(key)
-        waiting[target] = int(count)
-        unserved_s[target] = float(age_s)
-    return PendingDemand(waiting, unserved_s)
-
-
 def encode_counts(counts: Mapping[Target, int]) -> dict[str, int]:
     return {_encode_target(target): count for target, count in counts.items()}
 
--- a/bramleybeam/gateway/_pending_demand.py
+++ b/bramleybeam/gateway/_pending_demand.py
@@ -12,7 +12,10 @@
 
 import attrs
 
-from bramleybeam.orders import Target
+from bramleybeam.orders import PinnedTarget, Target
+
+# What requests wait for; a stream that goes on needs it at one software version.
+PendingTarget = Target | PinnedTarget
 
 # Time in seconds for which a refused request is counted beyond the time of its
 # expected retry.
@@ -30,8 +33,8 @@
     for which a target has been requested without being served.
     """
 
-    waiting: Mapping[Target, int] = attrs.field(factory=dict)
-    unserved_s: Mapping[Target, float] = attrs.field(factory=dict)
+    waiting: Mapping[PendingTarget, int] = attrs.field(factory=dict)
+    unserved_s: Mapping[PendingTarget, float] = attrs.field(factory=dict)
 
 
 @attrs.define
@@ -76,10 +79,10 @@
     def __init__(self) -> None:
         """Start without pending demand."""
         self.on_pending: list[Callable[[], None]] = []
-        self._local: dict[Target, _LocalPending] = {}
+        self._local: dict[PendingTarget, _LocalPending] = {}
         self._remote: dict[str, _RemotePending] = {}
 
-    def begin(self, target: Target, now: float) -> None:
+    def begin(self, target: PendingTarget, now: float) -> None:
         """Count a request that waits for its target to be loaded."""
         entry = self._local.setdefault(target, _LocalPending(now, now))
         entry.last_request_at = now
@@ -87,21 +90,21 @@
         for callback in self.on_pending:
             callback()
 
-    def end(self, target: Target) -> None:
+    def end(self, target: PendingTarget) -> None:
         """Stop counting a request that has been waiting."""
         entry = self._local.get(target)
         if entry is not None:
             entry.waiting -= 1
 
     def note_refused(
-        self, target: Target, now: float, retry_after_s: float
+        self, target: PendingTarget, now: float, retry_after_s: float
     ) -> None:
         """Count a refused request, to be retried after ``retry_after_s``."""
         entry = self._local.setdefault(target, _LocalPending(now, now))
         entry.last_request_at = now
         entry.retry_expiries.append(now + retry_after_s + _RETRY_MARGIN_S)
 
-    def note_served(self, target: Target, now: float) -> None:
+    def note_served(self, target: PendingTarget, now: float) -> None:
         """Record that a request for a target was served.
 
         For the other requests that wait for it, the unserved time starts
@@ -139,8 +142,8 @@
         that any of the gateways reports.
         """
         self._drop_expired(now)
-        waiting: Counter[Target] = Counter()
-        unserved: dict[Target, float] = {}
+        waiting: Counter[PendingTarget] = Counter()
+        unserved: dict[PendingTarget, float] = {}
         for pending in (
             self._report_local(now),
             *self._list_fresh(now, excluded_child),
--- a/bramleybeam/gateway/_planner.py
+++ b/bramleybeam/gateway/_planner.py
@@ -253,6 +253,7 @@
             tracker.is_overdue(now),
             tracker.last_use,
             tracker.list_just_arrived(now),
+            tracker.replica.software_version,
         )
 
     def _announce_orders(self, replicas: Collection[str]) -> None:
--- a/bramleybeam/orders/_messages.py
+++ b/bramleybeam/orders/_messages.py
@@ -10,6 +10,20 @@
 Target = tuple[str, str]
 
 
+@attrs.frozen
+class PinnedTarget:
+    """A model and adapter that only replicas of one software version can serve."""
+
+    model: str
+    adapter: str
+    version: str
+
+    @property
+    def target(self) -> Target:
+        """The model and adapter, whatever the version."""
+        return self.model, self.adapter
+
+
 @attrs.frozen
 class LoadModel:
     """An order to load a model at a replica.
@@ -83,7 +97,8 @@
     empty. ``is_overdue`` is set when a replica that does not accept orders was
     expected to accept them by now. ``last_use`` is the time in seconds at which
     each target arrived or was last seen running here. The targets in
-    ``just_arrived`` have not had time to serve requests yet.
+    ``just_arrived`` have not had time to serve requests yet. ``software_version``
+    is that of the replica's program.
     """
 
     name: str
@@ -97,6 +112,7 @@
     is_overdue: bool = False
     last_use: Mapping[Target, float] = attrs.field(factory=dict)
     just_arrived: Collection[Target] = ()
+    software_version: str = ''
 
     @property
     def accepts_orders_soon(self) -> bool:
@@ -193,12 +209,14 @@
     by target, the requests that wait because no replica holds their target,
     and those that were refused for this reason and are expected to be sent
     again. ``unserved_s`` is how many seconds the requests for a target have
-    gone unserved.
+    gone unserved. ``pinned`` counts the requests that wait for a target at a
+    replica of one software version, to go on with their streams.
     """
 
     models: Mapping[str, ModelDemand] = attrs.field(factory=dict)
     waiting: Mapping[Target, int] = attrs.field(factory=dict)
     unserved_s: Mapping[Target, float] = attrs.field(factory=dict)
+    pinned: Mapping[PinnedTarget, int] = attrs.field(factory=dict)
 
     def for_model(self, model: str) -> ModelDemand:
         """Return the demand for a model; ``NO_DEMAND`` if it has none."""
--- a/bramleybeam/orders/tests/test_plan.py
+++ b/bramleybeam/orders/tests/test_plan.py
@@ -11,6 +11,7 @@
     LoadAdapter,
     LoadModel,
     ModelDemand,
+    PinnedTarget,
     UnloadAdapter,
     UnloadModel,
     plan_orders,
@@ -22,9 +23,38 @@
     make_engine,
 )
 
+OLD = {'software_version': '1'}
+NEW = {'software_version': '2'}
 FULL_REPLICA = ('m1', 'm2', 'm3')
 TOLERANT = ModelDemand(tolerant=0.05)
 PLANS = (
+    # Streams go on at the version that began them, whatever others hold.
+    (
+        [make_engine('e1', 'm1', **OLD), make_engine('e2', 'm4', **NEW)],
+        Demand({'m1': TOLERANT}, pinned={PinnedTarget('m4', '', '1'): 1}),
+        [LoadModel('e1', 'm4')],
+    ),
+    (
+        [make_engine('e1', 'm1', **OLD), make_engine('e2', 'm1/a1', **NEW)],
+        Demand({'m1': TOLERANT}, pinned={PinnedTarget('m1', 'a1', '1'): 1}),
+        [LoadAdapter('e1', 'm1', 'a1')],
+    ),
+    # A replica gets one order, and other requests are served as before.
+    (
+        [make_engine('e1', 'm1', **OLD), make_engine('e2', 'm1', **NEW)],
+        Demand(
+            {'m1': TOLERANT},
+            {('m5', ''): 1},
+            pinned={PinnedTarget('m4', '', '1'): 1},
+        ),
+        [LoadModel('e1', 'm4'), LoadModel('e2', 'm5')],
+    ),
+    # No replica of that version is left.
+    (
+        [make_engine('e2', 'm1', **NEW)],
+        Demand({'m1': TOLERANT}, pinned={PinnedTarget('m4', '', '1'): 1}),
+        [],
+    ),
     # A requested model is loaded where it fits into memory.
     (
         [make_engine('e1', 'm1'), make_engine('e2', *FULL_REPLICA)],
