Count revisions of the store on when it comes back from a copy

In a drill the store may come back from a copy some seconds old: what gateways wrote since is gone, leases too, and revisions are given out again. A gateway took these for the old ones. It missed changes whose revisions it had already read, a new planner had a lower epoch than replicas had seen, so that they refused its orders, keys counted as outdated until the revision was higher, and a lease could be renewed whose id had been given to another gateway.

The adapter now adds the era that the store states (Store-Era) to each revision as its upper part, so that revisions and epochs only rise. A watch from an earlier era ends as lost history, and a lease of an earlier era as lost. Records of streams that are missing in the store are written again.

--- a/bramleybeam/gateway/_origin_keeper.py
+++ b/bramleybeam/gateway/_origin_keeper.py
@@ -1,6 +1,9 @@
 """Writes the origins of streams to the store while they may be needed there."""
 
 from collections.abc import Callable
+from typing import Final
+
+import attrs
 
 from bramleybeam import platform
 from bramleybeam.gateway._directory import Directory
@@ -11,6 +14,18 @@
 )
 
 
+# Time after which a record that was written must have been read here again.
+_REPEAT_S: Final = 5.0
+
+
+@attrs.frozen
+class _Written:
+    """A record that was written at a time in seconds."""
+
+    content: bytes
+    at: float
+
+
 class OriginKeeper:
     """Keeps the record of this gateway, and as the planner that of versions.
 
@@ -32,7 +47,7 @@
         self._is_planner = is_planner
         self._own_key = f'{ORIGIN_PREFIX}hosts/{host}'
         self._origins.own_key = self._own_key
-        self._written: dict[str, bytes] = {}
+        self._written: dict[str, _Written] = {}
 
     async def keep(self) -> None:
         """Write and delete records as needed; a failure is repeated later."""
@@ -46,7 +61,7 @@
         writes = {
             key: content
             for key, content in wanted.items()
-            if content and self._written.get(key) != content
+            if content and self._is_missing(key, content)
         }
         deletes = [
             key
@@ -54,7 +69,9 @@
             if not content and self._is_stored(key)
         ]
         if (writes or deletes) and await self._store.write(writes, deletes):
-            self._written.update(writes)
+            now = self._directory.now()
+            for key, content in writes.items():
+                self._written[key] = _Written(content, now)
             for key in deletes:
                 self._written.pop(key, None)
 
@@ -85,5 +102,16 @@
         }
         return {VERSIONS_KEY: encode_record(record)}
 
+    def _is_missing(self, key: str, content: bytes) -> bool:
+        """Whether the store lacks a record, or has another one.
+
+        A record that was written may be lost when the store comes back from a copy.
+        """
+        written = self._written.get(key)
+        if written is None or written.content != content:
+            return True
+        age_s = self._directory.now() - written.at
+        return age_s >= _REPEAT_S and key not in self._origins.store_keys
+
     def _is_stored(self, key: str) -> bool:
         return key in self._written or key in self._origins.store_keys
--- a/bramleybeam/platform/_store.py
+++ b/bramleybeam/platform/_store.py
@@ -25,9 +25,11 @@
 )
 from bramleybeam.platform._store_replies import (
     REPLY_ERRORS,
+    REVISIONS_PER_ERA,
     decode_changes,
     decode_page,
     note_unreadable,
+    revision_in_era,
 )
 
 # Largest number of pages read for one listing.
@@ -77,11 +79,13 @@
             if not isinstance(reply, StoreAnswer) or reply.status != OK_STATUS:
                 return Error(Unavailable(str(reply)))
             try:
-                page = decode_page(reply.content)
+                page = decode_page(reply)
             except REPLY_ERRORS as error:
                 return Error(note_unreadable('listing', error))
-            items.extend(page.items)
             revision = revision or page.revision
+            if _era_of(page.revision) != _era_of(revision):
+                return Error(Unavailable('the store came back from a copy'))
+            items.extend(page.items)
             if not page.items or not page.is_truncated:
                 break
             after = page.items[-1].key
@@ -95,18 +99,24 @@
     ) -> Result[Changes, HistoryLost | Unavailable]:
         """Wait up to ``wait`` seconds for changes after revision ``after``.
 
-        Returns the changes, which are empty on timeout.
+        Returns the changes, which are empty on timeout. The history before the
+        store came back from a copy is lost.
         """
+        era, stated = divmod(after, REVISIONS_PER_ERA)
+        if era != self._calls.era:
+            return Error(HistoryLost())
         query = {
             'prefix': prefix,
-            'after': after,
+            'after': stated,
             'wait-ms': round(wait * 1000),
         }
         reply = await self._calls.get('/api/kv-watch', query, extra_wait_s=wait)
         match reply:
-            case StoreAnswer(status=200, content=content):
+            case StoreAnswer(status=200) if reply.era != era:
+                return Error(HistoryLost())
+            case StoreAnswer(status=200):
                 try:
-                    return Ok(decode_changes(content))
+                    return Ok(decode_changes(reply))
                 except REPLY_ERRORS as error:
                     return Error(note_unreadable('changes', error))
             case StoreAnswer(status=410):
@@ -125,16 +135,20 @@
         """
         sent_at = boot_clock()
         held = self._held_leases.get(name)
+        if held is not None and _era_of(held.epoch) != self._calls.era:
+            # The store has lost the lease, and may have given its id to another.
+            return self._note_lost(name)
         if held is not None:
             renewal = await self._calls.post(
                 f'/api/kv-keep/{held.lease_id}', None
             )
             match renewal:
-                case StoreAnswer(status=200):
+                case StoreAnswer(status=200, era=era):
+                    if era != _era_of(held.epoch):
+                        return self._note_lost(name)
                     return Ok(Lease(name, holder, held.epoch, sent_at + ttl))
                 case StoreAnswer(status=404):
-                    self._held_leases.pop(name, None)
-                    return Error(LeaseHeld('', 0))
+                    return self._note_lost(name)
             return Error(Unavailable(str(renewal)))
         return await self._acquire(name, holder, ttl)
 
@@ -171,6 +185,11 @@
         """Forget a lease whose key was removed; the store is not called."""
         self._held_leases.pop(name, None)
 
+    def _note_lost(self, name: str) -> Result[Lease, LeaseHeld | Unavailable]:
+        """Forget a lease that has ended."""
+        self._held_leases.pop(name, None)
+        return Error(LeaseHeld('', 0))
+
     async def _acquire(
         self,
         name: str,
@@ -200,8 +219,8 @@
             },
         )
         match written:
-            case StoreAnswer(status=200, content=content):
-                epoch = int(content['revision'])
+            case StoreAnswer(status=200, content=content, era=era):
+                epoch = revision_in_era(content['revision'], era)
                 self._held_leases[name] = _HeldLease(lease_id, epoch)
                 return Ok(Lease(name, holder, epoch, sent_at + ttl))
             case StoreAnswer(status=412):
@@ -214,6 +233,10 @@
         return Error(Unavailable(str(written)))
 
 
+def _era_of(revision: int) -> int:
+    return revision // REVISIONS_PER_ERA
+
+
 def boot_clock() -> float:
     """Return a monotonic time in seconds that includes suspension."""
     return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/bramleybeam/platform/_store_calls.py
+++ b/bramleybeam/platform/_store_calls.py
@@ -14,7 +14,12 @@
 import attrs
 import structlog
 
-from bramleybeam.relay import BrokenReplyError, connect_peer
+from bramleybeam.relay import (
+    BrokenReplyError,
+    ReplyHead,
+    connect_peer,
+    find_header,
+)
 
 OK_STATUS: Final = 200
 _CONNECT_TIMEOUT_S: Final = 0.5
@@ -32,6 +37,8 @@
     ValueError,
     RecursionError,
 )
+# Rises by one each time the store comes back from a copy.
+_ERA_HEADER: Final = b'store-era'
 _log = structlog.get_logger('store')
 
 
@@ -49,10 +56,14 @@
 
 @attrs.frozen
 class StoreAnswer:
-    """The status code and the decoded JSON body of a reply."""
+    """The status code and the decoded JSON body of a reply.
+
+    ``era`` counts how often the store has come back from a copy.
+    """
 
     status: int
     content: Any
+    era: int = 0
 
 
 @attrs.frozen
@@ -74,6 +85,8 @@
         """Store the address ``IP:PORT``; ``on_call`` is called after each call."""
         self._address = address
         self._on_call = on_call
+        # The newest era that the store has stated.
+        self.era = 0
 
     async def get(
         self,
@@ -153,4 +166,15 @@
             )
         is_json = head.status == OK_STATUS and raw
         content = json.loads(raw) if is_json else None
-        return StoreAnswer(head.status, content), len(raw)
+        return StoreAnswer(head.status, content, self._note_era(head)), len(raw)
+
+    def _note_era(self, head: ReplyHead) -> int:
+        """Return the era of a reply; the newest known one if it states none."""
+        stated = find_header(head.headers, _ERA_HEADER)
+        if stated is None:
+            return self.era
+        era = int(stated)
+        if era > self.era:
+            _log.warning('store_era_began', era=era, previous=self.era)
+            self.era = era
+        return era
--- a/bramleybeam/platform/_store_replies.py
+++ b/bramleybeam/platform/_store_replies.py
@@ -7,6 +7,7 @@
 import structlog
 
 from bramleybeam.keyvalue import Changes, Item, Removal, Unavailable
+from bramleybeam.platform._store_calls import StoreAnswer
 
 # Raised by decoding a reply with missing or mistyped fields.
 REPLY_ERRORS: Final = (
@@ -16,6 +17,9 @@
     AttributeError,
     OverflowError,
 )
+# More revisions than a store gives out before it comes back from a copy. Orders
+# carry revisions as fencing tokens, which JSON represents exactly below 2 ** 53.
+REVISIONS_PER_ERA: Final = 1 << 40
 _log = structlog.get_logger('store')
 
 
@@ -34,27 +38,38 @@
     is_truncated: bool
 
 
-def decode_page(content: Any) -> Page:
+def decode_page(answer: StoreAnswer) -> Page:
     """Decode one page of a listing."""
+    content = answer.content
     return Page(
-        tuple(map(_decode_item, content['items'])),
-        int(content['as-of']),
+        tuple(_decode_item(row, answer.era) for row in content['items']),
+        revision_in_era(content['as-of'], answer.era),
         bool(content.get('truncated')),
     )
 
 
-def decode_changes(content: Any) -> Changes:
+def decode_changes(answer: StoreAnswer) -> Changes:
     """Decode the changes after a revision."""
-    events = tuple(map(_decode_event, content['events']))
-    return Changes(events, int(content['as-of']))
+    content = answer.content
+    events = tuple(_decode_event(row, answer.era) for row in content['events'])
+    return Changes(events, revision_in_era(content['as-of'], answer.era))
 
 
-def _decode_item(row: dict[str, Any]) -> Item:
+def revision_in_era(stated: Any, era: int) -> int:
+    """Return a revision that is higher than all of earlier eras.
+
+    The store gives out revisions again after it has come back from a copy.
+    """
+    return era * REVISIONS_PER_ERA + int(stated)
+
+
+def _decode_item(row: dict[str, Any], era: int) -> Item:
     content = base64.b64decode(row['value'])
-    return Item(str(row['key']), content, int(row['revision']))
+    revision = revision_in_era(row['revision'], era)
+    return Item(str(row['key']), content, revision)
 
 
-def _decode_event(row: dict[str, Any]) -> Item | Removal:
+def _decode_event(row: dict[str, Any], era: int) -> Item | Removal:
     if row.get('removed'):
-        return Removal(str(row['key']), int(row['revision']))
-    return _decode_item(row)
+        return Removal(str(row['key']), revision_in_era(row['revision'], era))
+    return _decode_item(row, era)
--- a/tests/platform_store.py
+++ b/tests/platform_store.py
@@ -43,7 +43,8 @@
     or ``lost`` (writes are applied but not answered). While the store is not
     up, leases are extended, unless ``expires_while_down`` is set. Each answer
     is delayed by ``delay_s``. Watches show a change only ``watch_lag_s`` after it
-    was written, and state a revision before it until then.
+    was written, and state a revision before it until then. ``era`` is stated in
+    all answers.
     """
 
     mode: str = 'up'
@@ -56,6 +57,7 @@
     expires_while_down: bool = False
     delay_s: float = 0
     watch_lag_s: float = 0
+    era: int = 1
     _written_at: dict = attrs.field(factory=dict)
     _last_lease: int = 7000
     _expiry: asyncio.Task | None = None
@@ -111,6 +113,25 @@
         self.compacted_revision = self.revision
         self._notify_watchers()
 
+    def copy(self) -> dict:
+        """Return a copy of the content, to come back from."""
+        return {
+            'items': dict(self.items),
+            'history': list(self.history),
+            'leases': dict(self.leases),
+            'revision': self.revision,
+        }
+
+    def restore(self, copied: dict) -> None:
+        """Come back from a copy; what was written since is gone."""
+        for name, content in copied.items():
+            setattr(self, name, content)
+        self.era += 1
+        self._notify_watchers()
+
+    def _describe_era(self) -> tuple:
+        return ((b'Store-Era', b'%d' % self.era),)
+
     def _notify_watchers(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
@@ -133,12 +154,14 @@
         if self.mode == 'unresponsive':
             await asyncio.sleep(60)
         if self.mode == 'busy':
-            connection.respond(503, (), b'{}')
+            connection.respond(503, self._describe_era(), b'{}')
             return
         status, body = await self._dispatch(request, split.path, query)
         if self.mode == 'lost' and request.method != b'GET':
             await asyncio.sleep(60)
-        connection.respond(status, (), json.dumps(body).encode())
+        connection.respond(
+            status, self._describe_era(), json.dumps(body).encode()
+        )
 
     async def _dispatch(self, request, path: str, query: dict):
         if path == '/api/kv-range':
@@ -196,7 +219,7 @@
         loop = asyncio.get_running_loop()
         deadline = loop.time() + int(query['wait-ms']) / 1000
         while True:
-            if after < self.compacted_revision:
+            if after < self.compacted_revision or after > self.revision:
                 return 410, {}
             visible = max(after, self._visible_revision())
             rows = [
