Notice stalls by an explicit call

A property of the freshness changed its state. Admission, the readiness check and the periodic exchange now record the activity first, and then ask.

--- a/bramleybeam/gateway/_admission.py
+++ b/bramleybeam/gateway/_admission.py
@@ -109,6 +109,7 @@
         if self._is_stopping:
             raise RequestRefusedError(_refuse_for_shutdown())
         directory = self._directory
+        directory.freshness.note_activity()
         configuration = directory.configuration
         is_usable = (
             directory.has_listing and not directory.freshness.is_catching_up
--- a/bramleybeam/gateway/_daemon.py
+++ b/bramleybeam/gateway/_daemon.py
@@ -248,6 +248,7 @@
     def _accepts_requests(self) -> bool:
         """Whether the load balancer may send callers here."""
         directory = self._directory
+        directory.freshness.note_activity()
         is_behind = directory.freshness.is_catching_up or directory.is_lagging
         return directory.is_ready and not is_behind and not self._is_stopping
 
@@ -329,6 +330,6 @@
         return pace.batch_delay_s
 
     async def _tick(self) -> None:
-        self._directory.freshness.stalls.note_activity()
+        self._directory.freshness.note_activity()
         self._access.note_age()
         self._exchange.tick()
--- a/bramleybeam/gateway/_freshness.py
+++ b/bramleybeam/gateway/_freshness.py
@@ -45,8 +45,8 @@
         self._missing: _MissingRevision | None = None
         self._was_lagging = False
         self._resumed_at: float | None = None
-        self.stalls = StallDetector(clock)
-        self.stalls.on_resumed.append(self._note_resumed)
+        self._stalls = StallDetector(clock)
+        self._stalls.on_resumed.append(self._note_resumed)
 
     @property
     def age_s(self) -> float | None:
@@ -87,7 +87,6 @@
         This ends with the first call to the store that was sent after the stall,
         even if the call fails: then the store is away, not this process behind.
         """
-        self.stalls.note_activity()
         return (
             self._resumed_at is not None and not self.is_configuration_current
         )
@@ -112,6 +111,13 @@
         """Return the time of the clock by which the age is measured."""
         return self._clock()
 
+    def note_activity(self) -> None:
+        """Record that this process runs, and notice a stall that has ended.
+
+        To be called periodically and before ``is_catching_up`` is used.
+        """
+        self._stalls.note_activity()
+
     def note_version(self, version: int) -> None:
         """Record the version of the configuration in force here."""
         self._version = version
--- a/bramleybeam/gateway/tests/test_follower.py
+++ b/bramleybeam/gateway/tests/test_follower.py
@@ -92,6 +92,7 @@
         task = asyncio.create_task(follower.run())
         await asyncio.sleep(0.2)
         clock.now += 5
+        directory.freshness.note_activity()
         assert directory.freshness.is_catching_up
         await asyncio.sleep(0.001)
         assert not directory.freshness.is_catching_up
