--- a/bramleybeam/orders/_models.py
+++ b/bramleybeam/orders/_models.py
@@ -32,7 +32,7 @@
 
 # Largest share of the replicas that may load models for latency-tolerant
 # requests at a time.
-_MAX_TOLERANT_SHARE: Final = 0.34
+MAX_TOLERANT_SHARE: Final = 0.34
 # Limits of one planning round, so that it does not block the event loop: models
 # that are considered for another copy, and models that are considered for a
 # load.
@@ -47,7 +47,8 @@
     """Plans at most one load or unload of a model for each replica.
 
     ``orders`` collects the planned orders. ``store_loads`` is how many loads
-    from the weight store may begin now.
+    from the weight store may begin now. ``max_tolerant_share`` is the largest
+    share of the replicas that may load models for latency-tolerant requests.
     """
 
     def __init__(
@@ -56,11 +57,13 @@
         spec: EngineSpec,
         costs: PlacementCosts,
         store_loads: int,
+        max_tolerant_share: float = MAX_TOLERANT_SHARE,
     ) -> None:
         """Store the inputs, and reserve loads for evictions in progress."""
         self.orders: list[ModelOrder] = []
         self._engines = engines
         self._spec = spec
+        self._max_tolerant_share = max_tolerant_share
         self._costs = costs
         self._options = PlacementOptions(engines, spec, costs, store_loads)
 
@@ -140,7 +143,7 @@
         """Whether the limit on loads for tolerant requests allows a load."""
         if not self._costs.is_latency_tolerant(model):
             return True
-        max_loads = math.ceil(len(self._engines) * _MAX_TOLERANT_SHARE)
+        max_loads = math.ceil(len(self._engines) * self._max_tolerant_share)
         return self._count_tolerant_loads() < max_loads
 
     def _count_tolerant_loads(self) -> int:
--- a/bramleybeam/orders/_plan.py
+++ b/bramleybeam/orders/_plan.py
@@ -17,7 +17,7 @@
     UnloadModel,
     incoming_model,
 )
-from bramleybeam.orders._models import ModelPlacement
+from bramleybeam.orders._models import MAX_TOLERANT_SHARE, ModelPlacement
 
 
 def plan_orders(
@@ -59,7 +59,8 @@
 ) -> list[ModelOrder]:
     """Return the orders for targets that are needed at one software version.
 
-    The replicas of each such version are planned as if they were all.
+    The replicas of each such version are planned as if they were all. All of them
+    may load at the same time, as the callers have a part of their answers.
     """
     orders: list[ModelOrder] = []
     for version in sorted({target.version for target in demand.pinned}):
@@ -76,6 +77,7 @@
             spec,
             attrs.evolve(demand, waiting=waiting, unserved_s={}),
             store_loads - _count_store_loads(orders),
+            max_tolerant_share=1,
         )
         orders.extend(
             order for order in planned if _is_for(order, waiting.keys())
@@ -100,6 +102,7 @@
     spec: EngineSpec,
     demand: Demand,
     store_loads: int,
+    max_tolerant_share: float = MAX_TOLERANT_SHARE,
 ) -> list[ModelOrder]:
     """Return the orders for targets that any of the replicas may serve."""
     holders = find_holders(engines)
@@ -110,6 +113,7 @@
         spec,
         PlacementCosts(engines, spec, demand, holders),
         store_loads,
+        max_tolerant_share,
     )
     models.exclude_replicas({order.replica for order in adapters.orders})
     models.load_successors()
--- a/bramleybeam/orders/tests/test_plan.py
+++ b/bramleybeam/orders/tests/test_plan.py
@@ -49,6 +49,17 @@
         ),
         [LoadModel('e1', 'm4'), LoadModel('e2', 'm5')],
     ),
+    # All replicas of a version may load for latency-tolerant streams at a time.
+    (
+        [make_engine(name, 'm1', **OLD) for name in ('e1', 'e2', 'e3')],
+        Demand(
+            dict.fromkeys(('m2', 'm3', 'm4'), TOLERANT),
+            pinned={
+                PinnedTarget(model, '', '1'): 1 for model in ('m2', 'm3', 'm4')
+            },
+        ),
+        [LoadModel('e1', 'm2'), LoadModel('e2', 'm3'), LoadModel('e3', 'm4')],
+    ),
     # No replica of that version is left.
     (
         [make_engine('e2', 'm1', **NEW)],
