Resume a stream at the service that began it

Found by reading the change: a caller's Resumes without an event would have replaced the origin of another caller's stream, and on a route to several services the service of a resumed stream was drawn at random, so that some were refused. Tests for both, and for what is remembered of origins.

--- a/bramleybeam/gateway/_job.py
+++ b/bramleybeam/gateway/_job.py
@@ -190,8 +190,12 @@
 
     @property
     def stream_id(self) -> str:
-        """The id of the request that began the stream."""
-        return self.facts.resumed_id or self.facts.request_id
+        """The id of the request that began the stream.
+
+        A caller that has received no event begins another stream.
+        """
+        is_resumed = self.facts.last_event and self.facts.resumed_id
+        return self.facts.resumed_id if is_resumed else self.facts.request_id
 
     def may_go_on_at(self, replica: Replica) -> bool:
         """Whether a replica has the software that began the stream, if any."""
--- a/bramleybeam/gateway/_resumption.py
+++ b/bramleybeam/gateway/_resumption.py
@@ -77,15 +77,30 @@
         )
 
     def _look_up(self, job: Job) -> StreamOrigin | None:
-        """Return the origin of a stream, if it may go on at this service."""
-        service = job.service.name
+        """Return the origin of a stream, if its route still allows the service.
+
+        Of several services of a route, the one that began the stream is chosen.
+        """
         origins = self.directory.origins
         found = origins.find(job.facts.resumed_id)
         if found is not None:
-            return found if found.service == service else None
+            return found if self._choose_service(job, found.service) else None
+        service = job.service.name
         versions = origins.list_versions(
             service, self.directory.replicas.values()
         )
         if len(versions) == 1:
             return StreamOrigin(service, versions.pop())
         return None
+
+    def _choose_service(self, job: Job, name: str) -> bool:
+        """Let a service of the route serve a request; return whether it may."""
+        configuration = self.directory.configuration
+        targets = {target.service for target in job.route.targets}
+        if configuration is None or name not in targets:
+            return False
+        service = configuration.services.get(name)
+        if service is None:
+            return False
+        job.service = service
+        return True
