Unload an adapter for one that a resumed stream needs

Found by reading: where all places for adapters of a version's replicas were taken, the unload that makes room for a waited-for adapter was left out of the plan, so that the stream could not go on. The new case of test_plan_orders failed before.

--- a/bramleybeam/orders/_plan.py
+++ b/bramleybeam/orders/_plan.py
@@ -14,6 +14,7 @@
     LoadModel,
     ModelOrder,
     Target,
+    UnloadAdapter,
     UnloadModel,
     incoming_model,
 )
@@ -86,7 +87,12 @@
 
 
 def _is_for(order: ModelOrder, targets: Collection[Target]) -> bool:
-    """Whether an order loads one of the targets, or makes room for it."""
+    """Whether an order loads one of the targets, or makes room for one.
+
+    Adapters are only unloaded for adapters that are waited for.
+    """
+    if isinstance(order, UnloadAdapter):
+        return True
     if isinstance(order, LoadAdapter):
         return (order.model, order.adapter) in targets
     return incoming_model(order) in {model for model, _ in targets}
--- a/bramleybeam/orders/tests/test_plan.py
+++ b/bramleybeam/orders/tests/test_plan.py
@@ -49,6 +49,12 @@
         ),
         [LoadModel('e1', 'm4'), LoadModel('e2', 'm5')],
     ),
+    # An idle adapter makes room for one that a stream needs to go on.
+    (
+        [make_engine('e1', 'm1/a1', 'm1/a2', **OLD)],
+        Demand({'m1': TOLERANT}, pinned={PinnedTarget('m1', 'a3', '1'): 1}),
+        [UnloadAdapter('e1', 'm1', 'a1')],
+    ),
     # All replicas of a version may load for latency-tolerant streams at a time.
     (
         [make_engine(name, 'm1', **OLD) for name in ('e1', 'e2', 'e3')],
