--- a/bramleybeam/gateway/_daemon.py
+++ b/bramleybeam/gateway/_daemon.py
@@ -339,5 +339,6 @@
 
     async def _tick(self) -> None:
         self._directory.freshness.note_activity()
+        self._directory.freshness.note_age()
         self._access.note_age()
         self._exchange.tick()
--- a/bramleybeam/gateway/_freshness.py
+++ b/bramleybeam/gateway/_freshness.py
@@ -44,6 +44,7 @@
         self._synced_at: float | None = None
         self._missing: _MissingRevision | None = None
         self._was_lagging = False
+        self._was_old = False
         self._resumed_at: float | None = None
         self._stalls = StallDetector(clock)
         self._stalls.on_resumed.append(self._note_resumed)
@@ -118,6 +119,24 @@
         """
         self._stalls.note_activity()
 
+    def note_age(self) -> None:
+        """Log when the last sync becomes older than in normal operation, and the end.
+
+        To be called periodically.
+        """
+        is_old = self._synced_at is not None and not self.is_fresh
+        if is_old == self._was_old:
+            return
+        self._was_old = is_old
+        log = _log.warning if is_old else _log.info
+        log(
+            'store_sync_overdue' if is_old else 'store_sync_recent',
+            store_age_s=self.age_s,
+            revision=self.revision,
+            version=self._version,
+            newest_version=self._newest_version,
+        )
+
     def note_version(self, version: int) -> None:
         """Record the version of the configuration in force here."""
         self._version = version
--- a/bramleybeam/gateway/tests/test_follower.py
+++ b/bramleybeam/gateway/tests/test_follower.py
@@ -6,6 +6,7 @@
 import attrs
 import pytest
 from expression import Error, Ok
+from structlog.testing import capture_logs
 
 from bramleybeam.catalog import TimeBounds
 from bramleybeam.gateway._directory import Directory
@@ -407,3 +408,22 @@
         return keys.age_s
 
     assert run_in_virtual_time(follow()) == pytest.approx(3, abs=0.001)
+
+
+def test_overdue_sync_is_logged_once(clock):
+    """An old sync without a stall and without a failed call leaves a line."""
+    directory = Directory(clock, make_pace(TimeBounds(configuration_s=2)))
+    freshness = directory.freshness
+    with capture_logs() as lines:
+        freshness.note_age()
+        freshness.note_sync(1, clock())
+        for _ in range(40):
+            freshness.note_age()
+            clock.now += 0.1
+        freshness.note_sync(2, clock())
+        freshness.note_age()
+    assert [line['event'] for line in lines] == [
+        'store_sync_overdue',
+        'store_sync_recent',
+    ]
+    assert lines[0]['store_age_s'] == pytest.approx(3)
--- a/bramleybeam/platform/_store_calls.py
+++ b/bramleybeam/platform/_store_calls.py
@@ -16,6 +16,7 @@
 
 from bramleybeam.relay import (
     BrokenReplyError,
+    PeerConnection,
     ReplyHead,
     connect_peer,
     find_header,
@@ -158,7 +159,7 @@
             (b'Host', self._address.encode()),
             (b'Content-Type', b'application/json'),
         )
-        connection = await connect_peer(self._address, _CONNECT_TIMEOUT_S)
+        connection = await self._connect()
         with closing(connection):
             first_line = f'{method} {target} HTTP/1.1'.encode()
             head, raw = await connection.fetch(
@@ -168,6 +169,12 @@
         content = json.loads(raw) if is_json else None
         return StoreAnswer(head.status, content, self._note_era(head)), len(raw)
 
+    async def _connect(self) -> PeerConnection:
+        try:
+            return await connect_peer(self._address, _CONNECT_TIMEOUT_S)
+        except TimeoutError as error:
+            raise TimeoutError('not connected in time') from error
+
     def _note_era(self, head: ReplyHead) -> int:
         """Return the era of a reply; the newest known one if it states none."""
         stated = find_header(head.headers, _ERA_HEADER)
