--- a/bramleybeam/gateway/tests/test_access.py
+++ b/bramleybeam/gateway/tests/test_access.py
@@ -209,6 +209,17 @@
     assert find_kind(gateway.admit, b'Bearer k-9') == unknown_key
 
 
+def test_handled_requests_do_not_hide_an_overdue_configuration(clock):
+    """Guards against a process that is slow for seconds and never stands still."""
+    gateway = Gateway(clock, limit_s=None)
+    gateway.directory.freshness.pace = make_pace(TimeBounds(configuration_s=2))
+    kinds = []
+    for _ in range(8):
+        clock.now += 0.3
+        kinds.append(find_kind(gateway.admit, b'Bearer k-1'))
+    assert kinds == [None] * 6 + [ErrorKind.NOT_CONFIGURED] * 2
+
+
 def test_public_route_works_with_old_keys(gateway, clock):
     clock.now += 60
     job = gateway.admit(b'Bearer k-1', path=b'/open/1')
--- a/tests/platform_store.py
+++ b/tests/platform_store.py
@@ -44,7 +44,8 @@
     up, leases are extended, unless ``expires_while_down`` is set. Each answer
     is delayed by ``delay_s``. Watches show a change only ``watch_lag_s`` after it
     was written, and state a revision before it until then. ``era`` is stated in
-    all answers.
+    all answers. The next ``lost_watches`` watches are never answered, and the next
+    ``refused_reads`` listings and watches get 503.
     """
 
     mode: str = 'up'
@@ -58,6 +59,8 @@
     delay_s: float = 0
     watch_lag_s: float = 0
     era: int = 1
+    lost_watches: int = 0
+    refused_reads: int = 0
     _written_at: dict = attrs.field(factory=dict)
     _last_lease: int = 7000
     _expiry: asyncio.Task | None = None
@@ -153,7 +156,7 @@
         await asyncio.sleep(self.delay_s)
         if self.mode == 'unresponsive':
             await asyncio.sleep(60)
-        if self.mode == 'busy':
+        if self.mode == 'busy' or self._refuses(request):
             connection.respond(503, self._describe_era(), b'{}')
             return
         status, body = await self._dispatch(request, split.path, query)
@@ -163,6 +166,12 @@
             status, self._describe_era(), json.dumps(body).encode()
         )
 
+    def _refuses(self, request) -> bool:
+        if not self.refused_reads or request.method != b'GET':
+            return False
+        self.refused_reads -= 1
+        return True
+
     async def _dispatch(self, request, path: str, query: dict):
         if path == '/api/kv-range':
             return 200, self._range(query)
@@ -214,7 +223,16 @@
             'as-of': self.revision,
         }
 
+    async def lose_next_watch(self) -> None:
+        """Wait until a watch has begun that is never answered."""
+        self.lost_watches += 1
+        while self.lost_watches:
+            await asyncio.sleep(0.01)
+
     async def _watch(self, query: dict):
+        if self.lost_watches:
+            self.lost_watches -= 1
+            await asyncio.sleep(60)
         after = int(query['after'])
         loop = asyncio.get_running_loop()
         deadline = loop.time() + int(query['wait-ms']) / 1000
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -1,10 +1,13 @@
 """Streams while replicas run several versions of their software."""
 
 import asyncio
+import signal
 
 import pytest
 import pytest_asyncio
+import xxhash
 
+from bramleybeam.gateway._stream_origins import ORIGIN_PREFIX, encode_record
 from tests.platform_replica import ReplicaStandIn
 from tests.platform_site import run_site
 
@@ -152,3 +155,52 @@
     )
     assert answer.status == 503
     assert not site.runs('r0')
+
+
+async def add_newer_replicas(site):
+    """Add replicas of another version, on which another gateway begins ``r0``."""
+    for name in ('e3', 'e4'):
+        replica = ReplicaStandIn(name, 'engine', models={'m1': frozenset()})
+        await site.add_replica(replica)
+        site.write_entry(replica, version='v2')
+    name = xxhash.xxh64_hexdigest(b'r0')
+    record = encode_record({'engine': {'v2': [name]}})
+    site.store.put(f'{ORIGIN_PREFIX}hosts/front-2', record)
+
+
+async def release_while_behind(site):
+    """Let a gateway miss a release since the answer of its watch is lost."""
+    await site.store.lose_next_watch()
+    await add_newer_replicas(site)
+
+
+async def release_while_stopped(site):
+    """Let a gateway miss a release since it stands still."""
+    # Only a listing has the change then, as on a slow link.
+    site.store.watch_lag_s = 6
+    process = site.gateway.process
+    process.send_signal(signal.SIGSTOP)
+    await add_newer_replicas(site)
+    await asyncio.sleep(0.5)
+    asyncio.get_running_loop().call_later(
+        0.1, process.send_signal, signal.SIGCONT
+    )
+
+
+@pytest.mark.parametrize(
+    'release', [release_while_behind, release_while_stopped]
+)
+async def test_gateway_out_of_step_takes_no_version_for_the_only_one(
+    tmp_path, release
+):
+    """Guards against a stream that goes on at the version before a release."""
+    async with run_site(tmp_path) as site:
+        await release(site)
+        answer = await resume(site, 'r0', '1')
+        runs_at = {
+            name
+            for name, replica in site.replicas.items()
+            if any(run.request_id == 'r0-again' for run in replica.runs)
+        }
+        assert runs_at <= {'e3', 'e4'}
+        assert answer.status in {200, 503}
--- a/tests/test_stalled_gateway.py
+++ b/tests/test_stalled_gateway.py
@@ -1,4 +1,4 @@
-"""A gateway that stood still while the configuration changed."""
+"""A gateway that stood still, or fell behind, while the configuration changed."""
 
 import asyncio
 import signal
@@ -12,6 +12,8 @@
 STALL_S = 2.6
 # Time in seconds for which only a listing has a change, as on a slow link.
 WATCH_LAG_S = 6
+# Time in seconds after which a configuration has to be in force.
+CONFIGURATION_S = 2
 
 
 @pytest_asyncio.fixture
@@ -82,3 +84,36 @@
     statuses = await ask_until(site, '/look/2f', 200)
     assert set(statuses) <= {200, 503}
     await site.wait_for_readiness_status(200)
+
+
+@pytest.mark.parametrize('path', ['/look/2f', '/post/2f'])
+async def test_dropped_route_is_not_served_by_an_overdue_configuration(
+    site, path
+):
+    """Guards against runs by an old configuration at a gateway that never stalls."""
+    configuration = make_configuration(2)
+    configuration['routes'] = [
+        route
+        for route in configuration['routes']
+        if not path.startswith(route['prefix'])
+    ]
+    await site.store.lose_next_watch()
+    site.store.put('op/config', configuration)
+    await asyncio.sleep(CONFIGURATION_S + 0.1)
+    answers = await asyncio.gather(*(site.ask(path) for _ in range(8)))
+    assert {answer.status for answer in answers} <= {404, 503}
+    assert not any(replica.runs for replica in site.replicas.values())
+
+
+async def test_one_refused_call_after_a_stall_does_not_show_an_outage(site):
+    """Guards against runs by an old configuration after a single lost call."""
+    configuration = make_configuration(2)
+    configuration['routes'] = [
+        route
+        for route in configuration['routes']
+        if route['prefix'] != '/look/'
+    ]
+    site.store.refused_reads = 1
+    answers = await ask_during_stall(site, configuration, *['/look/2f'] * 8)
+    assert {answer.status for answer in answers} <= {404, 503}
+    assert not any(replica.runs for replica in site.replicas.values())
