--- a/bramleybeam/platform/_store_calls.py
+++ b/bramleybeam/platform/_store_calls.py
@@ -4,7 +4,6 @@
 have stopped responding. Calls never raise for failures of the store.
 """
 
-import asyncio
 import json
 import time
 from contextlib import closing
@@ -21,6 +20,7 @@
     connect_peer,
     find_header,
 )
+from bramleybeam.timers import running_timeout
 
 OK_STATUS: Final = 200
 _CONNECT_TIMEOUT_S: Final = 0.5
@@ -115,13 +115,14 @@
     ) -> StoreAnswer | str:
         """Make a call; returns the reply or a text that says what failed.
 
-        ``extra_wait_s`` is added to the time-out, in seconds.
+        ``extra_wait_s`` is added to the time-out, in seconds. Delays of this process
+        don't count, since a late process would take the store for away.
         """
         started_at = time.monotonic()
         answer: StoreAnswer | str
         received = 0
         try:
-            async with asyncio.timeout(_CALL_TIMEOUT_S + extra_wait_s):
+            async with running_timeout(_CALL_TIMEOUT_S + extra_wait_s):
                 answer, received = await self._exchange(method, target, body)
         except _CALL_ERRORS as error:
             answer = f'no answer: {error!r}'
--- a/bramleybeam/relay/_peer_connection.py
+++ b/bramleybeam/relay/_peer_connection.py
@@ -20,6 +20,7 @@
     ReplyHead,
     render_head,
 )
+from bramleybeam.timers import running_timeout
 
 # Reading from the peer pauses when more bytes than this are buffered.
 _HIGH_WATER_BYTES: Final = 262_144
@@ -258,11 +259,11 @@
 ) -> PeerConnection:
     """Connect to ``IP:PORT`` within ``timeout`` seconds, with TLS if given.
 
-    Raises ``OSError``, which includes ``TimeoutError``.
+    Delays of this process don't count. Raises ``OSError``, which includes ``TimeoutError``.
     """
     host, _, port = address.rpartition(':')
     loop = asyncio.get_running_loop()
-    async with asyncio.timeout(timeout):
+    async with running_timeout(timeout):
         _, connection = await loop.create_connection(
             PeerConnection, host, int(port), ssl=tls
         )
