--- a/bramleybeam/gateway/_admission.py
+++ b/bramleybeam/gateway/_admission.py
@@ -8,6 +8,7 @@
 from bramleybeam.catalog import Route, RoutingConfiguration, Service
 from bramleybeam.errors import ErrorKind, Refusal, refuse
 from bramleybeam.gateway._cluster_state import ClusterState
+from bramleybeam.gateway._freshness import SyncState
 from bramleybeam.gateway._job import Job, RequestRefusedError
 from bramleybeam.limits import (
     AnswerDurations,
@@ -111,10 +112,8 @@
         directory = self._directory
         directory.freshness.note_activity()
         configuration = directory.configuration
-        is_usable = (
-            directory.has_listing and not directory.freshness.is_catching_up
-        )
-        if configuration is None or not is_usable:
+        is_overdue = directory.freshness.sync_state == SyncState.OVERDUE
+        if configuration is None or not directory.has_listing or is_overdue:
             raise RequestRefusedError(
                 refuse(ErrorKind.NOT_CONFIGURED, retry_after=_RETRY_AFTER_S),
             )
--- a/bramleybeam/gateway/_change_notifier.py
+++ b/bramleybeam/gateway/_change_notifier.py
@@ -21,7 +21,7 @@
             if not waiter.done():
                 waiter.set_result(None)
 
-    async def wait(self, timeout: float) -> None:
+    async def wait(self, timeout: float | None = None) -> None:
         """Wait for the next change or until ``timeout`` seconds have passed."""
         waiter = asyncio.get_running_loop().create_future()
         self._waiters[waiter] = None
--- a/bramleybeam/gateway/_daemon.py
+++ b/bramleybeam/gateway/_daemon.py
@@ -259,7 +259,7 @@
         """Whether the load balancer may send callers here."""
         directory = self._directory
         directory.freshness.note_activity()
-        is_behind = directory.freshness.is_catching_up or directory.is_lagging
+        is_behind = directory.freshness.is_behind
         return directory.is_ready and not is_behind and not self._is_stopping
 
     def _note_store_call(
--- a/bramleybeam/gateway/_follower.py
+++ b/bramleybeam/gateway/_follower.py
@@ -6,20 +6,25 @@
 from contextlib import suppress
 from typing import Final
 
+import attrs
 import structlog
 from expression import Result
 
 from bramleybeam.gateway._directory import Directory
+from bramleybeam.gateway._follower_pace import CALL_MARGIN_S
 from bramleybeam.keyvalue import (
     Changes,
     HistoryLost,
     ListingStore,
     Unavailable,
 )
+from bramleybeam.timers import running_timeout
 from bramleybeam.workspaces import KeyRead
 
 # Longest wait in seconds after a failure.
 _RETRY_S: Final = 0.2
+# Shortest time in seconds between two calls that requests have asked for.
+_MIN_INTERVAL_S: Final = 0.1
 # Time in seconds after which the wait between two calls is determined again.
 _RECHECK_S: Final = 0.25
 _log = structlog.get_logger('follower')
@@ -27,6 +32,18 @@
 Reply = Result[Changes, HistoryLost | Unavailable]
 
 
+@attrs.frozen
+class _WatchCall:
+    """A watch that has ended: when it was sent, its wait, and the reply.
+
+    Times are in seconds.
+    """
+
+    asked_at: float
+    wait_s: float
+    reply: Reply
+
+
 class StoreFollower:
     """Reads all keys, follows their changes, and rereads after a failure."""
 
@@ -104,21 +121,22 @@
         for one answer over a slow link; only the current state is sure to fit.
         """
         while True:
-            asked_at = self._directory.freshness.now()
             read = self._begin_read()
-            wait_s = self._watch_timeout_s()
-            reply = await self._watch_with_repeat(revision, wait_s)
-            match reply:
+            # What is asked for without delay does not wait for changes.
+            is_urgent = self._lagging_event.is_set()
+            wait_s = 0.0 if is_urgent else self._watch_timeout_s()
+            call = await self._watch_with_repeat(revision, wait_s)
+            match call.reply:
                 case Result(tag='ok', ok=Changes() as changes):
                     revision = max(revision, changes.revision)
-                    self._apply_changes(changes, asked_at, wait_s)
+                    self._apply_changes(changes, call)
                     self._directory.keys.note_read(read, changes.revision)
-                    await self._wait_for_batch()
+                    await self._wait_for_batch(call.asked_at)
                 case Result(error=HistoryLost()):
                     _log.info('history_lost', revision=revision)
                     return
                 case _:
-                    self._note_failure(asked_at)
+                    self._note_failure(call.asked_at)
                     return
 
     def _note_failure(self, asked_at: float) -> None:
@@ -139,19 +157,20 @@
         pace = self._directory.freshness.pace
         return pace.watch_timeout_s(self._batch_delay())
 
-    def _apply_changes(
-        self, changes: Changes, asked_at: float, wait_s: float
-    ) -> None:
+    def _apply_changes(self, changes: Changes, call: _WatchCall) -> None:
         self._directory.note_store(answers=True)
         self._directory.apply(changes)
         # Without changes the store has answered at the end of the wait.
-        waited_s = 0 if changes.events else wait_s
+        waited_s = 0 if changes.events else call.wait_s
         self._directory.freshness.note_sync(
-            changes.revision, asked_at + waited_s
+            changes.revision, call.asked_at + waited_s
         )
 
-    async def _wait_for_batch(self) -> None:
-        """Wait until the next changes are due or needed."""
+    async def _wait_for_batch(self, asked_at: float) -> None:
+        """Wait until the next changes are due or needed.
+
+        ``asked_at`` is when the last call was sent.
+        """
         self._lagging_event.clear()
         waited_s = 0.0
         while not self._lagging_event.is_set():
@@ -164,6 +183,10 @@
         _log.info(
             'batch_cut_short', revision=self._directory.freshness.revision
         )
+        interval_s = min(_MIN_INTERVAL_S, self._batch_delay())
+        await asyncio.sleep(
+            asked_at + interval_s - self._directory.freshness.now()
+        )
 
     async def _wait_until_lagging(self, timeout_s: float) -> None:
         """Wait until this gateway is known to lag behind, or a timeout."""
@@ -171,41 +194,59 @@
             async with asyncio.timeout(timeout_s):
                 await self._lagging_event.wait()
 
-    async def _watch_with_repeat(self, revision: int, wait_s: float) -> Reply:
-        """Watch for changes, with a second call if this gateway lags behind.
+    async def _watch_with_repeat(
+        self, revision: int, wait_s: float
+    ) -> _WatchCall:
+        """Watch for changes, and read them at once if that is asked for.
 
         A peer that reports a newer revision shows that the first call may have
         lost its connection.
         """
         self._lagging_event.clear()
         first = asyncio.create_task(self._watch(revision, wait_s))
-        repeated = asyncio.create_task(
-            self._watch_when_lagging(revision, wait_s)
-        )
+        delay_s = 0 if wait_s else _MIN_INTERVAL_S
+        urgent = asyncio.create_task(self._read_when_lagging(revision, delay_s))
         try:
-            return await _first_reply(first, repeated)
+            await asyncio.wait({first, urgent}, return_when='FIRST_COMPLETED')
+            return (urgent if urgent.done() else first).result()
         finally:
             first.cancel()
-            repeated.cancel()
-
-    async def _watch_when_lagging(self, revision: int, wait_s: float) -> Reply:
-        await self._lagging_event.wait()
-        _log.info('watch_repeated', revision=revision)
-        return await self._watch(revision, wait_s)
+            urgent.cancel()
 
-    async def _watch(self, revision: int, wait_s: float) -> Reply:
-        return await self._store.follow('', revision, wait_s)
+    async def _read_when_lagging(
+        self, revision: int, delay_s: float
+    ) -> _WatchCall:
+        """Read the changes whenever that is asked for, until the store answers.
 
+        ``delay_s`` is left to a call that has been sent just now.
+        """
+        await asyncio.sleep(delay_s)
+        while True:
+            await self._lagging_event.wait()
+            self._lagging_event.clear()
+            _log.info('watch_repeated', revision=revision)
+            call = await self._watch(revision, 0)
+            if _is_answered(call.reply):
+                return call
+            self._directory.freshness.note_failure(call.asked_at)
+            await asyncio.sleep(_MIN_INTERVAL_S)
+
+    async def _watch(self, revision: int, wait_s: float) -> _WatchCall:
+        """Watch for changes; note early that an urgent call is not answered."""
+        asked_at = self._directory.freshness.now()
+        reply = asyncio.create_task(self._store.follow('', revision, wait_s))
+        try:
+            async with running_timeout(wait_s + CALL_MARGIN_S):
+                await asyncio.wait({reply})
+        except TimeoutError:
+            if not wait_s:
+                self._directory.freshness.note_failure(asked_at)
+            await asyncio.wait({reply})
+        finally:
+            reply.cancel()
+        return _WatchCall(asked_at, wait_s, reply.result())
 
-async def _first_reply(
-    first: asyncio.Task[Reply],
-    repeated: asyncio.Task[Reply],
-) -> Reply:
-    """Return the reply that arrives first.
 
-    A failure of the second call is ignored; one of the first call is returned.
-    """
-    await asyncio.wait({first, repeated}, return_when='FIRST_COMPLETED')
-    if repeated.done() and repeated.result().is_ok():
-        return repeated.result()
-    return await first
+def _is_answered(reply: Reply) -> bool:
+    """Whether the store has answered, if only that the history is lost."""
+    return reply.is_ok() or isinstance(reply.error, HistoryLost)
--- a/bramleybeam/gateway/_follower_pace.py
+++ b/bramleybeam/gateway/_follower_pace.py
@@ -34,7 +34,7 @@
 # for one call.
 _RELAYED_BOUND_SHARE: Final = 0.6
 # Time in seconds that a call takes at the most while the store is sound.
-_CALL_MARGIN_S: Final = 0.7
+CALL_MARGIN_S: Final = 0.7
 # Share of the limit on the age of keys that the age reaches in normal operation,
 # so that one call that is not answered does not exceed the limit.
 _KEY_AGE_SHARE: Final = 0.5
@@ -79,12 +79,12 @@
     @property
     def max_lag_s(self) -> float:
         """Time for which a change that peers have read may be missing."""
-        return self.relayed_delay_s + _CALL_MARGIN_S
+        return self.relayed_delay_s + CALL_MARGIN_S
 
     @property
     def max_fresh_age_s(self) -> float:
         """Largest age of the last sync in normal operation."""
-        return self.relayed_delay_s + WATCH_TIMEOUT_S + _CALL_MARGIN_S
+        return self.relayed_delay_s + WATCH_TIMEOUT_S + CALL_MARGIN_S
 
 
 DEFAULT_PACE: Final = FollowerPace()
--- a/bramleybeam/gateway/_forward.py
+++ b/bramleybeam/gateway/_forward.py
@@ -37,16 +37,13 @@
 from bramleybeam.gateway._replica_liveness import ReplicaLiveness
 from bramleybeam.gateway._reply_observer import ReplyObserver
 from bramleybeam.gateway._resumption import Resumption
+from bramleybeam.gateway._sync_waiter import SyncWaiter
 from bramleybeam.limits import RetryBudgets
 from bramleybeam.relay import CallerConnection, ConnectionPool, InboundRequest
 
 # Time after a request's deadline in which the replica's own final answer may
 # still arrive.
 _FINAL_ANSWER_GRACE_S: Final = 0.1
-# Longest wait for a call to the store after a stall, which covers its time-out, and
-# the time between two looks.
-_MAX_CATCH_UP_S: Final = 2.0
-_CATCH_UP_STEP_S: Final = 0.05
 # Kinds of refusals that are logged with the reason when a key is checked.
 _ACCESS_KINDS: Final = frozenset(
     (ErrorKind.UNAUTHENTICATED, ErrorKind.KEYS_OUTDATED)
@@ -90,6 +87,7 @@
         self._pool = pool
         self._retries = RetryBudgets(settings)
         self._admitter = Admitter(cluster_state, self._retries, rng)
+        self._sync_waiter = SyncWaiter(cluster_state.directory.freshness)
         self._resumption = Resumption(cluster_state.directory, chooser.changed)
         self._ends_at = math.inf
 
@@ -101,7 +99,7 @@
         """Handle one request of a caller and answer it."""
         facts = platform.describe_request(request)
         request_id = facts.request_id if facts else ''
-        await self._catch_up()
+        await self._sync_waiter.wait_while_overdue()
         try:
             job = self._admitter.admit(request, facts, connection)
         except RequestRefusedError as error:
@@ -195,14 +193,6 @@
         self._admitter.durations.note(job.route.name, now - job.received_at)
         self._chooser.note_ended(job, now - job.sent_at)
 
-    async def _catch_up(self) -> None:
-        """Wait after a stall until a call to the store has ended."""
-        freshness = self._directory.freshness
-        freshness.note_activity()
-        ends_at = self._directory.now() + _MAX_CATCH_UP_S
-        while freshness.is_catching_up and self._directory.now() < ends_at:
-            await self._chooser.changed.wait(_CATCH_UP_STEP_S)
-
     def _log_unadmitted(self, request_id: str, refusal: Refusal) -> None:
         """Log a refusal at admission, and how old the configuration is.
 
--- a/bramleybeam/gateway/_freshness.py
+++ b/bramleybeam/gateway/_freshness.py
@@ -1,13 +1,23 @@
-"""Age of the last sync with the store, and lag behind other gateways."""
+"""Age of the last sync with the store, and lag behind other gateways.
+
+Whether a gateway may decide anything yet, and from data of which age, is asked
+here alone (``StoreFreshness.sync_state``).
+"""
 
 from collections.abc import Callable
+from enum import StrEnum
+from typing import Final
 
 import attrs
 import structlog
 
+from bramleybeam.gateway._change_notifier import ChangeNotifier
 from bramleybeam.gateway._follower_pace import DEFAULT_PACE, FollowerPace
 from bramleybeam.gateway._stalls import StallDetector
 
+# Time in seconds for which a failed call still shows that the store is away. Two
+# calls in a row that are not answered end in less.
+_OUTAGE_KNOWN_S: Final = 3.0
 _log = structlog.get_logger('freshness')
 
 
@@ -19,13 +29,27 @@
     noticed_at: float
 
 
+class SyncState(StrEnum):
+    """How far what was read of the store may be relied on.
+
+    ``CURRENT`` is as recent as the bound for configurations demands. ``OVERDUE``
+    is older, and the store may hold something newer that is already in force
+    elsewhere. ``STORE_AWAY`` is older too, but the store does not answer.
+    """
+
+    CURRENT = 'current'
+    OVERDUE = 'overdue'
+    STORE_AWAY = 'store_away'
+
+
 class StoreFreshness:
     """Compares the revision read here with those that neighbours report.
 
     ``clock`` returns seconds and includes suspension of the host. The callbacks
     in ``on_lagging`` are called for each report of a neighbour while this gateway
     is lagging, those in ``on_resumed`` after a stall of this process. ``pace`` is
-    how often this gateway reads changes.
+    how often this gateway reads changes. ``changed`` notifies of each call to the
+    store that has ended.
     """
 
     def __init__(
@@ -38,6 +62,7 @@
         self.pace = pace
         self._version = 0
         self._newest_version = 0
+        self.changed = ChangeNotifier()
         self.on_lagging: list[Callable[[], None]] = []
         self.on_resumed: list[Callable[[], None]] = []
         self._clock = clock
@@ -45,7 +70,7 @@
         self._missing: _MissingRevision | None = None
         self._was_lagging = False
         self._was_old = False
-        self._resumed_at: float | None = None
+        self._failed_at: float | None = None
         self._stalls = StallDetector(clock)
         self._stalls.on_resumed.append(self._note_resumed)
 
@@ -72,25 +97,23 @@
         )
 
     @property
-    def is_configuration_current(self) -> bool:
-        """Whether what the configuration lacks is certainly not configured.
-
-        A newer one may have been confirmed since, but not so long ago that it
-        has to be in force.
-        """
+    def sync_state(self) -> SyncState:
+        """Whether anything may be decided, and by what kind of data."""
         age_s = self.age_s
-        return age_s is not None and age_s <= self.pace.max_configuration_age_s
+        if age_s is None:
+            return SyncState.OVERDUE
+        if age_s <= self.pace.max_configuration_age_s:
+            return SyncState.CURRENT
+        failed_at = self._failed_at
+        if failed_at is not None and self.now() - failed_at < _OUTAGE_KNOWN_S:
+            return SyncState.STORE_AWAY
+        return SyncState.OVERDUE
 
     @property
-    def is_catching_up(self) -> bool:
-        """Whether nothing may be decided yet after a stall.
-
-        This ends with the first call to the store that was sent after the stall,
-        even if the call fails: then the store is away, not this process behind.
-        """
-        return (
-            self._resumed_at is not None and not self.is_configuration_current
-        )
+    def is_behind(self) -> bool:
+        """Whether callers are better served by another gateway."""
+        is_overdue = self.sync_state == SyncState.OVERDUE and not self.is_fresh
+        return is_overdue or self.is_lagging
 
     @property
     def newest_version(self) -> int:
@@ -106,7 +129,7 @@
     def has_newest_configuration(self) -> bool:
         """Whether what the configuration lacks is configured nowhere."""
         is_behind = self.is_lagging or self.is_outdated
-        return self.is_configuration_current and not is_behind
+        return self.sync_state == SyncState.CURRENT and not is_behind
 
     def now(self) -> float:
         """Return the time of the clock by which the age is measured."""
@@ -115,7 +138,7 @@
     def note_activity(self) -> None:
         """Record that this process runs, and notice a stall that has ended.
 
-        To be called periodically and before ``is_catching_up`` is used.
+        To be called periodically and before ``sync_state`` is used.
         """
         self._stalls.note_activity()
 
@@ -155,16 +178,18 @@
         """
         self.revision = max(self.revision, revision)
         self._synced_at = max(synced_at, self._synced_at or synced_at)
-        self._note_call(synced_at)
+        self._failed_at = None
         if self._missing and self.revision >= self._missing.revision:
             self._missing = None
         if self._was_lagging and not self._missing:
             self._was_lagging = False
             _log.info('store_lag_ended', revision=self.revision)
+        self.changed.notify()
 
     def note_failure(self, asked_at: float) -> None:
-        """Record that a call to the store failed that was sent at a time."""
-        self._note_call(asked_at)
+        """Record that a call failed, or is unanswered, that was sent at a time."""
+        self._failed_at = self.now()
+        self.changed.notify()
 
     def note_peer_revision(self, revision: int) -> None:
         """Record the revision that another gateway has read."""
@@ -185,12 +210,10 @@
             callback()
 
     def _note_resumed(self) -> None:
-        """Record that this process continues after a stall."""
-        self._resumed_at = self._clock()
+        """Record that this process continues after a stall.
+
+        A failure from before it does not show that the store is away now.
+        """
+        self._failed_at = None
         for callback in self.on_resumed:
             callback()
-
-    def _note_call(self, asked_at: float) -> None:
-        """End the time after a stall if a call was sent after the stall."""
-        if self._resumed_at is not None and asked_at >= self._resumed_at:
-            self._resumed_at = None
--- a/bramleybeam/gateway/_metrics.py
+++ b/bramleybeam/gateway/_metrics.py
@@ -146,7 +146,8 @@
             'store_age_s': directory.freshness.age_s or 0,
             'planner_age_s': min(directory.placement.age_s, _MAX_AGE_S),
             'is_planner': self._is_planner(),
-            'is_ready': directory.is_ready and not directory.is_lagging,
+            'is_ready': directory.is_ready
+            and not directory.freshness.is_behind,
             'configuration_version': (
                 configuration.version if configuration else 0
             ),
--- /dev/null
+++ b/bramleybeam/gateway/_sync_waiter.py
@@ -0,0 +1,44 @@
+"""Lets requests wait for what the store holds now."""
+
+from typing import Final
+
+import attrs
+
+from bramleybeam.gateway._freshness import StoreFreshness, SyncState
+from bramleybeam.timers import running_timeout
+
+# Longest wait in seconds. A caller is better served by a refusal that it may repeat
+# elsewhere than by a longer wait.
+_MAX_WAIT_S: Final = 1.0
+
+
+@attrs.frozen
+class SyncWaiter:
+    """Asks for a read of the store where requests need one, and waits for it.
+
+    Requests that wait at the same time share a read.
+    """
+
+    freshness: StoreFreshness
+
+    async def wait_while_overdue(self) -> None:
+        """Wait until requests may be decided by the configuration in force here.
+
+        That is after a sync, or once the store is known to be away. Returns without
+        either after the longest wait, and at once if the store was never read.
+        """
+        freshness = self.freshness
+        freshness.note_activity()
+        if freshness.age_s is None:
+            return
+        try:
+            async with running_timeout(_MAX_WAIT_S):
+                while freshness.sync_state == SyncState.OVERDUE:
+                    await self._wait_for_call()
+        except TimeoutError:
+            return
+
+    async def _wait_for_call(self) -> None:
+        """Ask for a read, and wait for the end of a call to the store."""
+        self.freshness.request_read()
+        await self.freshness.changed.wait()
--- a/bramleybeam/gateway/tests/test_follower.py
+++ b/bramleybeam/gateway/tests/test_follower.py
@@ -18,6 +18,7 @@
     FollowerPace,
     make_pace,
 )
+from bramleybeam.gateway._freshness import SyncState
 from bramleybeam.gateway._status import Traffic
 from bramleybeam.keyvalue import Changes, Item, Listing, Unavailable
 from bramleybeam.simulation import run_in_virtual_time
@@ -94,9 +95,9 @@
         await asyncio.sleep(0.2)
         clock.now += 5
         directory.freshness.note_activity()
-        assert directory.freshness.is_catching_up
+        assert directory.freshness.sync_state == SyncState.OVERDUE
         await asyncio.sleep(0.001)
-        assert not directory.freshness.is_catching_up
+        assert directory.freshness.sync_state == SyncState.CURRENT
         assert directory.freshness.age_s == 0
         task.cancel()
 
@@ -427,3 +428,42 @@
         'store_sync_recent',
     ]
     assert lines[0]['store_age_s'] == pytest.approx(3)
+
+
+def test_read_that_is_asked_for_does_not_wait_for_changes():
+    """Guards against requests that wait for the whole time of a watch."""
+
+    async def follow():
+        loop = asyncio.get_running_loop()
+        directory = Directory(loop.time)
+        store = QuietStore(0.01)
+        follower = StoreFollower(store, directory, random.Random(1), lambda: 1)
+        task = asyncio.create_task(follower.run())
+        # In the middle of a watch, and then between two watches.
+        await asyncio.sleep(0.5)
+        for _ in range(2):
+            directory.freshness.request_read()
+            await asyncio.sleep(0.15)
+            assert directory.freshness.age_s <= 0.15
+        task.cancel()
+        return store.waits
+
+    assert run_in_virtual_time(follow()) == [WATCH_TIMEOUT_S, 0, 0]
+
+
+def test_reads_that_are_asked_for_all_the_time_are_spaced():
+    """Guards against a call to the store for each request."""
+
+    async def follow():
+        loop = asyncio.get_running_loop()
+        directory = Directory(loop.time)
+        store = QuietStore(0.01)
+        follower = StoreFollower(store, directory, random.Random(1), lambda: 1)
+        task = asyncio.create_task(follower.run())
+        for _ in range(1000):
+            directory.freshness.request_read()
+            await asyncio.sleep(0.001)
+        task.cancel()
+        return len(store.waits)
+
+    assert run_in_virtual_time(follow()) <= 12
