--- a/bramleybeam/gateway/_follower.py
+++ b/bramleybeam/gateway/_follower.py
@@ -232,15 +232,14 @@
             await asyncio.sleep(_MIN_INTERVAL_S)
 
     async def _watch(self, revision: int, wait_s: float) -> _WatchCall:
-        """Watch for changes; note early that an urgent call is not answered."""
+        """Watch for changes; note early that the call is not answered."""
         asked_at = self._directory.freshness.now()
         reply = asyncio.create_task(self._store.follow('', revision, wait_s))
         try:
             async with running_timeout(wait_s + CALL_MARGIN_S):
                 await asyncio.wait({reply})
         except TimeoutError:
-            if not wait_s:
-                self._directory.freshness.note_failure(asked_at)
+            self._directory.freshness.note_failure(asked_at)
             await asyncio.wait({reply})
         finally:
             reply.cancel()
--- a/bramleybeam/gateway/_freshness.py
+++ b/bramleybeam/gateway/_freshness.py
@@ -4,6 +4,7 @@
 here alone (``StoreFreshness.sync_state``).
 """
 
+import math
 from collections.abc import Callable
 from enum import StrEnum
 from typing import Final
@@ -18,6 +19,9 @@
 # Time in seconds for which a failed call still shows that the store is away. Two
 # calls in a row that are not answered end in less.
 _OUTAGE_KNOWN_S: Final = 3.0
+# Number of calls without an answer since the last sync that show that the store is
+# away. One alone may have lost its connection.
+_OUTAGE_CALLS: Final = 2
 _log = structlog.get_logger('freshness')
 
 
@@ -70,7 +74,9 @@
         self._missing: _MissingRevision | None = None
         self._was_lagging = False
         self._was_old = False
-        self._failed_at: float | None = None
+        self._failed_at = -math.inf
+        # When the calls since the last sync were sent that have failed.
+        self._failed_calls: set[float] = set()
         self._stalls = StallDetector(clock)
         self._stalls.on_resumed.append(self._note_resumed)
 
@@ -104,8 +110,7 @@
             return SyncState.OVERDUE
         if age_s <= self.pace.max_configuration_age_s:
             return SyncState.CURRENT
-        failed_at = self._failed_at
-        if failed_at is not None and self.now() - failed_at < _OUTAGE_KNOWN_S:
+        if self._is_store_away:
             return SyncState.STORE_AWAY
         return SyncState.OVERDUE
 
@@ -178,7 +183,7 @@
         """
         self.revision = max(self.revision, revision)
         self._synced_at = max(synced_at, self._synced_at or synced_at)
-        self._failed_at = None
+        self._failed_calls.clear()
         if self._missing and self.revision >= self._missing.revision:
             self._missing = None
         if self._was_lagging and not self._missing:
@@ -189,6 +194,8 @@
     def note_failure(self, asked_at: float) -> None:
         """Record that a call failed, or is unanswered, that was sent at a time."""
         self._failed_at = self.now()
+        if len(self._failed_calls) < _OUTAGE_CALLS:
+            self._failed_calls.add(asked_at)
         self.changed.notify()
 
     def note_peer_revision(self, revision: int) -> None:
@@ -209,11 +216,16 @@
         for callback in self.on_lagging:
             callback()
 
+    @property
+    def _is_store_away(self) -> bool:
+        is_recent = self.now() - self._failed_at < _OUTAGE_KNOWN_S
+        return is_recent and len(self._failed_calls) >= _OUTAGE_CALLS
+
     def _note_resumed(self) -> None:
         """Record that this process continues after a stall.
 
         A failure from before it does not show that the store is away now.
         """
-        self._failed_at = None
+        self._failed_calls.clear()
         for callback in self.on_resumed:
             callback()
--- a/bramleybeam/gateway/tests/test_access.py
+++ b/bramleybeam/gateway/tests/test_access.py
@@ -202,6 +202,10 @@
     gateway.directory.freshness.pace = make_pace(TimeBounds(configuration_s=2))
     clock.now += age_s
     assert find_kind(gateway.admit, b'Bearer k-1') == after_stall
+    # One call may be lost while the store is there.
+    gateway.directory.freshness.note_failure(clock() - 0.2)
+    gateway.directory.freshness.note_failure(clock() - 0.2)
+    assert find_kind(gateway.admit, b'Bearer k-1') == after_stall
     # The store is away: what is configured is served all the same.
     gateway.directory.freshness.note_failure(clock())
     assert find_kind(gateway.admit, b'Bearer k-1') is None
--- a/bramleybeam/gateway/tests/test_sync_waiter.py
+++ b/bramleybeam/gateway/tests/test_sync_waiter.py
@@ -37,6 +37,10 @@
     freshness.note_sync(2, freshness.now() - 2.5)
 
 
+def note_failure(freshness):
+    freshness.note_failure(freshness.now() - 0.1)
+
+
 @pytest.mark.parametrize(
     ('age_s', 'ended_calls', 'expected'),
     [
@@ -51,6 +55,17 @@
             (SyncState.CURRENT, 0.5, 2),
         ),
         (2.1, (), (SyncState.OVERDUE, 1, 1)),
+        # One failed call does not show that the store is away, the second does.
+        (
+            2.1,
+            ((0.2, note_failure), (0.4, note_answer)),
+            (SyncState.CURRENT, 0.4, 2),
+        ),
+        (
+            2.1,
+            ((0.2, note_failure), (0.4, note_failure)),
+            (SyncState.STORE_AWAY, 0.4, 2),
+        ),
     ],
 )
 def test_requests_wait_for_a_recent_sync(age_s, ended_calls, expected):
