--- a/bramleybeam/gateway/_follower.py
+++ b/bramleybeam/gateway/_follower.py
@@ -160,10 +160,13 @@
     def _apply_changes(self, changes: Changes, call: _WatchCall) -> None:
         self._directory.note_store(answers=True)
         self._directory.apply(changes)
-        # Without changes the store has answered at the end of the wait.
-        waited_s = 0 if changes.events else call.wait_s
-        self._directory.freshness.note_sync(
-            changes.revision, call.asked_at + waited_s
+        freshness = self._directory.freshness
+        # Without changes the store has answered at the end of the wait, unless it
+        # has cut the wait short.
+        waited_until = call.asked_at + call.wait_s
+        has_waited = not changes.events and freshness.now() >= waited_until
+        freshness.note_sync(
+            changes.revision, waited_until if has_waited else call.asked_at
         )
 
     async def _wait_for_batch(self, asked_at: float) -> None:
--- a/bramleybeam/gateway/tests/test_follower.py
+++ b/bramleybeam/gateway/tests/test_follower.py
@@ -59,6 +59,8 @@
     [
         # The store has waited for a second: its state is as of that time.
         ([(1.2, Ok(Changes((), 1)))], 9.0),
+        # It has answered before the end of the wait, as of an unknown time.
+        ([(0.4, Ok(Changes((), 1)))], 10.0),
         # A change may have been delayed for the whole duration of the call.
         ([(0.7, Ok(Changes((EVENT,), 2)))], 10.0),
         # After a failure all keys are read again without a long delay.
