--- a/bramleybeam/gateway/_resumption.py
+++ b/bramleybeam/gateway/_resumption.py
@@ -1,5 +1,6 @@
 """Decides where a stream that a caller has received in part may go on."""
 
+from contextlib import suppress
 from typing import Final
 
 import attrs
@@ -76,17 +77,15 @@
         """Return the origin; wait for reads of the store if it is unknown."""
         freshness = self.directory.freshness
         asked_at = freshness.now()
-        origin = self._look_up(job, asked_at)
-        try:
+        with suppress(TimeoutError):
             async with running_timeout(_LOOKUP_S):
-                while origin is None:
-                    if freshness.sync_state == SyncState.STORE_AWAY:
-                        return None
-                    await self.sync_waiter.wait_for_call()
+                while True:
                     origin = self._look_up(job, asked_at)
-        except TimeoutError:
-            return None
-        return origin
+                    is_away = freshness.sync_state == SyncState.STORE_AWAY
+                    if origin is not None or is_away:
+                        return origin
+                    await self.sync_waiter.wait_for_call()
+        return None
 
     def _look_up(self, job: Job, asked_at: float) -> StreamOrigin | None:
         """Return the origin of a stream, if its route still allows the service.
--- a/bramleybeam/gateway/_sync_waiter.py
+++ b/bramleybeam/gateway/_sync_waiter.py
@@ -29,7 +29,8 @@
         """
         freshness = self.freshness
         freshness.note_activity()
-        if freshness.age_s is None:
+        is_overdue = freshness.sync_state == SyncState.OVERDUE
+        if freshness.age_s is None or not is_overdue:
             return
         try:
             async with running_timeout(_MAX_WAIT_S):
