--- a/bramleybeam/gateway/_follower_pace.py
+++ b/bramleybeam/gateway/_follower_pace.py
@@ -55,7 +55,7 @@
     deputy of the planner, ``relayed_delay_s`` the same while its parent in the
     tree responds. ``key_interval_s`` is the longest time for the watches of two
     calls and the wait between them. ``max_configuration_age_s`` is how long after
-    it was read a configuration still shows that something is not configured.
+    it was read a configuration may decide anything while the store answers.
     """
 
     batch_delay_s: float = NEAR_BATCH_DELAY_S
--- a/bramleybeam/gateway/_freshness.py
+++ b/bramleybeam/gateway/_freshness.py
@@ -50,10 +50,11 @@
     """Compares the revision read here with those that neighbours report.
 
     ``clock`` returns seconds and includes suspension of the host. The callbacks
-    in ``on_lagging`` are called for each report of a neighbour while this gateway
-    is lagging, those in ``on_resumed`` after a stall of this process. ``pace`` is
-    how often this gateway reads changes. ``changed`` notifies of each call to the
-    store that has ended.
+    in ``on_lagging`` are called when the store is to be read without delay, since
+    this gateway lags behind a neighbour or a request needs a recent sync; those in
+    ``on_resumed`` are called after a stall of this process. ``pace`` is
+    how often this gateway reads changes. ``changed`` notifies of each read of the
+    store that has ended or is found to be unanswered.
     """
 
     def __init__(
--- a/bramleybeam/gateway/_stalls.py
+++ b/bramleybeam/gateway/_stalls.py
@@ -20,6 +20,7 @@
 
     ``clock`` returns seconds and includes suspension of the host. The callbacks
     in ``on_resumed`` are called after a stall, before anything else is handled.
+    A process that is slow but goes on handling requests has no stall.
     """
 
     def __init__(self, clock: Callable[[], float]) -> None:
--- a/bramleybeam/timers/__init__.py
+++ b/bramleybeam/timers/__init__.py
@@ -1,4 +1,4 @@
-"""Periodic calls, coalesced callbacks and background tasks."""
+"""Periodic calls, coalesced callbacks, background tasks and time-outs."""
 
 from bramleybeam.timers._coalescer import Coalescer
 from bramleybeam.timers._running_timeout import running_timeout
