--- a/bramleybeam/gateway/tests/test_follower.py
+++ b/bramleybeam/gateway/tests/test_follower.py
@@ -432,8 +432,11 @@
     assert lines[0]['store_age_s'] == pytest.approx(3)
 
 
-def test_read_that_is_asked_for_does_not_wait_for_changes():
-    """Guards against requests that wait for the whole time of a watch."""
+def follow_quiet_store(request_reads):
+    """Follow a store without changes; return the waits of its watches.
+
+    ``request_reads`` is called with the freshness, and asks for reads.
+    """
 
     async def follow():
         loop = asyncio.get_running_loop()
@@ -441,31 +444,33 @@
         store = QuietStore(0.01)
         follower = StoreFollower(store, directory, random.Random(1), lambda: 1)
         task = asyncio.create_task(follower.run())
+        await request_reads(directory.freshness)
+        task.cancel()
+        return store.waits
+
+    return run_in_virtual_time(follow())
+
+
+def test_read_that_is_asked_for_does_not_wait_for_changes():
+    """Guards against requests that wait for the whole time of a watch."""
+
+    async def request_reads(freshness):
         # In the middle of a watch, and then between two watches.
         await asyncio.sleep(0.5)
         for _ in range(2):
-            directory.freshness.request_read()
+            freshness.request_read()
             await asyncio.sleep(0.15)
-            assert directory.freshness.age_s <= 0.15
-        task.cancel()
-        return store.waits
+            assert freshness.age_s <= 0.15
 
-    assert run_in_virtual_time(follow()) == [WATCH_TIMEOUT_S, 0, 0]
+    assert follow_quiet_store(request_reads) == [WATCH_TIMEOUT_S, 0, 0]
 
 
 def test_reads_that_are_asked_for_all_the_time_are_spaced():
     """Guards against a call to the store for each request."""
 
-    async def follow():
-        loop = asyncio.get_running_loop()
-        directory = Directory(loop.time)
-        store = QuietStore(0.01)
-        follower = StoreFollower(store, directory, random.Random(1), lambda: 1)
-        task = asyncio.create_task(follower.run())
+    async def request_reads(freshness):
         for _ in range(1000):
-            directory.freshness.request_read()
+            freshness.request_read()
             await asyncio.sleep(0.001)
-        task.cancel()
-        return len(store.waits)
 
-    assert run_in_virtual_time(follow()) <= 12
+    assert len(follow_quiet_store(request_reads)) <= 12
