--- a/bramleybeam/platform/_orders.py
+++ b/bramleybeam/platform/_orders.py
@@ -1,6 +1,5 @@
 """Sends orders to replicas: which models and adapters to load or unload."""
 
-import asyncio
 import json
 from collections.abc import Callable, Mapping
 from contextlib import closing
@@ -25,6 +24,7 @@
     ReplyHead,
     connect_peer,
 )
+from bramleybeam.timers import running_timeout
 
 _CONNECT_TIMEOUT_S: Final = 0.3
 _REPLY_TIMEOUT_S: Final = 1.0
@@ -171,7 +171,7 @@
         (b'Bramleybeam-Expect-Instance', replica.name.encode()),
     )
     with closing(connection):
-        async with asyncio.timeout(_REPLY_TIMEOUT_S):
+        async with running_timeout(_REPLY_TIMEOUT_S):
             return await connection.fetch(
                 first_line + b' HTTP/1.1', headers, body, _MAX_REPORT_BYTES
             )
--- a/bramleybeam/platform/tests/test_store.py
+++ b/bramleybeam/platform/tests/test_store.py
@@ -1,15 +1,13 @@
 """Tests of the store's client with a stand-in that simulates faults."""
 
 import asyncio
-import threading
-import time
-from contextlib import asynccontextmanager
 
 import pytest
 import pytest_asyncio
 
 from bramleybeam.keyvalue import Item, Removal
 from bramleybeam.platform import PlatformStore
+from tests.platform_port import overload_event_loop, run_in_a_thread
 from tests.platform_store import StoreStandIn
 
 
@@ -155,42 +153,15 @@
 SLOW_PASS_S = 0.6
 
 
-@asynccontextmanager
-async def run_store_in_a_thread():
-    """Yield a store that answers while the test's event loop does not run."""
-    loop = asyncio.new_event_loop()
-    thread = threading.Thread(target=loop.run_forever)
-    thread.start()
-    store = StoreStandIn()
-    asyncio.run_coroutine_threadsafe(store.start(), loop).result()
-    try:
-        yield store
-    finally:
-        asyncio.run_coroutine_threadsafe(store.close(), loop).result()
-        loop.call_soon_threadsafe(loop.stop)
-        thread.join()
-        loop.close()
-
-
-async def overload_event_loop():
-    """Let each pass of the event loop take ``SLOW_PASS_S``, until cancelled."""
-    while True:
-        time.sleep(SLOW_PASS_S)
-        await asyncio.sleep(0)
-
-
 async def test_late_process_does_not_take_the_store_for_away():
     """Guards against calls that time out while their answer has arrived."""
-    async with run_store_in_a_thread() as stand_in:
+    async with run_in_a_thread(StoreStandIn()) as stand_in:
         stand_in.put('k/1', b'x')
         store = PlatformStore(stand_in.address)
-        overload = asyncio.create_task(overload_event_loop())
-        try:
+        async with overload_event_loop(SLOW_PASS_S):
             listing = await store.list_items('')
             changes = await store.follow('', listing.ok.revision - 1, 0.1)
             lease = await store.lease('planner', 'me', 20)
-        finally:
-            overload.cancel()
     assert [item.key for item in listing.ok.items] == ['k/1']
     assert [event.key for event in changes.ok.events] == ['k/1']
     assert lease.is_ok()
