--- a/bramleybeam/gateway/_follower.py
+++ b/bramleybeam/gateway/_follower.py
@@ -8,7 +8,7 @@
 
 import attrs
 import structlog
-from expression import Result
+from expression import Error, Result
 
 from bramleybeam.gateway._directory import Directory
 from bramleybeam.gateway._follower_pace import CALL_MARGIN_S
@@ -228,12 +228,22 @@
             await self._lagging_event.wait()
             self._lagging_event.clear()
             _log.info('watch_repeated', revision=revision)
-            call = await self._watch(revision, 0)
+            call = await self._read_changes(revision)
             if _is_answered(call.reply):
                 return call
             self._directory.freshness.note_failure(call.asked_at)
             await asyncio.sleep(_MIN_INTERVAL_S)
 
+    async def _read_changes(self, revision: int) -> _WatchCall:
+        """Read the changes now; give a call up that a sound store would answer."""
+        asked_at = self._directory.freshness.now()
+        try:
+            async with running_timeout(CALL_MARGIN_S):
+                reply = await self._store.follow('', revision, 0)
+        except TimeoutError:
+            reply = Error(Unavailable('no answer to an urgent call'))
+        return _WatchCall(asked_at, 0, reply)
+
     async def _watch(self, revision: int, wait_s: float) -> _WatchCall:
         """Watch for changes; note early that the call is not answered."""
         asked_at = self._directory.freshness.now()
--- a/bramleybeam/gateway/_freshness.py
+++ b/bramleybeam/gateway/_freshness.py
@@ -75,6 +75,7 @@
         self._missing: _MissingRevision | None = None
         self._was_lagging = False
         self._was_old = False
+        self._answered_at = -math.inf
         self._failed_at = -math.inf
         # When the calls since the last sync were sent that have failed.
         self._failed_calls: set[float] = set()
@@ -191,6 +192,7 @@
         """
         self.revision = max(self.revision, revision)
         self._synced_at = max(synced_at, self._synced_at or synced_at)
+        self._answered_at = self.now()
         self._failed_calls.clear()
         if self._missing and self.revision >= self._missing.revision:
             self._missing = None
@@ -206,6 +208,15 @@
             self._failed_calls.add(asked_at)
         self.changed.notify()
 
+    def note_silence(self, since: float) -> None:
+        """Record that this process ran since a time, and a read was asked for.
+
+        If no call has been answered meanwhile, the store is away.
+        """
+        if self._answered_at <= since:
+            self._failed_at = self.now()
+            self._failed_calls.update(range(_OUTAGE_CALLS))
+
     def note_peer_revision(self, revision: int) -> None:
         """Record the revision that another gateway has read."""
         if revision > self.revision and self._missing is None:
--- a/bramleybeam/gateway/_sync_waiter.py
+++ b/bramleybeam/gateway/_sync_waiter.py
@@ -7,8 +7,7 @@
 from bramleybeam.gateway._freshness import StoreFreshness, SyncState
 from bramleybeam.timers import running_timeout
 
-# Longest wait in seconds. A caller is better served by a refusal that it may repeat
-# elsewhere than by a longer wait.
+# Longest wait in seconds, in which a sound store answers several calls.
 _MAX_WAIT_S: Final = 1.0
 
 
@@ -24,20 +23,22 @@
     async def wait_while_overdue(self) -> None:
         """Wait until requests may be decided by the configuration in force here.
 
-        That is after a sync, or once the store is known to be away. Returns without
-        either after the longest wait, and at once if the store was never read.
+        That is after a sync, or once the store is known to be away, as it is if no
+        call is answered in the longest wait. Returns without either if the answers
+        are old by the time they are read, and at once if there was none ever.
         """
         freshness = self.freshness
         freshness.note_activity()
         is_overdue = freshness.sync_state == SyncState.OVERDUE
         if freshness.age_s is None or not is_overdue:
             return
+        began_at = freshness.now()
         try:
             async with running_timeout(_MAX_WAIT_S):
                 while freshness.sync_state == SyncState.OVERDUE:
                     await self.wait_for_call()
         except TimeoutError:
-            return
+            freshness.note_silence(began_at)
 
     async def wait_for_call(self) -> None:
         """Ask for a read, and wait for the end of a call to the store."""
