--- a/bramleybeam/gateway/_freshness.py
+++ b/bramleybeam/gateway/_freshness.py
@@ -215,6 +215,7 @@
         """
         if self._answered_at <= since:
             self._failed_at = self.now()
+            # Stands for as many calls as show an outage.
             self._failed_calls.update(range(_OUTAGE_CALLS))
 
     def note_peer_revision(self, revision: int) -> None:
