--- a/review/rig2/callers.py
+++ b/review/rig2/callers.py
@@ -1,6 +1,7 @@
 """Ordinary clients, and the memory of a gateway process."""
 
 import asyncio
+import os
 import re
 import sys
 import time
@@ -103,3 +104,9 @@
         if is_own and fields[3] != '0A':
             unread += int(fields[4].partition(':')[2], 16)
     return resident, unread
+
+
+def cpu_s_of(pid):
+    """Processor time of a process, in seconds."""
+    fields = Path(f'/proc/{pid}/stat').read_text().rpartition(')')[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf('SC_CLK_TCK')
