--- a/review/rig2/callers.py
+++ b/review/rig2/callers.py
@@ -32,10 +32,21 @@
     async def wait(self, record):
         """Wait for their end, and record what they did."""
         for process in self._processes:
-            out, _ = await process.communicate()
+            out = await finish(process)
             record.note(f'hostile clients: {out.decode().strip()}')
 
 
+async def finish(process):
+    """Return what a process writes until its end; kill it if interrupted."""
+    try:
+        out, _ = await process.communicate()
+    except BaseException:
+        process.kill()
+        await process.wait()
+        raise
+    return out
+
+
 async def ask(address, request_id, path, deadline_ms, method='GET', **headers):
     """Send one request on a new connection; return status (0: none) and body.
 
--- a/review/rig2/site.py
+++ b/review/rig2/site.py
@@ -10,6 +10,7 @@
 import json
 import os
 import shutil
+import signal
 import socket
 import sys
 import tempfile
@@ -293,6 +294,11 @@
         ]
 
     async def close(self):
+        own = os.getpid()
+        children = Path(f'/proc/{own}/task/{own}/children').read_text()
+        for child in children.split():
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(int(child), signal.SIGKILL)
         for gateway in self.gateways:
             with contextlib.suppress(ProcessLookupError):
                 gateway.process.kill()
@@ -313,6 +319,10 @@
 
     async def guarded():
         site = Site()
+        # Interrupted, the case ends its processes too.
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            loop.add_signal_handler(number, asyncio.current_task().cancel)
         try:
             async with asyncio.timeout(110):
                 return await case(site, record, has_trouble)
