--- a/review/10/case.py
+++ b/review/10/case.py
@@ -14,7 +14,7 @@
 import time
 from pathlib import Path
 
-from review.rig2 import site
+from review import site_2 as site
 from tests.platform_site import make_route
 
 EVENTS = 40
@@ -53,7 +53,7 @@
     async def start(self, name, port, *, delay=0.0, holds=True, garbled=False):
         process = await asyncio.create_subprocess_exec(
             sys.executable,
-            str(site.ROOT / 'review' / 'rig2' / 'engine.py'),
+            str(site.ROOT / 'review' / 'engine_2.py'),
             name,
             str(port),
             str(delay),
--- a/review/rig2/callers.py
+++ b/review/callers_2.py
@@ -17,7 +17,7 @@
 
     async def start(self):
         """Start them, and give them two seconds to connect."""
-        script = str(Path(__file__).with_name('crowd.py'))
+        script = str(Path(__file__).with_name('crowd_2.py'))
         for _ in range(2):
             self._processes.append(
                 await asyncio.create_subprocess_exec(
--- a/review/rig2/crowd.py
+++ b/review/crowd_2.py
@@ -1,4 +1,4 @@
-"""Hostile clients in a process of their own: ``crowd.py ADDRESS KIND COUNT SECONDS``.
+"""Hostile clients in a process of their own: ``crowd_2.py ADDRESS KIND COUNT SECONDS``.
 
 KIND is the size of the chunks, or ``whole`` for a body with a length. Each client
 sends one POST with nearly all of a body of the legal size, stops just short of the
--- a/review/rig2/engine.py
+++ b/review/engine_2.py
@@ -1,4 +1,4 @@
-"""A model replica in a process of its own: ``engine.py NAME PORT DELAY HOLDS GARBLED``.
+"""A model replica in a process of its own: ``engine_2.py NAME PORT DELAY HOLDS GARBLED``.
 
 It opens the port after DELAY seconds, and then writes its entry for the store as one
 line to standard output. With HOLDS = 1 it holds the model m1. With GARBLED = 1 each
--- a/review/rig2/heads.py
+++ b/review/heads_2.py
@@ -1,4 +1,4 @@
-"""Hostile clients with long heads: ``heads.py ADDRESS COUNT SECONDS BYTES``.
+"""Hostile clients with long heads: ``heads_2.py ADDRESS COUNT SECONDS BYTES``.
 
 Each sends a request whose target is BYTES slashes, on a new connection, and the next
 one when the gateway has answered or closed, or after 10 seconds; a pause of 0.1 s
--- a/review/rig2/mixed.py
+++ b/review/mixed_2.py
@@ -1,4 +1,4 @@
-"""Hostile clients of two kinds: ``mixed.py ADDRESS SECONDS``.
+"""Hostile clients of two kinds: ``mixed_2.py ADDRESS SECONDS``.
 
 2,000 clients send empty lines before a request, one every 2 seconds, and 26 send a
 whole body of 4,000,000 bytes each to a route of streams and read the answer. 1,000
--- a/review/rig2/site.py
+++ b/review/site_2.py
@@ -21,7 +21,7 @@
 from tests.platform_site import make_route
 from tests.platform_store import StoreStandIn
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 MEMORY_MB = 300
 MAX_FDS = 4100
 SETTINGS = """
