--- a/review/callers_2.py
+++ b/review/callers_2.py
@@ -7,6 +7,8 @@
 import time
 from pathlib import Path
 
+from review.site_2 import start_process
+
 
 class Crowd:
     """Hostile clients in two processes of their own."""
@@ -20,15 +22,16 @@
         script = str(Path(__file__).with_name('crowd_2.py'))
         for _ in range(2):
             self._processes.append(
-                await asyncio.create_subprocess_exec(
-                    sys.executable,
-                    script,
-                    *self._arguments,
-                    stdout=asyncio.subprocess.PIPE,
-                )
+                await start_process(sys.executable, script, *self._arguments)
             )
         await asyncio.sleep(2)
 
+    def stop(self):
+        """End them, as there is nothing left to connect to."""
+        for process in self._processes:
+            if process.returncode is None:
+                process.terminate()
+
     async def wait(self, record):
         """Wait for their end, and record what they did."""
         for process in self._processes:
@@ -78,6 +81,14 @@
             writer.transport.abort()
 
 
+async def check_sound(address, record):
+    """Look up a permit before the disruption; it must be served."""
+    status, _ = await ask(address, 'before', '/permit-lookup/2f', 8000)
+    record.note(f'a lookup before: {status}')
+    if status != 200:
+        raise RuntimeError('no lookup is served without the disruption')
+
+
 async def ask_regularly(address, record, seconds, every_s=0.25):
     """Look up a permit every now and then; return (age, status) of each."""
     began = time.monotonic()
--- a/review/site_2.py
+++ b/review/site_2.py
@@ -7,8 +7,10 @@
 
 import asyncio
 import contextlib
+import ctypes
 import json
 import os
+import resource
 import shutil
 import signal
 import socket
@@ -147,6 +149,25 @@
     }
 
 
+_libc = ctypes.CDLL(None)
+_PR_SET_PDEATHSIG = 1
+
+
+def _end_with_parent():
+    """Let a process that was started get SIGKILL when the script ends."""
+    _libc.prctl(_PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
+async def start_process(*command, **options):
+    """Start a process that ends with the script, however that ends."""
+    return await asyncio.create_subprocess_exec(
+        *command,
+        stdout=asyncio.subprocess.PIPE,
+        preexec_fn=_end_with_parent,
+        **options,
+    )
+
+
 def free_port():
     """A UDP port that is free now."""
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
@@ -267,13 +288,12 @@
             'BRAMLEYBEAM_NODE_FILE': str(settings),
             'BRAMLEYBEAM_METRICS_ADDRESS': '127.0.0.1:0',
         }
-        process = await asyncio.create_subprocess_exec(
+        process = await start_process(
             'python3',
             '-m',
             'bramleybeam.gateway',
             cwd=ROOT,
             env=environment,
-            stdout=asyncio.subprocess.PIPE,
             limit=1 << 22,
         )
         gateway = Gateway(process)
@@ -293,6 +313,12 @@
             if run.request_id.startswith(prefix)
         ]
 
+    def record_runs(self, record):
+        """Write what the replicas in this process have run."""
+        for replica in self.replicas.values():
+            ids = ' '.join(run.request_id for run in replica.runs)
+            record.note(f'{replica.name} ran {len(replica.runs)}: {ids}')
+
     async def close(self):
         own = os.getpid()
         children = Path(f'/proc/{own}/task/{own}/children').read_text()
@@ -318,6 +344,8 @@
     record.note(f'trouble: {has_trouble}')
 
     async def guarded():
+        if resource.getrlimit(resource.RLIMIT_NOFILE)[0] < MAX_FDS:
+            raise RuntimeError(f'fewer than {MAX_FDS} descriptors')
         site = Site()
         # Interrupted, the case ends its processes too.
         loop = asyncio.get_running_loop()
@@ -327,6 +355,7 @@
             async with asyncio.timeout(110):
                 return await case(site, record, has_trouble)
         finally:
+            site.record_runs(record)
             await site.close()
 
     try:
