--- a/review/10/case.py
+++ b/review/10/case.py
@@ -17,8 +17,11 @@
 from review import site_2 as site
 from tests.platform_site import make_route
 
-EVENTS = 40
-RATE = 40
+EVENTS = 30
+RATE = 55
+# Seconds before a freeze from which streams may have no length, and between two.
+GARBLE_S = 5.3
+PAUSE_S = 5
 HEARTBEAT_S = 1.2
 # Seconds: the freeze, and within it the crash and the return of the replica.
 FREEZE_S = 3.0
@@ -44,28 +47,40 @@
 class Fleet:
     """The replicas: processes, and their entries in the store."""
 
-    def __init__(self, place):
+    def __init__(self, place, record):
         self.place = place
+        self.record = record
+        self.readers = []
         self.processes = {}
         self.entries = {}
         self.ports = {}
 
-    async def start(self, name, port, *, delay=0.0, holds=True, garbled=False):
-        process = await asyncio.create_subprocess_exec(
+    async def start(self, name, port, *, delay=0.0, holds=True):
+        process = await site.start_process(
             sys.executable,
             str(site.ROOT / 'review' / 'engine_2.py'),
             name,
             str(port),
             str(delay),
             str(int(holds)),
-            str(int(garbled)),
-            stdout=asyncio.subprocess.PIPE,
         )
         self.processes[name] = process
         self.ports[name] = port
         entry = json.loads(await process.stdout.readline())
         self.entries[name] = entry
         self.place.store.put(f'servers/{name}', entry)
+        self.readers.append(asyncio.create_task(self._note_runs(process)))
+
+    async def _note_runs(self, process):
+        """Record what a replica runs."""
+        async for line in process.stdout:
+            self.record.note(line.decode().strip())
+
+    def signal(self, names, number):
+        """Send a signal to the replicas that live."""
+        for name in names:
+            if name in self.entries:
+                self.processes[name].send_signal(number)
 
     async def beat(self):
         """Write the entries of the replicas that live, with a new sequence."""
@@ -148,22 +163,22 @@
 
     site.make_configuration = configure
     await place.start(ledgers=1, engines=0)
-    fleet = Fleet(place)
+    fleet = Fleet(place, record)
     broken = []
     ends = {}
 
     async def follow(number):
+        record.note(f'r-{number} sent')
         end, ids = await read_stream(gateway.callers, number)
         ends[end] = ends.get(end, 0) + 1
         is_whole = ids == list(range(EVENTS))
         if end == 'complete' and not is_whole:
             broken.append(number)
-        if end != 'complete' or not is_whole:
-            record.note(
-                f'r-{number} ended: {end}, events'
-                f' {ids[0] if ids else "none"} to {ids[-1] if ids else "none"},'
-                f' {len(ids)} of {EVENTS}'
-            )
+        record.note(
+            f'r-{number} ended: {end}, events'
+            f' {ids[0] if ids else "none"} to {ids[-1] if ids else "none"},'
+            f' {len(ids)} of {EVENTS}'
+        )
 
     async def ask():
         while True:
@@ -175,7 +190,7 @@
     try:
         await asyncio.gather(
             *(
-                fleet.start(f'i-e{n}', free_tcp_port(), garbled=n < 3)
+                fleet.start(f'i-e{n}', free_tcp_port())
                 for n in range(6)
             )
         )
@@ -183,9 +198,15 @@
         pid = gateway.process.pid
         await asyncio.sleep(2)
         asking = asyncio.create_task(ask())
-        await asyncio.sleep(10)
+        await asyncio.sleep(5)
         expiries = []
+        # Half of the servers, that which crashes next among them.
+        garbling = ('i-e0', 'i-e1', 'i-e2')
         for n in range(3):
+            await asyncio.sleep(PAUSE_S)
+            fleet.signal(garbling, signal.SIGUSR1)
+            await asyncio.sleep(GARBLE_S)
+            fleet.signal(garbling, signal.SIGUSR2)
             if has_trouble:
                 began = time.monotonic()
                 record.note('the gateway stands still')
@@ -208,7 +229,7 @@
                     'the gateway goes on after'
                     f' {time.monotonic() - began:.2f} s'
                 )
-            await asyncio.sleep(10)
+        await asyncio.sleep(5)
         asking.cancel()
         await asyncio.gather(*streams)
     finally:
@@ -223,6 +244,8 @@
     )
     record.note(line)
     print(line)
+    if not has_trouble and len(streams) < 500:
+        raise RuntimeError('too few streams')
     # As for the rule: one is enough.
     return bool(broken)
 
